Build, wire messages and decision core

Maven modules with formatter and linter, protobuf messages between the processes with their committed code, and the decisions without I/O: configuration, admission, routing, leases, usage, claims, suspects.

Not run yet: everything above this layer.

--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/config/Template.java
@@ -0,0 +1,26 @@
+package org.limpetvale.core.config;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * The template that workspaces share.
+ *
+ * @param name name of the template
+ * @param classes request classes by name
+ * @param models models that a workspace may name
+ * @param services routes of each plain service by its name
+ */
+public record Template(
+    String name,
+    Map<String, RequestClass> classes,
+    List<String> models,
+    Map<String, List<ServiceRoute>> services) {
+  public Template {
+    Objects.requireNonNull(name, "name is null");
+    classes = classes == null ? Map.of() : Map.copyOf(classes);
+    models = models == null ? List.of() : List.copyOf(models);
+    services = services == null ? Map.of() : Map.copyOf(services);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/crash/package-info.java
@@ -0,0 +1,2 @@
+/** Requests suspected of crashing their upstream. */
+package org.limpetvale.core.crash;
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/result/ResultCode.java
@@ -0,0 +1,92 @@
+package org.limpetvale.core.result;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Numbered results of requests and operations; the table in docs/RESULT-CODES.md lists them all.
+ */
+public enum ResultCode {
+  KEY_MISSING(1001, 401, Ran.NOT_RUN, "The route needs a key and the request carried none."),
+  KEY_UNKNOWN(1002, 401, Ran.NOT_RUN, "The key is unknown, malformed or withdrawn."),
+  KEY_WITHDRAWN(1003, 401, Ran.MAY_HAVE_RUN, "The key was withdrawn while the request ran."),
+  CLASS_NOT_ALLOWED(1004, 403, Ran.NOT_RUN, "The workspace may not send this request class."),
+  MODEL_NOT_ALLOWED(1005, 403, Ran.NOT_RUN, "The workspace may not use this model."),
+  ROUTE_UNKNOWN(1006, 404, Ran.NOT_RUN, "No such service or route."),
+  OPERATOR_KEY_REFUSED(1007, 401, Ran.NOT_RUN, "The call needs an operator's key."),
+  BODY_MALFORMED(2001, 400, Ran.NOT_RUN, "The body is not valid JSON of the expected shape."),
+  BODY_TOO_LARGE(2002, 413, Ran.NOT_RUN, "The body is larger than the limit."),
+  FIELD_INVALID(2003, 400, Ran.NOT_RUN, "A field has a value outside its range."),
+  KEY_REUSED(2004, 422, Ran.NOT_RUN, "The Idempotency-Key came before with another body."),
+  CONFIG_INVALID(2005, 422, Ran.NOT_RUN, "The configuration change has faults."),
+  BODY_TOO_SLOW(2006, 408, Ran.NOT_RUN, "The body did not arrive in time."),
+  QUEUE_FULL(3001, 429, Ran.NOT_RUN, "Every queue that could take the request is full."),
+  DISPLACED(3002, 429, Ran.NOT_RUN, "A request with precedence took the place in the queue."),
+  TARGET_OUT_OF_REACH(3003, 429, Ran.NOT_RUN, "The latency target can no longer be met."),
+  NO_UPSTREAM(3004, 503, Ran.NOT_RUN, "No upstream for this model or service is available."),
+  DRAINING(3005, 503, Ran.NOT_RUN, "The upstream or VM is leaving."),
+  CONFIG_STALE(3006, 503, Ran.NOT_RUN, "The configuration cannot be confirmed to be current."),
+  RETRY_BUDGET_SPENT(3007, 503, Ran.NOT_RUN, "The retry budget of this entry is spent."),
+  TABLE_UNAVAILABLE(3008, 503, Ran.NOT_RUN, "The table service is needed and does not answer."),
+  UPSTREAM_CRASHED(4001, 502, Ran.MAY_HAVE_RUN, "The upstream crashed while it ran the request."),
+  UPSTREAM_SILENT(4002, 504, Ran.MAY_HAVE_RUN, "The upstream stopped answering."),
+  CONNECTION_LOST(4003, 502, Ran.MAY_HAVE_RUN, "The connection to the sidecar was lost."),
+  REPEAT_UNRESOLVED(
+      4004, 409, Ran.MAY_HAVE_RUN, "An earlier call with this Idempotency-Key may have run."),
+  REPEAT_RUNNING(
+      4005, 409, Ran.MAY_HAVE_RUN, "An earlier call with this Idempotency-Key is running."),
+  REQUEST_CRASHES_UPSTREAMS(
+      4006, 422, Ran.RAN, "This request has crashed two upstreams and is not run again."),
+  UPSTREAM_ERROR(4007, 502, Ran.RAN, "The upstream answered with an error."),
+  CANCELLED(4008, 499, Ran.MAY_HAVE_RUN, "The caller went away."),
+  EPOCH_OLD(5001, 409, Ran.NOT_RUN, "The order carries an old fencing number."),
+  ORDER_BLOCKED(5002, 409, Ran.NOT_RUN, "An earlier order of the zone is unresolved."),
+  INTERNAL(9001, 500, Ran.MAY_HAVE_RUN, "An unexpected fault inside limpetvale.");
+
+  private final int number;
+  private final int httpStatus;
+  private final Ran ran;
+  private final String meaning;
+
+  ResultCode(int number, int httpStatus, Ran ran, String meaning) {
+    this.number = number;
+    this.httpStatus = httpStatus;
+    this.ran = ran;
+    this.meaning = meaning;
+  }
+
+  /** Returns the number that callers see. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the HTTP status that goes with the code. */
+  public int httpStatus() {
+    return httpStatus;
+  }
+
+  /** Returns what the code says of the request unless an answer knows better. */
+  public Ran ran() {
+    return ran;
+  }
+
+  /** Returns one sentence on the meaning. */
+  public String meaning() {
+    return meaning;
+  }
+
+  /** Returns the code as callers see it, such as {@code LV-1001}. */
+  public String label() {
+    return "LV-" + number;
+  }
+
+  /**
+   * Finds the code with a number.
+   *
+   * @param number the number on the wire
+   * @return the code, or empty for a number of a newer version
+   */
+  public static Optional<ResultCode> ofNumber(int number) {
+    return Arrays.stream(values()).filter(code -> code.number == number).findFirst();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/result/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered result codes and sealed results. */
+package org.limpetvale.core.result;
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/routing/Scored.java
@@ -0,0 +1,11 @@
+package org.limpetvale.core.routing;
+
+/**
+ * A candidate with its score.
+ *
+ * @param candidate the candidate
+ * @param scoreMillis predicted time to the first token with penalties and credits, in milliseconds;
+ *     under a baseline policy, its own measure
+ * @param why the parts of the score, for the log
+ */
+public record Scored(Candidate candidate, double scoreMillis, String why) {}
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of an upstream for one attempt of a request, and the budget of retries. */
+package org.limpetvale.core.routing;
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Usage records, windows and their reports. */
+package org.limpetvale.core.usage;
