--- /dev/null
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/Admission.java
@@ -0,0 +1,245 @@
+package org.limpetvale.sidecar;
+
+import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.limpetvale.core.admission.AdmissionQueue;
+import org.limpetvale.core.admission.Offer;
+import org.limpetvale.core.admission.Waiting;
+import org.limpetvale.core.config.RequestClass;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.wire.Open;
+
+/** The only place that admits requests to this upstream; runs them in the order of the queue. */
+final class Admission {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long EXPIRY_PERIOD_MILLIS = 100;
+  private static final long DRAIN_RETRY_AFTER_MILLIS = 1000;
+
+  private final UpstreamRunner runner;
+  private final TimerService timer;
+  private final MeterRegistry metrics;
+  private final Map<Long, Attempt> waitingAttempts = new ConcurrentHashMap<>();
+  private final Object lock = new Object();
+  private AdmissionQueue queue;
+  private volatile boolean draining;
+
+  Admission(
+      AdmissionQueue queue, UpstreamRunner runner, TimerService timer, MeterRegistry metrics) {
+    this.queue = Objects.requireNonNull(queue, "queue is null");
+    this.runner = Objects.requireNonNull(runner, "runner is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+    timer.every(EXPIRY_PERIOD_MILLIS, this::expire);
+  }
+
+  // -- offers
+
+  /** Admits, queues or refuses an attempt; displaced attempts are refused at once as not run. */
+  void offer(Attempt attempt) {
+    long nowMillis = timer.nowMillis();
+    Waiting waiting = waiting(attempt, nowMillis);
+    Optional<Waiting> displaced = Optional.empty();
+    Offer offer;
+    synchronized (lock) {
+      offer = draining ? null : queue.offer(waiting, nowMillis);
+      if (offer instanceof Offer.Queued(AdmissionQueue next, Optional<Waiting> victim)) {
+        queue = next;
+        waitingAttempts.put(attempt.ticket(), attempt);
+        attempt.accepted(next.waiting().size());
+        displaced = victim;
+      }
+    }
+    switch (offer) {
+      case null ->
+          refuse(attempt, ResultCode.DRAINING, "the upstream is leaving", DRAIN_RETRY_AFTER_MILLIS);
+      case Offer.Queued ignored -> {
+        displaced.ifPresent(this::refuseDisplaced);
+        attempt.onAbort(() -> cancelWaiting(attempt));
+        pump();
+      }
+      case Offer.Full(long retryAfterMillis) ->
+          refuse(attempt, ResultCode.QUEUE_FULL, "the queue is full", retryAfterMillis);
+      case Offer.TooLate(long retryAfterMillis) ->
+          refuse(
+              attempt,
+              ResultCode.TARGET_OUT_OF_REACH,
+              "the predicted wait is longer than the class allows",
+              retryAfterMillis);
+    }
+  }
+
+  // -- draining
+
+  /** Refuses all new work; what waits is given back, what runs goes on. */
+  void drain() {
+    List<Attempt> givenBack = new ArrayList<>();
+    synchronized (lock) {
+      draining = true;
+      for (Waiting each : queue.waiting()) {
+        queue = queue.withoutWaiting(each.ticket());
+        Optional.ofNullable(waitingAttempts.remove(each.ticket())).ifPresent(givenBack::add);
+      }
+    }
+    givenBack.forEach(
+        each ->
+            refuse(each, ResultCode.DRAINING, "the upstream is leaving", DRAIN_RETRY_AFTER_MILLIS));
+  }
+
+  /** Takes new work again. */
+  void undrain() {
+    draining = false;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  // -- queries
+
+  AdmissionQueue snapshot() {
+    synchronized (lock) {
+      return queue;
+    }
+  }
+
+  // -- dispatch
+
+  private void pump() {
+    while (true) {
+      Attempt attempt;
+      Waiting request;
+      synchronized (lock) {
+        Optional<AdmissionQueue.Dispatch> dispatch = queue.next(timer.nowMillis());
+        if (dispatch.isEmpty()) {
+          return;
+        }
+        queue = dispatch.get().queue();
+        request = dispatch.get().request();
+        attempt = waitingAttempts.remove(request.ticket());
+      }
+      if (attempt == null || attempt.isCancelled()) {
+        finish(request, 0, 0);
+        continue;
+      }
+      Thread.ofVirtual().name("run-" + request.ticket()).start(() -> run(attempt, request));
+    }
+  }
+
+  private void run(Attempt attempt, Waiting request) {
+    long startMillis = timer.nowMillis();
+    long waitedMillis = startMillis - request.arrivedMillis();
+    metrics
+        .timer("limpetvale.sidecar.wait", "tier", String.valueOf(request.tier()))
+        .record(waitedMillis, TimeUnit.MILLISECONDS);
+    logger.atInfo().log(
+        "dispatch request=%s attempt=%d workspace=%s class=%s tier=%d waitedMillis=%d",
+        attempt.open().getRequestId(),
+        attempt.open().getAttempt(),
+        request.workspace(),
+        request.requestClass(),
+        request.tier(),
+        waitedMillis);
+    attempt.dispatched(waitedMillis);
+    long tokens = 0;
+    try {
+      tokens = runner.run(attempt).tokens();
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("run failed: request=%s", attempt.open().getRequestId());
+      attempt.failed(ResultCode.INTERNAL, String.valueOf(e.getMessage()), false);
+    } finally {
+      finish(request, tokens, timer.nowMillis() - startMillis);
+    }
+    pump();
+  }
+
+  private void finish(Waiting request, long tokens, long serviceMillis) {
+    synchronized (lock) {
+      queue = queue.withFinished(request.ticket(), tokens, serviceMillis);
+    }
+  }
+
+  // -- giving up
+
+  private void expire() {
+    List<Attempt> late = new ArrayList<>();
+    synchronized (lock) {
+      for (Waiting each : queue.expired(timer.nowMillis())) {
+        queue = queue.withoutWaiting(each.ticket());
+        Optional.ofNullable(waitingAttempts.remove(each.ticket())).ifPresent(late::add);
+      }
+    }
+    late.forEach(
+        each ->
+            refuse(
+                each,
+                ResultCode.TARGET_OUT_OF_REACH,
+                "the wait grew longer than the class allows",
+                Math.round(snapshot().meanServiceMillis())));
+  }
+
+  private void cancelWaiting(Attempt attempt) {
+    synchronized (lock) {
+      if (waitingAttempts.remove(attempt.ticket()) == null) {
+        return;
+      }
+      queue = queue.withoutWaiting(attempt.ticket());
+    }
+    refuse(attempt, ResultCode.CANCELLED, "cancelled while it waited", 0);
+  }
+
+  private void refuseDisplaced(Waiting victim) {
+    Attempt attempt = waitingAttempts.remove(victim.ticket());
+    if (attempt != null) {
+      refuse(
+          attempt,
+          ResultCode.DISPLACED,
+          "a request with precedence took the place",
+          snapshot().predictedWaitMillis(victim.tier()));
+    }
+  }
+
+  private void refuse(Attempt attempt, ResultCode code, String detail, long retryAfterMillis) {
+    metrics
+        .counter(
+            "limpetvale.sidecar.refusals",
+            "code",
+            code.label(),
+            "tier",
+            String.valueOf(attempt.open().getTier()))
+        .increment();
+    logger.atInfo().log(
+        "refuse request=%s attempt=%d workspace=%s class=%s tier=%d code=%s",
+        attempt.open().getRequestId(),
+        attempt.open().getAttempt(),
+        attempt.open().getWorkspace(),
+        attempt.open().getRequestClass(),
+        attempt.open().getTier(),
+        code.label());
+    attempt.refused(code, detail, retryAfterMillis);
+  }
+
+  private static Waiting waiting(Attempt attempt, long nowMillis) {
+    Open open = attempt.open();
+    return new Waiting(
+        attempt.ticket(),
+        open.getWorkspace(),
+        open.getRequestClass(),
+        Math.clamp(open.getTier(), 0, RequestClass.TIERS - 1),
+        nowMillis,
+        nowMillis + open.getMaxWaitMillis(),
+        Math.max(1, open.getEstimatedTokens()),
+        open.getWeight() > 0 ? open.getWeight() : 1,
+        open.getFloorShare(),
+        open.getOverBudget(),
+        !open.getSuspectDigest().isEmpty(),
+        0);
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/Attempt.java
@@ -0,0 +1,236 @@
+package org.limpetvale.sidecar;
+
+import io.grpc.stub.StreamObserver;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Supplier;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.wire.Accepted;
+import org.limpetvale.wire.Dispatched;
+import org.limpetvale.wire.Failed;
+import org.limpetvale.wire.Finished;
+import org.limpetvale.wire.Open;
+import org.limpetvale.wire.Refused;
+import org.limpetvale.wire.RunEvent;
+import org.limpetvale.wire.ServiceAnswer;
+import org.limpetvale.wire.SidecarLoad;
+import org.limpetvale.wire.Token;
+
+/**
+ * One attempt of a request at this sidecar, with the events it has made.
+ *
+ * <p>The events are kept until the entry has them, so that an entry whose connection was lost can
+ * attach again at the next event it lacks.
+ */
+final class Attempt {
+  /** How far an attempt has come. */
+  enum Phase {
+    QUEUED,
+    RUNNING,
+    ENDED
+  }
+
+  private final Open open;
+  private final long ticket;
+  private final TimerService timer;
+  private final Supplier<SidecarLoad> load;
+  private final List<RunEvent> events = new ArrayList<>();
+  private Phase phase = Phase.QUEUED;
+  private StreamObserver<RunEvent> observer;
+  private long detachedSinceMillis;
+  private Runnable abort = () -> {};
+  private boolean cancelled;
+  private long endedMillis;
+
+  Attempt(Open open, long ticket, TimerService timer, Supplier<SidecarLoad> load) {
+    this.open = Objects.requireNonNull(open, "open is null");
+    this.ticket = ticket;
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.load = Objects.requireNonNull(load, "load is null");
+  }
+
+  Open open() {
+    return open;
+  }
+
+  long ticket() {
+    return ticket;
+  }
+
+  /** Returns when the attempt ended, in milliseconds; 0 while it has not. */
+  synchronized long endedMillis() {
+    return endedMillis;
+  }
+
+  synchronized Phase phase() {
+    return phase;
+  }
+
+  synchronized boolean isCancelled() {
+    return cancelled;
+  }
+
+  /** Returns since when no entry has been attached, in milliseconds; 0 while one is. */
+  synchronized long detachedSinceMillis() {
+    return detachedSinceMillis;
+  }
+
+  // -- attaching
+
+  /** Sends all events from a position on, now and as they come, to an entry. */
+  synchronized void attach(StreamObserver<RunEvent> to, long nextSequence) {
+    observer = to;
+    detachedSinceMillis = 0;
+    for (int i = (int) Math.min(nextSequence, events.size()); i < events.size(); i++) {
+      send(events.get(i));
+    }
+    if (phase == Phase.ENDED) {
+      complete();
+    }
+  }
+
+  /** Notes that the connection of an entry was lost. */
+  synchronized void detach(StreamObserver<RunEvent> from, long nowMillis) {
+    if (observer == from) {
+      observer = null;
+      detachedSinceMillis = nowMillis;
+    }
+  }
+
+  // -- events
+
+  void accepted(int queuePosition) {
+    append(
+        RunEvent.newBuilder().setAccepted(Accepted.newBuilder().setQueuePosition(queuePosition)));
+  }
+
+  synchronized void dispatched(long waitedMillis) {
+    phase = Phase.RUNNING;
+    append(
+        RunEvent.newBuilder().setDispatched(Dispatched.newBuilder().setWaitedMillis(waitedMillis)));
+  }
+
+  void token(String text) {
+    append(RunEvent.newBuilder().setToken(Token.newBuilder().setText(text)));
+  }
+
+  void serviceAnswer(ServiceAnswer answer) {
+    append(RunEvent.newBuilder().setServiceAnswer(answer));
+  }
+
+  synchronized void finished(
+      int promptTokens, int completionTokens, int cachedTokens, String reason) {
+    end(
+        RunEvent.newBuilder()
+            .setFinished(
+                Finished.newBuilder()
+                    .setEventCount(events.size())
+                    .setPromptTokens(promptTokens)
+                    .setCompletionTokens(completionTokens)
+                    .setCachedTokens(cachedTokens)
+                    .setFinishReason(reason)));
+  }
+
+  void refused(ResultCode code, String detail, long retryAfterMillis) {
+    end(
+        RunEvent.newBuilder()
+            .setRefused(
+                Refused.newBuilder()
+                    .setCode(code.number())
+                    .setDetail(detail)
+                    .setRetryAfterMillis(retryAfterMillis)));
+  }
+
+  void failed(ResultCode code, String detail, boolean notRun) {
+    end(
+        RunEvent.newBuilder()
+            .setFailed(
+                Failed.newBuilder().setCode(code.number()).setDetail(detail).setNotRun(notRun)));
+  }
+
+  void crashed(String detail, int requestsAtCrash) {
+    end(
+        RunEvent.newBuilder()
+            .setFailed(
+                Failed.newBuilder()
+                    .setCode(ResultCode.UPSTREAM_CRASHED.number())
+                    .setDetail(detail)
+                    .setUpstreamCrashed(true)
+                    .setRequestsAtCrash(requestsAtCrash)));
+  }
+
+  // -- cancelling
+
+  /** Sets what stops the work at the upstream; runs it at once when the attempt is cancelled. */
+  void onAbort(Runnable action) {
+    boolean now;
+    synchronized (this) {
+      abort = action;
+      now = cancelled;
+    }
+    if (now) {
+      action.run();
+    }
+  }
+
+  void cancel() {
+    Runnable action;
+    synchronized (this) {
+      if (phase == Phase.ENDED || cancelled) {
+        return;
+      }
+      cancelled = true;
+      action = abort;
+    }
+    action.run();
+  }
+
+  private synchronized void append(RunEvent.Builder event) {
+    if (phase == Phase.ENDED) {
+      return;
+    }
+    RunEvent numbered =
+        event
+            .setRequestId(open.getRequestId())
+            .setAttempt(open.getAttempt())
+            .setSequence(events.size())
+            .build();
+    events.add(numbered);
+    send(numbered);
+  }
+
+  private synchronized void end(RunEvent.Builder event) {
+    if (phase == Phase.ENDED) {
+      return;
+    }
+    append(event.setLoad(load.get()));
+    phase = Phase.ENDED;
+    endedMillis = timer.nowMillis();
+    complete();
+  }
+
+  private void send(RunEvent event) {
+    if (observer == null) {
+      return;
+    }
+    try {
+      observer.onNext(event);
+    } catch (RuntimeException e) {
+      // The connection is gone; the entry attaches again.
+      observer = null;
+    }
+  }
+
+  private void complete() {
+    if (observer == null) {
+      return;
+    }
+    try {
+      observer.onCompleted();
+    } catch (RuntimeException e) {
+      observer = null;
+    }
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/AttemptRegistry.java
@@ -0,0 +1,74 @@
+package org.limpetvale.sidecar;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.limpetvale.core.time.TimerService;
+
+/** The attempts at this sidecar, kept for a while after their end for entries that attach again. */
+final class AttemptRegistry {
+  /** Time that an attempt waits for its entry to attach again, in milliseconds. */
+  private static final long ABANDONED_AFTER_MILLIS = 8000;
+
+  private static final long KEPT_AFTER_END_MILLIS = 15_000;
+  private static final long SWEEP_PERIOD_MILLIS = 1000;
+
+  private final TimerService timer;
+  private final Map<AttemptKey, Slot> slots = new ConcurrentHashMap<>();
+  private final AtomicLong tickets = new AtomicLong();
+
+  AttemptRegistry(TimerService timer) {
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    timer.every(SWEEP_PERIOD_MILLIS, this::sweep);
+  }
+
+  /** Names an attempt. */
+  record AttemptKey(String requestId, int attempt) {}
+
+  private record Slot(Optional<Attempt> attempt, long createdMillis) {}
+
+  long nextTicket() {
+    return tickets.incrementAndGet();
+  }
+
+  /** Registers an attempt; false when it is known already or was declared as not run. */
+  boolean register(AttemptKey key, Attempt attempt) {
+    return slots.putIfAbsent(key, new Slot(Optional.of(attempt), timer.nowMillis())) == null;
+  }
+
+  /**
+   * Finds an attempt; one that is not known is closed, so that a late opening of it is refused and
+   * "not run" stays true.
+   */
+  Optional<Attempt> findOrClose(AttemptKey key) {
+    return slots
+        .computeIfAbsent(key, ignored -> new Slot(Optional.empty(), timer.nowMillis()))
+        .attempt();
+  }
+
+  /** Returns the attempts that run or wait. */
+  Collection<Attempt> live() {
+    return slots.values().stream()
+        .flatMap(slot -> slot.attempt().stream())
+        .filter(each -> each.phase() != Attempt.Phase.ENDED)
+        .toList();
+  }
+
+  private void sweep() {
+    long nowMillis = timer.nowMillis();
+    slots.values().removeIf(slot -> isStale(slot, nowMillis));
+    live().stream()
+        .filter(each -> each.detachedSinceMillis() > 0)
+        .filter(each -> nowMillis - each.detachedSinceMillis() > ABANDONED_AFTER_MILLIS)
+        .forEach(Attempt::cancel);
+  }
+
+  private static boolean isStale(Slot slot, long nowMillis) {
+    boolean ended = slot.attempt().map(each -> each.phase() == Attempt.Phase.ENDED).orElse(true);
+    long since = slot.attempt().map(Attempt::endedMillis).orElse(slot.createdMillis());
+    return ended && nowMillis - since > KEPT_AFTER_END_MILLIS;
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/ModelRunner.java
@@ -0,0 +1,244 @@
+package org.limpetvale.sidecar;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ConnectException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.client5.http.classic.methods.HttpPost;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.wire.ModelCall;
+
+/** Runs attempts at a model engine, over its OpenAI-style streaming interface. */
+final class ModelRunner implements UpstreamRunner {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String DATA = "data: ";
+  private static final String DONE = "[DONE]";
+  private static final int OK = 200;
+  private static final int MOST_SILENT_RETRIES = 2;
+
+  private final EngineHttp http;
+  private final TimerService timer;
+  private final AtomicReference<Rates> rates;
+  private final AtomicInteger running = new AtomicInteger();
+
+  ModelRunner(EngineHttp http, TimerService timer, AtomicReference<Rates> rates) {
+    this.http = Objects.requireNonNull(http, "http is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.rates = Objects.requireNonNull(rates, "rates is null");
+  }
+
+  /** How one call of the engine ended. */
+  private sealed interface Ending {
+    record Done(int promptTokens, int completionTokens, int cachedTokens, String reason)
+        implements Ending {}
+
+    record Rejected(int status, String body) implements Ending {}
+
+    record Silent() implements Ending {}
+
+    record Broken(String detail) implements Ending {}
+
+    record NotReached(String detail) implements Ending {}
+  }
+
+  @Override
+  public boolean probe() {
+    return http.healthy();
+  }
+
+  @Override
+  public Usage run(Attempt attempt) {
+    int atSameTime = running.incrementAndGet();
+    try {
+      return runUntilEnd(attempt, atSameTime);
+    } finally {
+      running.decrementAndGet();
+    }
+  }
+
+  private Usage runUntilEnd(Attempt attempt, int atSameTime) {
+    Progress progress = new Progress(attempt.open().getModelCall(), timer.nowMillis());
+    for (int retry = 0; ; retry++) {
+      Ending ending = call(attempt, progress);
+      if (attempt.isCancelled()) {
+        attempt.failed(ResultCode.CANCELLED, "cancelled", false);
+        return new Usage(progress.tokens);
+      }
+      if (ending instanceof Ending.Silent && retry < MOST_SILENT_RETRIES && http.healthy()) {
+        logger.atWarning().log(
+            "engine connection went silent; continuing on a new one: request=%s tokens=%d",
+            attempt.open().getRequestId(), progress.tokens);
+        continue;
+      }
+      return conclude(attempt, progress, ending, atSameTime);
+    }
+  }
+
+  private Usage conclude(Attempt attempt, Progress progress, Ending ending, int atSameTime) {
+    switch (ending) {
+      case Ending.Done done -> {
+        progress.observe(rates, timer.nowMillis());
+        attempt.finished(
+            done.promptTokens(), progress.totalTokens(), done.cachedTokens(), done.reason());
+        return new Usage(done.promptTokens() - (long) done.cachedTokens() + progress.tokens);
+      }
+      case Ending.Rejected(int status, String body) ->
+          attempt.failed(ResultCode.UPSTREAM_ERROR, "engine status " + status + ": " + body, false);
+      case Ending.Silent() ->
+          attempt.failed(ResultCode.UPSTREAM_SILENT, "no token within the limit", false);
+      case Ending.NotReached(String detail) ->
+          attempt.failed(ResultCode.UPSTREAM_CRASHED, detail, progress.tokens == 0);
+      case Ending.Broken(String detail) -> {
+        if (http.healthy()) {
+          attempt.failed(ResultCode.CONNECTION_LOST, detail, false);
+        } else {
+          attempt.crashed(detail, Math.max(atSameTime, running.get()));
+        }
+      }
+    }
+    return new Usage(progress.tokens);
+  }
+
+  private Ending call(Attempt attempt, Progress progress) {
+    HttpPost request = new HttpPost(http.url("/v1/chat/completions"));
+    try {
+      request.setEntity(new StringEntity(body(attempt, progress), ContentType.APPLICATION_JSON));
+    } catch (JsonProcessingException e) {
+      return new Ending.Rejected(400, "body is not JSON");
+    }
+    request.setHeader("X-Request-Id", attempt.open().getRequestId());
+    attempt.onAbort(request::cancel);
+    try {
+      return http.pooled().execute(request, response -> read(response, attempt, progress));
+    } catch (ConnectException e) {
+      return new Ending.NotReached(String.valueOf(e.getMessage()));
+    } catch (SocketTimeoutException e) {
+      return new Ending.Silent();
+    } catch (IOException e) {
+      return new Ending.Broken(e.getClass().getSimpleName() + ": " + e.getMessage());
+    }
+  }
+
+  /** Makes the engine's request: always a stream, going on after the text already produced. */
+  private static String body(Attempt attempt, Progress progress) throws JsonProcessingException {
+    ModelCall call = attempt.open().getModelCall();
+    ObjectNode body = (ObjectNode) MAPPER.readTree(call.getBody().toStringUtf8());
+    body.put("stream", true);
+    body.putObject("stream_options").put("include_usage", true);
+    body.put("priority", attempt.open().getTier());
+    if (progress.totalTokens() > 0) {
+      ObjectNode partial = body.withArray("messages").addObject();
+      partial.put("role", "assistant");
+      partial.put("content", call.getContinuedText() + progress.text);
+      body.put("continue_final_message", true);
+      body.put("add_generation_prompt", false);
+      body.put("continued_tokens", progress.totalTokens());
+    }
+    return MAPPER.writeValueAsString(body);
+  }
+
+  private Ending read(ClassicHttpResponse response, Attempt attempt, Progress progress)
+      throws IOException {
+    if (response.getCode() != OK) {
+      return new Ending.Rejected(
+          response.getCode(),
+          new String(EntityUtils.toByteArray(response.getEntity()), StandardCharsets.UTF_8));
+    }
+    BufferedReader lines =
+        new BufferedReader(
+            new InputStreamReader(response.getEntity().getContent(), StandardCharsets.UTF_8));
+    Ending.Done usage = null;
+    String reason = "stop";
+    while (true) {
+      String line = lines.readLine();
+      if (line == null) {
+        return new Ending.Broken("the stream ended without its last mark");
+      }
+      if (!line.startsWith(DATA)) {
+        continue;
+      }
+      String data = line.substring(DATA.length());
+      if (data.equals(DONE)) {
+        EntityUtils.consumeQuietly(response.getEntity());
+        return usage == null
+            ? new Ending.Done(0, progress.tokens, 0, reason)
+            : new Ending.Done(
+                usage.promptTokens(), usage.completionTokens(), usage.cachedTokens(), reason);
+      }
+      JsonNode chunk = MAPPER.readTree(data);
+      JsonNode choice = chunk.path("choices").path(0);
+      String text = choice.path("delta").path("content").asText("");
+      if (!text.isEmpty()) {
+        progress.add(text, rates, timer.nowMillis());
+        attempt.token(text);
+      }
+      if (choice.path("finish_reason").isTextual()) {
+        reason = choice.path("finish_reason").asText();
+      }
+      if (chunk.path("usage").isObject()) {
+        usage = usage(chunk.path("usage"));
+      }
+    }
+  }
+
+  private static Ending.Done usage(JsonNode usage) {
+    return new Ending.Done(
+        usage.path("prompt_tokens").asInt(),
+        usage.path("completion_tokens").asInt(),
+        usage.path("prompt_tokens_details").path("cached_tokens").asInt(),
+        "stop");
+  }
+
+  /** Tokens of one attempt so far. */
+  private static final class Progress {
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private final int continuedTokens;
+    private final long startedMillis;
+    private final StringBuilder text = new StringBuilder();
+    private int tokens;
+    private long firstTokenMillis;
+
+    Progress(ModelCall call, long startedMillis) {
+      this.continuedTokens = call.getContinuedTokens();
+      this.startedMillis = startedMillis;
+    }
+
+    int totalTokens() {
+      return continuedTokens + tokens;
+    }
+
+    void add(String token, AtomicReference<Rates> rates, long nowMillis) {
+      if (tokens == 0) {
+        firstTokenMillis = nowMillis;
+        rates.updateAndGet(old -> old.withFirstToken(nowMillis - startedMillis));
+      }
+      text.append(token);
+      tokens++;
+    }
+
+    void observe(AtomicReference<Rates> rates, long nowMillis) {
+      if (tokens < 2 || nowMillis <= firstTokenMillis) {
+        return;
+      }
+      double rate = (tokens - 1) * MILLIS_PER_SECOND / (nowMillis - firstTokenMillis);
+      rates.updateAndGet(old -> old.withStream(rate));
+    }
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/OrderGate.java
@@ -0,0 +1,37 @@
+package org.limpetvale.sidecar;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.wire.OrderReply;
+import org.limpetvale.wire.OrderRequest;
+
+/** Lets engine orders through by fencing number, also for engines that do not look at it. */
+final class OrderGate {
+  private final Map<String, Long> highestEpochs = new ConcurrentHashMap<>();
+  private final EngineOrders orders;
+
+  OrderGate(EngineOrders orders) {
+    this.orders = Objects.requireNonNull(orders, "orders is null");
+  }
+
+  /** What carries out an order that the gate let through. */
+  interface EngineOrders {
+    /** Carries out one order; returns whether it took effect. */
+    boolean apply(OrderRequest request);
+  }
+
+  /** Applies an order unless a later epoch of its duty has been seen. */
+  synchronized OrderReply apply(OrderRequest request) {
+    long highest = highestEpochs.merge(request.getDuty(), request.getEpoch(), Math::max);
+    OrderReply.Builder reply = OrderReply.newBuilder().setHighestEpoch(highest);
+    if (request.getEpoch() < highest) {
+      return reply
+          .setCode(ResultCode.EPOCH_OLD.number())
+          .setDetail("epoch " + request.getEpoch() + " is older than " + highest)
+          .build();
+    }
+    return reply.setApplied(orders.apply(request)).build();
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/ServiceRunner.java
@@ -0,0 +1,90 @@
+package org.limpetvale.sidecar;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketTimeoutException;
+import java.net.URI;
+import java.util.Objects;
+import java.util.Set;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.wire.Header;
+import org.limpetvale.wire.ServiceAnswer;
+import org.limpetvale.wire.ServiceCall;
+
+/** Runs calls at a plain service. */
+final class ServiceRunner implements UpstreamRunner {
+  private static final Set<String> CONNECTION_HEADERS =
+      Set.of("connection", "transfer-encoding", "content-length", "keep-alive", "date");
+
+  private final EngineHttp http;
+
+  ServiceRunner(EngineHttp http) {
+    this.http = Objects.requireNonNull(http, "http is null");
+  }
+
+  @Override
+  public boolean probe() {
+    return http.healthy();
+  }
+
+  @Override
+  public Usage run(Attempt attempt) {
+    ServiceCall call = attempt.open().getServiceCall();
+    HttpUriRequestBase request =
+        new HttpUriRequestBase(call.getMethod(), URI.create(http.url(call.getPath())));
+    call.getHeadersList().forEach(each -> request.addHeader(each.getName(), each.getValue()));
+    if (!call.getBody().isEmpty()) {
+      request.setEntity(new ByteArrayEntity(call.getBody().toByteArray(), contentType(call)));
+    }
+    boolean repeatable = attempt.open().getRepeatable();
+    if (repeatable) {
+      attempt.onAbort(request::cancel);
+    }
+    CloseableHttpClient client = repeatable ? http.pooled() : http.singleUse();
+    try {
+      ServiceAnswer answer = client.execute(request, ServiceRunner::answer);
+      attempt.serviceAnswer(answer);
+      attempt.finished(0, 0, 0, "answered");
+    } catch (ConnectException e) {
+      attempt.failed(ResultCode.UPSTREAM_CRASHED, "the service refused the connection", true);
+    } catch (SocketTimeoutException e) {
+      attempt.failed(ResultCode.UPSTREAM_SILENT, "no answer within the limit", false);
+    } catch (IOException e) {
+      String detail = e.getClass().getSimpleName() + ": " + e.getMessage();
+      if (http.healthy()) {
+        attempt.failed(ResultCode.CONNECTION_LOST, detail, false);
+      } else {
+        attempt.crashed(detail, 1);
+      }
+    }
+    return new Usage(1);
+  }
+
+  private static ContentType contentType(ServiceCall call) {
+    return call.getHeadersList().stream()
+        .filter(each -> each.getName().equalsIgnoreCase("content-type"))
+        .findFirst()
+        .map(each -> ContentType.parseLenient(each.getValue()))
+        .orElse(ContentType.APPLICATION_OCTET_STREAM);
+  }
+
+  private static ServiceAnswer answer(ClassicHttpResponse response) throws IOException {
+    ServiceAnswer.Builder answer = ServiceAnswer.newBuilder().setStatus(response.getCode());
+    for (org.apache.hc.core5.http.Header each : response.getHeaders()) {
+      if (!CONNECTION_HEADERS.contains(each.getName().toLowerCase(java.util.Locale.ROOT))) {
+        answer.addHeaders(Header.newBuilder().setName(each.getName()).setValue(each.getValue()));
+      }
+    }
+    if (response.getEntity() != null) {
+      answer.setBody(ByteString.copyFrom(EntityUtils.toByteArray(response.getEntity())));
+    }
+    return answer.build();
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/SidecarApplication.java
@@ -0,0 +1,83 @@
+package org.limpetvale.sidecar;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import io.dropwizard.core.setup.Environment;
+import io.dropwizard.lifecycle.Managed;
+import io.grpc.Server;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.daemon.DaemonApplication;
+import org.limpetvale.daemon.GrpcFactory;
+import org.limpetvale.daemon.Metrics;
+import org.limpetvale.daemon.TransportSecurity;
+
+/** The sidecar daemon. */
+public final class SidecarApplication extends DaemonApplication<SidecarSettings> {
+  @Override
+  public String getName() {
+    return "limpetvale-sidecar";
+  }
+
+  @Override
+  public void run(SidecarSettings settings, Environment environment) {
+    environment.jersey().disable();
+    MeterRegistry metrics = Metrics.serve(environment);
+    Injector injector = Guice.createInjector(new SidecarModule(settings, metrics));
+    SidecarState state = injector.getInstance(SidecarState.class);
+    environment.healthChecks().register("upstream", new UpstreamHealth(state));
+    environment.lifecycle().manage(new Listener(settings, injector));
+  }
+
+  /** Listens for entries, and leaves without cutting a request. */
+  private static final class Listener implements Managed {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long POLL_MILLIS = 50;
+
+    /** Time that entries have to take the last events, in milliseconds. */
+    private static final long LINGER_MILLIS = 300;
+
+    private final SidecarSettings settings;
+    private final Injector injector;
+    private Server server;
+
+    Listener(SidecarSettings settings, Injector injector) {
+      this.settings = Objects.requireNonNull(settings, "settings is null");
+      this.injector = Objects.requireNonNull(injector, "injector is null");
+    }
+
+    @Override
+    public void start() {
+      server =
+          GrpcFactory.serve(
+              settings.grpc(),
+              TransportSecurity.of(settings.grpc().tls()),
+              injector.getInstance(SidecarGrpc.class));
+      logger.atInfo().log(
+          "listening vm=%s zone=%s grpc=%s:%d",
+          settings.identity().vm(),
+          settings.identity().zone(),
+          settings.grpc().host(),
+          settings.grpc().port());
+    }
+
+    @Override
+    public void stop() throws InterruptedException {
+      Admission admission = injector.getInstance(Admission.class);
+      AttemptRegistry attempts = injector.getInstance(AttemptRegistry.class);
+      TimerService timer = injector.getInstance(TimerService.class);
+      logger.atInfo().log("stopping: %d requests run", attempts.live().size());
+      admission.drain();
+      long endMillis = timer.nowMillis() + settings.shutdownGraceMillis();
+      while (!attempts.live().isEmpty() && timer.nowMillis() < endMillis) {
+        Thread.sleep(POLL_MILLIS);
+      }
+      Thread.sleep(LINGER_MILLIS);
+      logger.atInfo().log("stopped: %d requests cut", attempts.live().size());
+      server.shutdownNow().awaitTermination(1, TimeUnit.SECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/SidecarModule.java
@@ -0,0 +1,104 @@
+package org.limpetvale.sidecar;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicReference;
+import org.limpetvale.core.admission.AdmissionQueue;
+import org.limpetvale.core.admission.Limits;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.platform.time.ThreadTimerService;
+
+/** Puts the parts of a sidecar together. */
+final class SidecarModule extends AbstractModule {
+  private final SidecarSettings settings;
+  private final MeterRegistry metrics;
+
+  SidecarModule(SidecarSettings settings, MeterRegistry metrics) {
+    this.settings = Objects.requireNonNull(settings, "settings is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+  }
+
+  @Provides
+  @Singleton
+  TimerService timer() {
+    return ThreadTimerService.of();
+  }
+
+  @Provides
+  @Singleton
+  AtomicReference<Rates> rates() {
+    return new AtomicReference<>(Rates.empty());
+  }
+
+  @Provides
+  @Singleton
+  EngineHttp http() {
+    UpstreamSettings upstream = settings.upstream();
+    return switch (upstream.kind()) {
+      case MODEL -> EngineHttp.of(upstream.url(), upstream.tokenGapLimitMillis());
+      case SERVICE -> EngineHttp.of(upstream.url(), upstream.callLimitMillis());
+    };
+  }
+
+  @Provides
+  @Singleton
+  UpstreamRunner runner(EngineHttp http, TimerService timer, AtomicReference<Rates> rates) {
+    return switch (settings.upstream().kind()) {
+      case MODEL -> new ModelRunner(http, timer, rates);
+      case SERVICE -> new ServiceRunner(http);
+    };
+  }
+
+  @Provides
+  @Singleton
+  Admission admission(UpstreamRunner runner, TimerService timer) {
+    UpstreamSettings upstream = settings.upstream();
+    Limits limits = new Limits(upstream.capacity(), upstream.queueLimit());
+    return new Admission(
+        AdmissionQueue.of(limits, upstream.expectedServiceMillis()), runner, timer, metrics);
+  }
+
+  @Provides
+  @Singleton
+  AttemptRegistry attempts(TimerService timer) {
+    return new AttemptRegistry(timer);
+  }
+
+  @Provides
+  @Singleton
+  UsageKeeper usage(TimerService timer) {
+    return new UsageKeeper(timer);
+  }
+
+  @Provides
+  @Singleton
+  SidecarState state(
+      Admission admission,
+      UpstreamRunner runner,
+      AtomicReference<Rates> rates,
+      TimerService timer) {
+    return new SidecarState(
+        settings.identity(), settings.upstream(), admission, runner, rates, timer);
+  }
+
+  @Provides
+  @Singleton
+  OrderGate gate(EngineHttp http, Admission admission, SidecarState state) {
+    return new OrderGate(new HttpEngineOrders(http, admission, state));
+  }
+
+  @Provides
+  @Singleton
+  SidecarGrpc grpc(
+      SidecarState state,
+      Admission admission,
+      AttemptRegistry attempts,
+      OrderGate gate,
+      UsageKeeper usage,
+      TimerService timer) {
+    return new SidecarGrpc(state, admission, attempts, gate, usage, timer);
+  }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/UpstreamHealth.java
@@ -0,0 +1,20 @@
+package org.limpetvale.sidecar;
+
+import com.codahale.metrics.health.HealthCheck;
+import java.util.Objects;
+
+/** Tells on the admin port whether the upstream answers. */
+final class UpstreamHealth extends HealthCheck {
+  private final SidecarState state;
+
+  UpstreamHealth(SidecarState state) {
+    this.state = Objects.requireNonNull(state, "state is null");
+  }
+
+  @Override
+  protected Result check() {
+    return state.load().getUpstreamUp()
+        ? Result.healthy()
+        : Result.unhealthy("the upstream does not answer its health check");
+  }
+}
--- a/wire/src/main/java/org/limpetvale/wire/ExchangeRequest.java
+++ b/wire/src/main/java/org/limpetvale/wire/ExchangeRequest.java
@@ -18,6 +18,7 @@
   }
   private ExchangeRequest() {
     entryId_ = "";
+    suspects_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -105,6 +106,47 @@
     return confirmedAgeMillis_;
   }
 
+  public static final int SUSPECTS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<org.limpetvale.wire.SuspectNews> suspects_;
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.limpetvale.wire.SuspectNews> getSuspectsList() {
+    return suspects_;
+  }
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.limpetvale.wire.SuspectNewsOrBuilder> 
+      getSuspectsOrBuilderList() {
+    return suspects_;
+  }
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  @java.lang.Override
+  public int getSuspectsCount() {
+    return suspects_.size();
+  }
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  @java.lang.Override
+  public org.limpetvale.wire.SuspectNews getSuspects(int index) {
+    return suspects_.get(index);
+  }
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  @java.lang.Override
+  public org.limpetvale.wire.SuspectNewsOrBuilder getSuspectsOrBuilder(
+      int index) {
+    return suspects_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -128,6 +170,9 @@
     if (confirmedAgeMillis_ != 0L) {
       output.writeInt64(3, confirmedAgeMillis_);
     }
+    for (int i = 0; i < suspects_.size(); i++) {
+      output.writeMessage(4, suspects_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -148,6 +193,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, confirmedAgeMillis_);
     }
+    for (int i = 0; i < suspects_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, suspects_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -169,6 +218,8 @@
         != other.getConfigVersion()) return false;
     if (getConfirmedAgeMillis()
         != other.getConfirmedAgeMillis()) return false;
+    if (!getSuspectsList()
+        .equals(other.getSuspectsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -188,6 +239,10 @@
     hash = (37 * hash) + CONFIRMED_AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfirmedAgeMillis());
+    if (getSuspectsCount() > 0) {
+      hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
+      hash = (53 * hash) + getSuspectsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -322,6 +377,13 @@
       entryId_ = "";
       configVersion_ = 0L;
       confirmedAgeMillis_ = 0L;
+      if (suspectsBuilder_ == null) {
+        suspects_ = java.util.Collections.emptyList();
+      } else {
+        suspects_ = null;
+        suspectsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
       return this;
     }
 
@@ -348,11 +410,24 @@
     @java.lang.Override
     public org.limpetvale.wire.ExchangeRequest buildPartial() {
       org.limpetvale.wire.ExchangeRequest result = new org.limpetvale.wire.ExchangeRequest(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.limpetvale.wire.ExchangeRequest result) {
+      if (suspectsBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          suspects_ = java.util.Collections.unmodifiableList(suspects_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.suspects_ = suspects_;
+      } else {
+        result.suspects_ = suspectsBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.limpetvale.wire.ExchangeRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -421,6 +496,32 @@
       if (other.getConfirmedAgeMillis() != 0L) {
         setConfirmedAgeMillis(other.getConfirmedAgeMillis());
       }
+      if (suspectsBuilder_ == null) {
+        if (!other.suspects_.isEmpty()) {
+          if (suspects_.isEmpty()) {
+            suspects_ = other.suspects_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureSuspectsIsMutable();
+            suspects_.addAll(other.suspects_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.suspects_.isEmpty()) {
+          if (suspectsBuilder_.isEmpty()) {
+            suspectsBuilder_.dispose();
+            suspectsBuilder_ = null;
+            suspects_ = other.suspects_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            suspectsBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getSuspectsFieldBuilder() : null;
+          } else {
+            suspectsBuilder_.addAllMessages(other.suspects_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -462,6 +563,19 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 34: {
+              org.limpetvale.wire.SuspectNews m =
+                  input.readMessage(
+                      org.limpetvale.wire.SuspectNews.parser(),
+                      extensionRegistry);
+              if (suspectsBuilder_ == null) {
+                ensureSuspectsIsMutable();
+                suspects_.add(m);
+              } else {
+                suspectsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -626,6 +740,246 @@
       onChanged();
       return this;
     }
+
+    private java.util.List<org.limpetvale.wire.SuspectNews> suspects_ =
+      java.util.Collections.emptyList();
+    private void ensureSuspectsIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        suspects_ = new java.util.ArrayList<org.limpetvale.wire.SuspectNews>(suspects_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.limpetvale.wire.SuspectNews, org.limpetvale.wire.SuspectNews.Builder, org.limpetvale.wire.SuspectNewsOrBuilder> suspectsBuilder_;
+
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public java.util.List<org.limpetvale.wire.SuspectNews> getSuspectsList() {
+      if (suspectsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(suspects_);
+      } else {
+        return suspectsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public int getSuspectsCount() {
+      if (suspectsBuilder_ == null) {
+        return suspects_.size();
+      } else {
+        return suspectsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public org.limpetvale.wire.SuspectNews getSuspects(int index) {
+      if (suspectsBuilder_ == null) {
+        return suspects_.get(index);
+      } else {
+        return suspectsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public Builder setSuspects(
+        int index, org.limpetvale.wire.SuspectNews value) {
+      if (suspectsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSuspectsIsMutable();
+        suspects_.set(index, value);
+        onChanged();
+      } else {
+        suspectsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public Builder setSuspects(
+        int index, org.limpetvale.wire.SuspectNews.Builder builderForValue) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public Builder addSuspects(org.limpetvale.wire.SuspectNews value) {
+      if (suspectsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSuspectsIsMutable();
+        suspects_.add(value);
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public Builder addSuspects(
+        int index, org.limpetvale.wire.SuspectNews value) {
+      if (suspectsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSuspectsIsMutable();
+        suspects_.add(index, value);
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public Builder addSuspects(
+        org.limpetvale.wire.SuspectNews.Builder builderForValue) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.add(builderForValue.build());
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public Builder addSuspects(
+        int index, org.limpetvale.wire.SuspectNews.Builder builderForValue) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public Builder addAllSuspects(
+        java.lang.Iterable<? extends org.limpetvale.wire.SuspectNews> values) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, suspects_);
+        onChanged();
+      } else {
+        suspectsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public Builder clearSuspects() {
+      if (suspectsBuilder_ == null) {
+        suspects_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        suspectsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public Builder removeSuspects(int index) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.remove(index);
+        onChanged();
+      } else {
+        suspectsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public org.limpetvale.wire.SuspectNews.Builder getSuspectsBuilder(
+        int index) {
+      return getSuspectsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public org.limpetvale.wire.SuspectNewsOrBuilder getSuspectsOrBuilder(
+        int index) {
+      if (suspectsBuilder_ == null) {
+        return suspects_.get(index);  } else {
+        return suspectsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public java.util.List<? extends org.limpetvale.wire.SuspectNewsOrBuilder> 
+         getSuspectsOrBuilderList() {
+      if (suspectsBuilder_ != null) {
+        return suspectsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(suspects_);
+      }
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public org.limpetvale.wire.SuspectNews.Builder addSuspectsBuilder() {
+      return getSuspectsFieldBuilder().addBuilder(
+          org.limpetvale.wire.SuspectNews.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public org.limpetvale.wire.SuspectNews.Builder addSuspectsBuilder(
+        int index) {
+      return getSuspectsFieldBuilder().addBuilder(
+          index, org.limpetvale.wire.SuspectNews.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+     */
+    public java.util.List<org.limpetvale.wire.SuspectNews.Builder> 
+         getSuspectsBuilderList() {
+      return getSuspectsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        org.limpetvale.wire.SuspectNews, org.limpetvale.wire.SuspectNews.Builder, org.limpetvale.wire.SuspectNewsOrBuilder> 
+        getSuspectsFieldBuilder() {
+      if (suspectsBuilder_ == null) {
+        suspectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            org.limpetvale.wire.SuspectNews, org.limpetvale.wire.SuspectNews.Builder, org.limpetvale.wire.SuspectNewsOrBuilder>(
+                suspects_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        suspects_ = null;
+      }
+      return suspectsBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/org/limpetvale/wire/ExchangeRequestOrBuilder.java
+++ b/wire/src/main/java/org/limpetvale/wire/ExchangeRequestOrBuilder.java
@@ -35,4 +35,28 @@
    * @return The confirmedAgeMillis.
    */
   long getConfirmedAgeMillis();
+
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  java.util.List<org.limpetvale.wire.SuspectNews> 
+      getSuspectsList();
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  org.limpetvale.wire.SuspectNews getSuspects(int index);
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  int getSuspectsCount();
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  java.util.List<? extends org.limpetvale.wire.SuspectNewsOrBuilder> 
+      getSuspectsOrBuilderList();
+  /**
+   * <code>repeated .limpetvale.v1.SuspectNews suspects = 4;</code>
+   */
+  org.limpetvale.wire.SuspectNewsOrBuilder getSuspectsOrBuilder(
+      int index);
 }
--- a/wire/src/main/java/org/limpetvale/wire/Limpetvale.java
+++ b/wire/src/main/java/org/limpetvale/wire/Limpetvale.java
@@ -45,6 +45,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_limpetvale_v1_Resume_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetvale_v1_Delivered_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_limpetvale_v1_Delivered_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_limpetvale_v1_Cancel_descriptor;
   static final 
@@ -155,6 +160,11 @@
   static final 
     com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internal_static_limpetvale_v1_ExchangeRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetvale_v1_SuspectNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_limpetvale_v1_SuspectNews_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_limpetvale_v1_ExchangeReply_descriptor;
   static final 
@@ -169,100 +179,107 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\020limpetvale.proto\022\rlimpetvale.v1\"\216\001\n\nRu" +
+      "\n\020limpetvale.proto\022\rlimpetvale.v1\"\275\001\n\nRu" +
       "nCommand\022#\n\004open\030\001 \001(\0132\023.limpetvale.v1.O" +
       "penH\000\022\'\n\006resume\030\002 \001(\0132\025.limpetvale.v1.Re" +
       "sumeH\000\022\'\n\006cancel\030\003 \001(\0132\025.limpetvale.v1.C" +
-      "ancelH\000B\t\n\007command\"\265\003\n\004Open\022\022\n\nrequest_i" +
-      "d\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\021\n\tworkspace\030\003 " +
-      "\001(\t\022\025\n\rrequest_class\030\004 \001(\t\022\014\n\004tier\030\005 \001(\r" +
-      "\022\027\n\017max_wait_millis\030\006 \001(\003\022!\n\031first_token" +
-      "_target_millis\030\007 \001(\003\022\030\n\020estimated_tokens" +
-      "\030\010 \001(\003\022\023\n\013floor_share\030\t \001(\001\022\016\n\006weight\030\n " +
-      "\001(\001\022\022\n\nrepeatable\030\013 \001(\010\022\026\n\016suspect_diges" +
-      "t\030\014 \001(\t\022\026\n\016config_version\030\r \001(\003\022\020\n\010entry" +
-      "_id\030\016 \001(\t\022.\n\nmodel_call\030\017 \001(\0132\030.limpetva" +
-      "le.v1.ModelCallH\000\0222\n\014service_call\030\020 \001(\0132" +
-      "\032.limpetvale.v1.ServiceCallH\000\022\023\n\013over_bu" +
-      "dget\030\021 \001(\010B\006\n\004work\"o\n\tModelCall\022\r\n\005model" +
-      "\030\001 \001(\t\022\014\n\004body\030\002 \001(\014\022\026\n\016continued_text\030\003" +
-      " \001(\t\022\030\n\020continued_tokens\030\004 \001(\r\022\023\n\013prefix" +
-      "_hash\030\005 \001(\003\"r\n\013ServiceCall\022\017\n\007service\030\001 " +
-      "\001(\t\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022&\n\007hea" +
-      "ders\030\004 \003(\0132\025.limpetvale.v1.Header\022\014\n\004bod" +
-      "y\030\005 \001(\014\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value" +
-      "\030\002 \001(\t\"D\n\006Resume\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007" +
-      "attempt\030\002 \001(\r\022\025\n\rnext_sequence\030\003 \001(\004\"\030\n\006" +
-      "Cancel\022\016\n\006reason\030\001 \001(\t\"\262\003\n\010RunEvent\022\022\n\nr" +
-      "equest_id\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\020\n\010sequ" +
-      "ence\030\003 \001(\004\022+\n\010accepted\030\004 \001(\0132\027.limpetval" +
-      "e.v1.AcceptedH\000\022/\n\ndispatched\030\005 \001(\0132\031.li" +
-      "mpetvale.v1.DispatchedH\000\022%\n\005token\030\006 \001(\0132" +
-      "\024.limpetvale.v1.TokenH\000\0226\n\016service_answe" +
-      "r\030\007 \001(\0132\034.limpetvale.v1.ServiceAnswerH\000\022" +
-      "+\n\010finished\030\010 \001(\0132\027.limpetvale.v1.Finish" +
-      "edH\000\022)\n\007refused\030\t \001(\0132\026.limpetvale.v1.Re" +
-      "fusedH\000\022\'\n\006failed\030\n \001(\0132\025.limpetvale.v1." +
-      "FailedH\000\022(\n\004load\030\013 \001(\0132\032.limpetvale.v1.S" +
-      "idecarLoadB\007\n\005event\"\"\n\010Accepted\022\026\n\016queue" +
-      "_position\030\001 \001(\r\"#\n\nDispatched\022\025\n\rwaited_" +
-      "millis\030\001 \001(\003\"\025\n\005Token\022\014\n\004text\030\001 \001(\t\"U\n\rS" +
-      "erviceAnswer\022\016\n\006status\030\001 \001(\r\022&\n\007headers\030" +
-      "\002 \003(\0132\025.limpetvale.v1.Header\022\014\n\004body\030\003 \001" +
-      "(\014\"\177\n\010Finished\022\023\n\013event_count\030\001 \001(\004\022\025\n\rp" +
-      "rompt_tokens\030\002 \001(\r\022\031\n\021completion_tokens\030" +
-      "\003 \001(\r\022\025\n\rcached_tokens\030\004 \001(\r\022\025\n\rfinish_r" +
-      "eason\030\005 \001(\t\"C\n\007Refused\022\014\n\004code\030\001 \001(\r\022\016\n\006" +
-      "detail\030\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\003" +
-      "\"l\n\006Failed\022\014\n\004code\030\001 \001(\r\022\016\n\006detail\030\002 \001(\t" +
-      "\022\030\n\020upstream_crashed\030\003 \001(\010\022\017\n\007not_run\030\004 " +
-      "\001(\010\022\031\n\021requests_at_crash\030\005 \001(\r\"X\n\tWatchP" +
-      "ing\022\020\n\010entry_id\030\001 \001(\t\022\026\n\016config_version\030" +
-      "\002 \001(\003\022\017\n\007leaving\030\003 \001(\010\022\020\n\010sequence\030\004 \001(\004" +
-      "\"{\n\013WatchReport\022\020\n\010sequence\030\001 \001(\004\022(\n\004loa" +
-      "d\030\002 \001(\0132\032.limpetvale.v1.SidecarLoad\0220\n\010i" +
-      "dentity\030\003 \001(\0132\036.limpetvale.v1.SidecarIde" +
-      "ntity\"Z\n\017SidecarIdentity\022\n\n\002vm\030\001 \001(\t\022\014\n\004" +
-      "zone\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022\016\n\006models\030\004 \003(\t" +
-      "\022\017\n\007service\030\005 \001(\t\"\362\001\n\013SidecarLoad\022\017\n\007run" +
-      "ning\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\022\020\n\010capacity\030\003" +
-      " \001(\r\022 \n\030stream_tokens_per_second\030\004 \001(\001\022\033" +
-      "\n\023mean_service_millis\030\005 \001(\001\022\020\n\010draining\030" +
-      "\006 \001(\010\022\023\n\013upstream_up\030\007 \001(\010\022\026\n\016config_ver" +
-      "sion\030\010 \001(\003\022\026\n\016queued_by_tier\030\t \003(\r\022\032\n\022fi" +
-      "rst_token_millis\030\n \001(\001\"\310\001\n\014OrderRequest\022" +
-      "\020\n\010order_id\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\003\022\014\n\004duty" +
-      "\030\003 \001(\t\022.\n\nload_model\030\004 \001(\0132\030.limpetvale." +
-      "v1.LoadModelH\000\022%\n\005drain\030\005 \001(\0132\024.limpetva" +
-      "le.v1.DrainH\000\022)\n\007undrain\030\006 \001(\0132\026.limpetv" +
-      "ale.v1.UndrainH\000B\007\n\005order\"\032\n\tLoadModel\022\r" +
-      "\n\005model\030\001 \001(\t\"\007\n\005Drain\"\t\n\007Undrain\"R\n\nOrd" +
-      "erReply\022\017\n\007applied\030\001 \001(\010\022\014\n\004code\030\002 \001(\r\022\016" +
-      "\n\006detail\030\003 \001(\t\022\025\n\rhighest_epoch\030\004 \001(\003\"\234\001" +
-      "\n\013UsageRecord\022\021\n\trecord_id\030\001 \001(\t\022\021\n\twork" +
-      "space\030\002 \001(\t\022\025\n\rrequest_class\030\003 \001(\t\022\017\n\007su" +
-      "bject\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\003\022\031\n\021co" +
-      "mpletion_tokens\030\006 \001(\003\022\r\n\005calls\030\007 \001(\003\",\n\030" +
-      "TakeOrphanedUsageRequest\022\020\n\010entry_id\030\001 \001" +
-      "(\t\"E\n\026TakeOrphanedUsageReply\022+\n\007records\030" +
-      "\001 \003(\0132\032.limpetvale.v1.UsageRecord\"Y\n\017Exc" +
-      "hangeRequest\022\020\n\010entry_id\030\001 \001(\t\022\026\n\016config" +
-      "_version\030\002 \001(\003\022\034\n\024confirmed_age_millis\030\003" +
-      " \001(\003\"z\n\rExchangeReply\022\020\n\010entry_id\030\001 \001(\t\022" +
-      "\026\n\016config_version\030\002 \001(\003\022\034\n\024confirmed_age" +
-      "_millis\030\003 \001(\003\022\017\n\007changes\030\004 \003(\t\022\020\n\010snapsh" +
-      "ot\030\005 \001(\t2\270\002\n\016SidecarService\022=\n\003Run\022\031.lim" +
-      "petvale.v1.RunCommand\032\027.limpetvale.v1.Ru" +
-      "nEvent(\0010\001\022A\n\005Watch\022\030.limpetvale.v1.Watc" +
-      "hPing\032\032.limpetvale.v1.WatchReport(\0010\001\022?\n" +
-      "\005Order\022\033.limpetvale.v1.OrderRequest\032\031.li" +
-      "mpetvale.v1.OrderReply\022c\n\021TakeOrphanedUs" +
-      "age\022\'.limpetvale.v1.TakeOrphanedUsageReq" +
-      "uest\032%.limpetvale.v1.TakeOrphanedUsageRe" +
-      "ply2W\n\013PeerService\022H\n\010Exchange\022\036.limpetv" +
-      "ale.v1.ExchangeRequest\032\034.limpetvale.v1.E" +
-      "xchangeReplyB\027\n\023org.limpetvale.wireP\001b\006p" +
-      "roto3"
+      "ancelH\000\022-\n\tdelivered\030\004 \001(\0132\030.limpetvale." +
+      "v1.DeliveredH\000B\t\n\007command\"\265\003\n\004Open\022\022\n\nre" +
+      "quest_id\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\021\n\tworks" +
+      "pace\030\003 \001(\t\022\025\n\rrequest_class\030\004 \001(\t\022\014\n\004tie" +
+      "r\030\005 \001(\r\022\027\n\017max_wait_millis\030\006 \001(\003\022!\n\031firs" +
+      "t_token_target_millis\030\007 \001(\003\022\030\n\020estimated" +
+      "_tokens\030\010 \001(\003\022\023\n\013floor_share\030\t \001(\001\022\016\n\006we" +
+      "ight\030\n \001(\001\022\022\n\nrepeatable\030\013 \001(\010\022\026\n\016suspec" +
+      "t_digest\030\014 \001(\t\022\026\n\016config_version\030\r \001(\003\022\020" +
+      "\n\010entry_id\030\016 \001(\t\022.\n\nmodel_call\030\017 \001(\0132\030.l" +
+      "impetvale.v1.ModelCallH\000\0222\n\014service_call" +
+      "\030\020 \001(\0132\032.limpetvale.v1.ServiceCallH\000\022\023\n\013" +
+      "over_budget\030\021 \001(\010B\006\n\004work\"o\n\tModelCall\022\r" +
+      "\n\005model\030\001 \001(\t\022\014\n\004body\030\002 \001(\014\022\026\n\016continued" +
+      "_text\030\003 \001(\t\022\030\n\020continued_tokens\030\004 \001(\r\022\023\n" +
+      "\013prefix_hash\030\005 \001(\003\"r\n\013ServiceCall\022\017\n\007ser" +
+      "vice\030\001 \001(\t\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t" +
+      "\022&\n\007headers\030\004 \003(\0132\025.limpetvale.v1.Header" +
+      "\022\014\n\004body\030\005 \001(\014\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r" +
+      "\n\005value\030\002 \001(\t\"V\n\006Resume\022\022\n\nrequest_id\030\001 " +
+      "\001(\t\022\017\n\007attempt\030\002 \001(\r\022\025\n\rnext_sequence\030\003 " +
+      "\001(\004\022\020\n\010instance\030\004 \001(\t\"J\n\tDelivered\022\021\n\twr" +
+      "iter_id\030\001 \001(\t\022*\n\006record\030\002 \001(\0132\032.limpetva" +
+      "le.v1.UsageRecord\"\030\n\006Cancel\022\016\n\006reason\030\001 " +
+      "\001(\t\"\262\003\n\010RunEvent\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007" +
+      "attempt\030\002 \001(\r\022\020\n\010sequence\030\003 \001(\004\022+\n\010accep" +
+      "ted\030\004 \001(\0132\027.limpetvale.v1.AcceptedH\000\022/\n\n" +
+      "dispatched\030\005 \001(\0132\031.limpetvale.v1.Dispatc" +
+      "hedH\000\022%\n\005token\030\006 \001(\0132\024.limpetvale.v1.Tok" +
+      "enH\000\0226\n\016service_answer\030\007 \001(\0132\034.limpetval" +
+      "e.v1.ServiceAnswerH\000\022+\n\010finished\030\010 \001(\0132\027" +
+      ".limpetvale.v1.FinishedH\000\022)\n\007refused\030\t \001" +
+      "(\0132\026.limpetvale.v1.RefusedH\000\022\'\n\006failed\030\n" +
+      " \001(\0132\025.limpetvale.v1.FailedH\000\022(\n\004load\030\013 " +
+      "\001(\0132\032.limpetvale.v1.SidecarLoadB\007\n\005event" +
+      "\"\"\n\010Accepted\022\026\n\016queue_position\030\001 \001(\r\"#\n\n" +
+      "Dispatched\022\025\n\rwaited_millis\030\001 \001(\003\"\025\n\005Tok" +
+      "en\022\014\n\004text\030\001 \001(\t\"U\n\rServiceAnswer\022\016\n\006sta" +
+      "tus\030\001 \001(\r\022&\n\007headers\030\002 \003(\0132\025.limpetvale." +
+      "v1.Header\022\014\n\004body\030\003 \001(\014\"\177\n\010Finished\022\023\n\013e" +
+      "vent_count\030\001 \001(\004\022\025\n\rprompt_tokens\030\002 \001(\r\022" +
+      "\031\n\021completion_tokens\030\003 \001(\r\022\025\n\rcached_tok" +
+      "ens\030\004 \001(\r\022\025\n\rfinish_reason\030\005 \001(\t\"C\n\007Refu" +
+      "sed\022\014\n\004code\030\001 \001(\r\022\016\n\006detail\030\002 \001(\t\022\032\n\022ret" +
+      "ry_after_millis\030\003 \001(\003\"l\n\006Failed\022\014\n\004code\030" +
+      "\001 \001(\r\022\016\n\006detail\030\002 \001(\t\022\030\n\020upstream_crashe" +
+      "d\030\003 \001(\010\022\017\n\007not_run\030\004 \001(\010\022\031\n\021requests_at_" +
+      "crash\030\005 \001(\r\"\207\001\n\tWatchPing\022\020\n\010entry_id\030\001 " +
+      "\001(\t\022\026\n\016config_version\030\002 \001(\003\022\017\n\007leaving\030\003" +
+      " \001(\010\022\020\n\010sequence\030\004 \001(\004\022\032\n\022flushed_record" +
+      "_ids\030\005 \003(\t\022\021\n\twriter_id\030\006 \001(\t\"\225\001\n\013WatchR" +
+      "eport\022\020\n\010sequence\030\001 \001(\004\022(\n\004load\030\002 \001(\0132\032." +
+      "limpetvale.v1.SidecarLoad\0220\n\010identity\030\003 " +
+      "\001(\0132\036.limpetvale.v1.SidecarIdentity\022\030\n\020o" +
+      "rphaned_writers\030\004 \003(\t\"l\n\017SidecarIdentity" +
+      "\022\n\n\002vm\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t" +
+      "\022\016\n\006models\030\004 \003(\t\022\017\n\007service\030\005 \001(\t\022\020\n\010ins" +
+      "tance\030\006 \001(\t\"\362\001\n\013SidecarLoad\022\017\n\007running\030\001" +
+      " \001(\r\022\016\n\006queued\030\002 \001(\r\022\020\n\010capacity\030\003 \001(\r\022 " +
+      "\n\030stream_tokens_per_second\030\004 \001(\001\022\033\n\023mean" +
+      "_service_millis\030\005 \001(\001\022\020\n\010draining\030\006 \001(\010\022" +
+      "\023\n\013upstream_up\030\007 \001(\010\022\026\n\016config_version\030\010" +
+      " \001(\003\022\026\n\016queued_by_tier\030\t \003(\r\022\032\n\022first_to" +
+      "ken_millis\030\n \001(\001\"\310\001\n\014OrderRequest\022\020\n\010ord" +
+      "er_id\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\003\022\014\n\004duty\030\003 \001(\t" +
+      "\022.\n\nload_model\030\004 \001(\0132\030.limpetvale.v1.Loa" +
+      "dModelH\000\022%\n\005drain\030\005 \001(\0132\024.limpetvale.v1." +
+      "DrainH\000\022)\n\007undrain\030\006 \001(\0132\026.limpetvale.v1" +
+      ".UndrainH\000B\007\n\005order\"\032\n\tLoadModel\022\r\n\005mode" +
+      "l\030\001 \001(\t\"\007\n\005Drain\"\t\n\007Undrain\"R\n\nOrderRepl" +
+      "y\022\017\n\007applied\030\001 \001(\010\022\014\n\004code\030\002 \001(\r\022\016\n\006deta" +
+      "il\030\003 \001(\t\022\025\n\rhighest_epoch\030\004 \001(\003\"t\n\013Usage" +
+      "Record\022\021\n\trecord_id\030\001 \001(\t\022\021\n\tworkspace\030\002" +
+      " \001(\t\022\025\n\rprompt_tokens\030\003 \001(\003\022\031\n\021completio" +
+      "n_tokens\030\004 \001(\003\022\r\n\005calls\030\005 \001(\003\"=\n\030TakeOrp" +
+      "hanedUsageRequest\022\021\n\twriter_id\030\001 \001(\t\022\016\n\006" +
+      "forget\030\002 \001(\010\"E\n\026TakeOrphanedUsageReply\022+" +
+      "\n\007records\030\001 \003(\0132\032.limpetvale.v1.UsageRec" +
+      "ord\"\207\001\n\017ExchangeRequest\022\020\n\010entry_id\030\001 \001(" +
+      "\t\022\026\n\016config_version\030\002 \001(\003\022\034\n\024confirmed_a" +
+      "ge_millis\030\003 \001(\003\022,\n\010suspects\030\004 \003(\0132\032.limp" +
+      "etvale.v1.SuspectNews\".\n\013SuspectNews\022\016\n\006" +
+      "digest\030\001 \001(\t\022\017\n\007crashes\030\002 \001(\r\"z\n\rExchang" +
+      "eReply\022\020\n\010entry_id\030\001 \001(\t\022\026\n\016config_versi" +
+      "on\030\002 \001(\003\022\034\n\024confirmed_age_millis\030\003 \001(\003\022\017" +
+      "\n\007changes\030\004 \003(\t\022\020\n\010snapshot\030\005 \001(\t2\270\002\n\016Si" +
+      "decarService\022=\n\003Run\022\031.limpetvale.v1.RunC" +
+      "ommand\032\027.limpetvale.v1.RunEvent(\0010\001\022A\n\005W" +
+      "atch\022\030.limpetvale.v1.WatchPing\032\032.limpetv" +
+      "ale.v1.WatchReport(\0010\001\022?\n\005Order\022\033.limpet" +
+      "vale.v1.OrderRequest\032\031.limpetvale.v1.Ord" +
+      "erReply\022c\n\021TakeOrphanedUsage\022\'.limpetval" +
+      "e.v1.TakeOrphanedUsageRequest\032%.limpetva" +
+      "le.v1.TakeOrphanedUsageReply2W\n\013PeerServ" +
+      "ice\022H\n\010Exchange\022\036.limpetvale.v1.Exchange" +
+      "Request\032\034.limpetvale.v1.ExchangeReplyB\027\n" +
+      "\023org.limpetvale.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -273,7 +290,7 @@
     internal_static_limpetvale_v1_RunCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_RunCommand_descriptor,
-        new java.lang.String[] { "Open", "Resume", "Cancel", "Command", });
+        new java.lang.String[] { "Open", "Resume", "Cancel", "Delivered", "Command", });
     internal_static_limpetvale_v1_Open_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_limpetvale_v1_Open_fieldAccessorTable = new
@@ -303,141 +320,153 @@
     internal_static_limpetvale_v1_Resume_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Resume_descriptor,
-        new java.lang.String[] { "RequestId", "Attempt", "NextSequence", });
-    internal_static_limpetvale_v1_Cancel_descriptor =
+        new java.lang.String[] { "RequestId", "Attempt", "NextSequence", "Instance", });
+    internal_static_limpetvale_v1_Delivered_descriptor =
       getDescriptor().getMessageTypes().get(6);
+    internal_static_limpetvale_v1_Delivered_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_limpetvale_v1_Delivered_descriptor,
+        new java.lang.String[] { "WriterId", "Record", });
+    internal_static_limpetvale_v1_Cancel_descriptor =
+      getDescriptor().getMessageTypes().get(7);
     internal_static_limpetvale_v1_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Cancel_descriptor,
         new java.lang.String[] { "Reason", });
     internal_static_limpetvale_v1_RunEvent_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_limpetvale_v1_RunEvent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_RunEvent_descriptor,
         new java.lang.String[] { "RequestId", "Attempt", "Sequence", "Accepted", "Dispatched", "Token", "ServiceAnswer", "Finished", "Refused", "Failed", "Load", "Event", });
     internal_static_limpetvale_v1_Accepted_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_limpetvale_v1_Accepted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Accepted_descriptor,
         new java.lang.String[] { "QueuePosition", });
     internal_static_limpetvale_v1_Dispatched_descriptor =
-      getDescriptor().getMessageTypes().get(9);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_limpetvale_v1_Dispatched_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Dispatched_descriptor,
         new java.lang.String[] { "WaitedMillis", });
     internal_static_limpetvale_v1_Token_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_limpetvale_v1_Token_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Token_descriptor,
         new java.lang.String[] { "Text", });
     internal_static_limpetvale_v1_ServiceAnswer_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_limpetvale_v1_ServiceAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_ServiceAnswer_descriptor,
         new java.lang.String[] { "Status", "Headers", "Body", });
     internal_static_limpetvale_v1_Finished_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_limpetvale_v1_Finished_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Finished_descriptor,
         new java.lang.String[] { "EventCount", "PromptTokens", "CompletionTokens", "CachedTokens", "FinishReason", });
     internal_static_limpetvale_v1_Refused_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_limpetvale_v1_Refused_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Refused_descriptor,
         new java.lang.String[] { "Code", "Detail", "RetryAfterMillis", });
     internal_static_limpetvale_v1_Failed_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_limpetvale_v1_Failed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Failed_descriptor,
         new java.lang.String[] { "Code", "Detail", "UpstreamCrashed", "NotRun", "RequestsAtCrash", });
     internal_static_limpetvale_v1_WatchPing_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_limpetvale_v1_WatchPing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_WatchPing_descriptor,
-        new java.lang.String[] { "EntryId", "ConfigVersion", "Leaving", "Sequence", });
+        new java.lang.String[] { "EntryId", "ConfigVersion", "Leaving", "Sequence", "FlushedRecordIds", "WriterId", });
     internal_static_limpetvale_v1_WatchReport_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_limpetvale_v1_WatchReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_WatchReport_descriptor,
-        new java.lang.String[] { "Sequence", "Load", "Identity", });
+        new java.lang.String[] { "Sequence", "Load", "Identity", "OrphanedWriters", });
     internal_static_limpetvale_v1_SidecarIdentity_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_limpetvale_v1_SidecarIdentity_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_SidecarIdentity_descriptor,
-        new java.lang.String[] { "Vm", "Zone", "Kind", "Models", "Service", });
+        new java.lang.String[] { "Vm", "Zone", "Kind", "Models", "Service", "Instance", });
     internal_static_limpetvale_v1_SidecarLoad_descriptor =
-      getDescriptor().getMessageTypes().get(18);
+      getDescriptor().getMessageTypes().get(19);
     internal_static_limpetvale_v1_SidecarLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_SidecarLoad_descriptor,
         new java.lang.String[] { "Running", "Queued", "Capacity", "StreamTokensPerSecond", "MeanServiceMillis", "Draining", "UpstreamUp", "ConfigVersion", "QueuedByTier", "FirstTokenMillis", });
     internal_static_limpetvale_v1_OrderRequest_descriptor =
-      getDescriptor().getMessageTypes().get(19);
+      getDescriptor().getMessageTypes().get(20);
     internal_static_limpetvale_v1_OrderRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_OrderRequest_descriptor,
         new java.lang.String[] { "OrderId", "Epoch", "Duty", "LoadModel", "Drain", "Undrain", "Order", });
     internal_static_limpetvale_v1_LoadModel_descriptor =
-      getDescriptor().getMessageTypes().get(20);
+      getDescriptor().getMessageTypes().get(21);
     internal_static_limpetvale_v1_LoadModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_LoadModel_descriptor,
         new java.lang.String[] { "Model", });
     internal_static_limpetvale_v1_Drain_descriptor =
-      getDescriptor().getMessageTypes().get(21);
+      getDescriptor().getMessageTypes().get(22);
     internal_static_limpetvale_v1_Drain_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Drain_descriptor,
         new java.lang.String[] { });
     internal_static_limpetvale_v1_Undrain_descriptor =
-      getDescriptor().getMessageTypes().get(22);
+      getDescriptor().getMessageTypes().get(23);
     internal_static_limpetvale_v1_Undrain_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_Undrain_descriptor,
         new java.lang.String[] { });
     internal_static_limpetvale_v1_OrderReply_descriptor =
-      getDescriptor().getMessageTypes().get(23);
+      getDescriptor().getMessageTypes().get(24);
     internal_static_limpetvale_v1_OrderReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_OrderReply_descriptor,
         new java.lang.String[] { "Applied", "Code", "Detail", "HighestEpoch", });
     internal_static_limpetvale_v1_UsageRecord_descriptor =
-      getDescriptor().getMessageTypes().get(24);
+      getDescriptor().getMessageTypes().get(25);
     internal_static_limpetvale_v1_UsageRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_UsageRecord_descriptor,
-        new java.lang.String[] { "RecordId", "Workspace", "RequestClass", "Subject", "PromptTokens", "CompletionTokens", "Calls", });
+        new java.lang.String[] { "RecordId", "Workspace", "PromptTokens", "CompletionTokens", "Calls", });
     internal_static_limpetvale_v1_TakeOrphanedUsageRequest_descriptor =
-      getDescriptor().getMessageTypes().get(25);
+      getDescriptor().getMessageTypes().get(26);
     internal_static_limpetvale_v1_TakeOrphanedUsageRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_TakeOrphanedUsageRequest_descriptor,
-        new java.lang.String[] { "EntryId", });
+        new java.lang.String[] { "WriterId", "Forget", });
     internal_static_limpetvale_v1_TakeOrphanedUsageReply_descriptor =
-      getDescriptor().getMessageTypes().get(26);
+      getDescriptor().getMessageTypes().get(27);
     internal_static_limpetvale_v1_TakeOrphanedUsageReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_TakeOrphanedUsageReply_descriptor,
         new java.lang.String[] { "Records", });
     internal_static_limpetvale_v1_ExchangeRequest_descriptor =
-      getDescriptor().getMessageTypes().get(27);
+      getDescriptor().getMessageTypes().get(28);
     internal_static_limpetvale_v1_ExchangeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_ExchangeRequest_descriptor,
-        new java.lang.String[] { "EntryId", "ConfigVersion", "ConfirmedAgeMillis", });
+        new java.lang.String[] { "EntryId", "ConfigVersion", "ConfirmedAgeMillis", "Suspects", });
+    internal_static_limpetvale_v1_SuspectNews_descriptor =
+      getDescriptor().getMessageTypes().get(29);
+    internal_static_limpetvale_v1_SuspectNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_limpetvale_v1_SuspectNews_descriptor,
+        new java.lang.String[] { "Digest", "Crashes", });
     internal_static_limpetvale_v1_ExchangeReply_descriptor =
-      getDescriptor().getMessageTypes().get(28);
+      getDescriptor().getMessageTypes().get(30);
     internal_static_limpetvale_v1_ExchangeReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_limpetvale_v1_ExchangeReply_descriptor,
--- a/wire/src/main/java/org/limpetvale/wire/Resume.java
+++ b/wire/src/main/java/org/limpetvale/wire/Resume.java
@@ -18,6 +18,7 @@
   }
   private Resume() {
     requestId_ = "";
+    instance_ = "";
   }
 
   @java.lang.Override
@@ -101,6 +102,53 @@
     return nextSequence_;
   }
 
+  public static final int INSTANCE_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object instance_ = "";
+  /**
+   * <pre>
+   * Instance of the sidecar that the attempt was opened at.
+   * </pre>
+   *
+   * <code>string instance = 4;</code>
+   * @return The instance.
+   */
+  @java.lang.Override
+  public java.lang.String getInstance() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      instance_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Instance of the sidecar that the attempt was opened at.
+   * </pre>
+   *
+   * <code>string instance = 4;</code>
+   * @return The bytes for instance.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getInstanceBytes() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      instance_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -124,6 +172,9 @@
     if (nextSequence_ != 0L) {
       output.writeUInt64(3, nextSequence_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(instance_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 4, instance_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -144,6 +195,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, nextSequence_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(instance_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(4, instance_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -165,6 +219,8 @@
         != other.getAttempt()) return false;
     if (getNextSequence()
         != other.getNextSequence()) return false;
+    if (!getInstance()
+        .equals(other.getInstance())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -183,6 +239,8 @@
     hash = (37 * hash) + NEXT_SEQUENCE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getNextSequence());
+    hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
+    hash = (53 * hash) + getInstance().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -317,6 +375,7 @@
       requestId_ = "";
       attempt_ = 0;
       nextSequence_ = 0L;
+      instance_ = "";
       return this;
     }
 
@@ -359,6 +418,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.nextSequence_ = nextSequence_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.instance_ = instance_;
+      }
     }
 
     @java.lang.Override
@@ -416,6 +478,11 @@
       if (other.getNextSequence() != 0L) {
         setNextSequence(other.getNextSequence());
       }
+      if (!other.getInstance().isEmpty()) {
+        instance_ = other.instance_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -457,6 +524,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 34: {
+              instance_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -609,6 +681,98 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object instance_ = "";
+    /**
+     * <pre>
+     * Instance of the sidecar that the attempt was opened at.
+     * </pre>
+     *
+     * <code>string instance = 4;</code>
+     * @return The instance.
+     */
+    public java.lang.String getInstance() {
+      java.lang.Object ref = instance_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        instance_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Instance of the sidecar that the attempt was opened at.
+     * </pre>
+     *
+     * <code>string instance = 4;</code>
+     * @return The bytes for instance.
+     */
+    public com.google.protobuf.ByteString
+        getInstanceBytes() {
+      java.lang.Object ref = instance_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        instance_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Instance of the sidecar that the attempt was opened at.
+     * </pre>
+     *
+     * <code>string instance = 4;</code>
+     * @param value The instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstance(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      instance_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instance of the sidecar that the attempt was opened at.
+     * </pre>
+     *
+     * <code>string instance = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInstance() {
+      instance_ = getDefaultInstance().getInstance();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instance of the sidecar that the attempt was opened at.
+     * </pre>
+     *
+     * <code>string instance = 4;</code>
+     * @param value The bytes for instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstanceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      instance_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/org/limpetvale/wire/ResumeOrBuilder.java
+++ b/wire/src/main/java/org/limpetvale/wire/ResumeOrBuilder.java
@@ -31,4 +31,24 @@
    * @return The nextSequence.
    */
   long getNextSequence();
+
+  /**
+   * <pre>
+   * Instance of the sidecar that the attempt was opened at.
+   * </pre>
+   *
+   * <code>string instance = 4;</code>
+   * @return The instance.
+   */
+  java.lang.String getInstance();
+  /**
+   * <pre>
+   * Instance of the sidecar that the attempt was opened at.
+   * </pre>
+   *
+   * <code>string instance = 4;</code>
+   * @return The bytes for instance.
+   */
+  com.google.protobuf.ByteString
+      getInstanceBytes();
 }
--- a/wire/src/main/java/org/limpetvale/wire/RunCommand.java
+++ b/wire/src/main/java/org/limpetvale/wire/RunCommand.java
@@ -48,6 +48,7 @@
     OPEN(1),
     RESUME(2),
     CANCEL(3),
+    DELIVERED(4),
     COMMAND_NOT_SET(0);
     private final int value;
     private CommandCase(int value) {
@@ -68,6 +69,7 @@
         case 1: return OPEN;
         case 2: return RESUME;
         case 3: return CANCEL;
+        case 4: return DELIVERED;
         case 0: return COMMAND_NOT_SET;
         default: return null;
       }
@@ -176,6 +178,37 @@
     return org.limpetvale.wire.Cancel.getDefaultInstance();
   }
 
+  public static final int DELIVERED_FIELD_NUMBER = 4;
+  /**
+   * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+   * @return Whether the delivered field is set.
+   */
+  @java.lang.Override
+  public boolean hasDelivered() {
+    return commandCase_ == 4;
+  }
+  /**
+   * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+   * @return The delivered.
+   */
+  @java.lang.Override
+  public org.limpetvale.wire.Delivered getDelivered() {
+    if (commandCase_ == 4) {
+       return (org.limpetvale.wire.Delivered) command_;
+    }
+    return org.limpetvale.wire.Delivered.getDefaultInstance();
+  }
+  /**
+   * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+   */
+  @java.lang.Override
+  public org.limpetvale.wire.DeliveredOrBuilder getDeliveredOrBuilder() {
+    if (commandCase_ == 4) {
+       return (org.limpetvale.wire.Delivered) command_;
+    }
+    return org.limpetvale.wire.Delivered.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -199,6 +232,9 @@
     if (commandCase_ == 3) {
       output.writeMessage(3, (org.limpetvale.wire.Cancel) command_);
     }
+    if (commandCase_ == 4) {
+      output.writeMessage(4, (org.limpetvale.wire.Delivered) command_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -220,6 +256,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, (org.limpetvale.wire.Cancel) command_);
     }
+    if (commandCase_ == 4) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, (org.limpetvale.wire.Delivered) command_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -249,6 +289,10 @@
         if (!getCancel()
             .equals(other.getCancel())) return false;
         break;
+      case 4:
+        if (!getDelivered()
+            .equals(other.getDelivered())) return false;
+        break;
       case 0:
       default:
     }
@@ -276,6 +320,10 @@
         hash = (37 * hash) + CANCEL_FIELD_NUMBER;
         hash = (53 * hash) + getCancel().hashCode();
         break;
+      case 4:
+        hash = (37 * hash) + DELIVERED_FIELD_NUMBER;
+        hash = (53 * hash) + getDelivered().hashCode();
+        break;
       case 0:
       default:
     }
@@ -419,6 +467,9 @@
       if (cancelBuilder_ != null) {
         cancelBuilder_.clear();
       }
+      if (deliveredBuilder_ != null) {
+        deliveredBuilder_.clear();
+      }
       commandCase_ = 0;
       command_ = null;
       return this;
@@ -472,6 +523,10 @@
           cancelBuilder_ != null) {
         result.command_ = cancelBuilder_.build();
       }
+      if (commandCase_ == 4 &&
+          deliveredBuilder_ != null) {
+        result.command_ = deliveredBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -531,6 +586,10 @@
           mergeCancel(other.getCancel());
           break;
         }
+        case DELIVERED: {
+          mergeDelivered(other.getDelivered());
+          break;
+        }
         case COMMAND_NOT_SET: {
           break;
         }
@@ -582,6 +641,13 @@
               commandCase_ = 3;
               break;
             } // case 26
+            case 34: {
+              input.readMessage(
+                  getDeliveredFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              commandCase_ = 4;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1039,6 +1105,148 @@
       onChanged();
       return cancelBuilder_;
     }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.limpetvale.wire.Delivered, org.limpetvale.wire.Delivered.Builder, org.limpetvale.wire.DeliveredOrBuilder> deliveredBuilder_;
+    /**
+     * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+     * @return Whether the delivered field is set.
+     */
+    @java.lang.Override
+    public boolean hasDelivered() {
+      return commandCase_ == 4;
+    }
+    /**
+     * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+     * @return The delivered.
+     */
+    @java.lang.Override
+    public org.limpetvale.wire.Delivered getDelivered() {
+      if (deliveredBuilder_ == null) {
+        if (commandCase_ == 4) {
+          return (org.limpetvale.wire.Delivered) command_;
+        }
+        return org.limpetvale.wire.Delivered.getDefaultInstance();
+      } else {
+        if (commandCase_ == 4) {
+          return deliveredBuilder_.getMessage();
+        }
+        return org.limpetvale.wire.Delivered.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+     */
+    public Builder setDelivered(org.limpetvale.wire.Delivered value) {
+      if (deliveredBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        command_ = value;
+        onChanged();
+      } else {
+        deliveredBuilder_.setMessage(value);
+      }
+      commandCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+     */
+    public Builder setDelivered(
+        org.limpetvale.wire.Delivered.Builder builderForValue) {
+      if (deliveredBuilder_ == null) {
+        command_ = builderForValue.build();
+        onChanged();
+      } else {
+        deliveredBuilder_.setMessage(builderForValue.build());
+      }
+      commandCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+     */
+    public Builder mergeDelivered(org.limpetvale.wire.Delivered value) {
+      if (deliveredBuilder_ == null) {
+        if (commandCase_ == 4 &&
+            command_ != org.limpetvale.wire.Delivered.getDefaultInstance()) {
+          command_ = org.limpetvale.wire.Delivered.newBuilder((org.limpetvale.wire.Delivered) command_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          command_ = value;
+        }
+        onChanged();
+      } else {
+        if (commandCase_ == 4) {
+          deliveredBuilder_.mergeFrom(value);
+        } else {
+          deliveredBuilder_.setMessage(value);
+        }
+      }
+      commandCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+     */
+    public Builder clearDelivered() {
+      if (deliveredBuilder_ == null) {
+        if (commandCase_ == 4) {
+          commandCase_ = 0;
+          command_ = null;
+          onChanged();
+        }
+      } else {
+        if (commandCase_ == 4) {
+          commandCase_ = 0;
+          command_ = null;
+        }
+        deliveredBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+     */
+    public org.limpetvale.wire.Delivered.Builder getDeliveredBuilder() {
+      return getDeliveredFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+     */
+    @java.lang.Override
+    public org.limpetvale.wire.DeliveredOrBuilder getDeliveredOrBuilder() {
+      if ((commandCase_ == 4) && (deliveredBuilder_ != null)) {
+        return deliveredBuilder_.getMessageOrBuilder();
+      } else {
+        if (commandCase_ == 4) {
+          return (org.limpetvale.wire.Delivered) command_;
+        }
+        return org.limpetvale.wire.Delivered.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        org.limpetvale.wire.Delivered, org.limpetvale.wire.Delivered.Builder, org.limpetvale.wire.DeliveredOrBuilder> 
+        getDeliveredFieldBuilder() {
+      if (deliveredBuilder_ == null) {
+        if (!(commandCase_ == 4)) {
+          command_ = org.limpetvale.wire.Delivered.getDefaultInstance();
+        }
+        deliveredBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            org.limpetvale.wire.Delivered, org.limpetvale.wire.Delivered.Builder, org.limpetvale.wire.DeliveredOrBuilder>(
+                (org.limpetvale.wire.Delivered) command_,
+                getParentForChildren(),
+                isClean());
+        command_ = null;
+      }
+      commandCase_ = 4;
+      onChanged();
+      return deliveredBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/org/limpetvale/wire/RunCommandOrBuilder.java
+++ b/wire/src/main/java/org/limpetvale/wire/RunCommandOrBuilder.java
@@ -53,5 +53,20 @@
    */
   org.limpetvale.wire.CancelOrBuilder getCancelOrBuilder();
 
+  /**
+   * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+   * @return Whether the delivered field is set.
+   */
+  boolean hasDelivered();
+  /**
+   * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+   * @return The delivered.
+   */
+  org.limpetvale.wire.Delivered getDelivered();
+  /**
+   * <code>.limpetvale.v1.Delivered delivered = 4;</code>
+   */
+  org.limpetvale.wire.DeliveredOrBuilder getDeliveredOrBuilder();
+
   org.limpetvale.wire.RunCommand.CommandCase getCommandCase();
 }
--- a/wire/src/main/java/org/limpetvale/wire/SidecarIdentity.java
+++ b/wire/src/main/java/org/limpetvale/wire/SidecarIdentity.java
@@ -23,6 +23,7 @@
     models_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     service_ = "";
+    instance_ = "";
   }
 
   @java.lang.Override
@@ -238,6 +239,53 @@
     }
   }
 
+  public static final int INSTANCE_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object instance_ = "";
+  /**
+   * <pre>
+   * Changes with each start of the sidecar.
+   * </pre>
+   *
+   * <code>string instance = 6;</code>
+   * @return The instance.
+   */
+  @java.lang.Override
+  public java.lang.String getInstance() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      instance_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Changes with each start of the sidecar.
+   * </pre>
+   *
+   * <code>string instance = 6;</code>
+   * @return The bytes for instance.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getInstanceBytes() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      instance_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -267,6 +315,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(service_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 5, service_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(instance_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, instance_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -296,6 +347,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(service_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(5, service_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(instance_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(6, instance_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -321,6 +375,8 @@
         .equals(other.getModelsList())) return false;
     if (!getService()
         .equals(other.getService())) return false;
+    if (!getInstance()
+        .equals(other.getInstance())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -344,6 +400,8 @@
     }
     hash = (37 * hash) + SERVICE_FIELD_NUMBER;
     hash = (53 * hash) + getService().hashCode();
+    hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
+    hash = (53 * hash) + getInstance().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -481,6 +539,7 @@
       models_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       service_ = "";
+      instance_ = "";
       return this;
     }
 
@@ -530,6 +589,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.service_ = service_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.instance_ = instance_;
+      }
     }
 
     @java.lang.Override
@@ -606,6 +668,11 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (!other.getInstance().isEmpty()) {
+        instance_ = other.instance_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -658,6 +725,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              instance_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1073,6 +1145,98 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object instance_ = "";
+    /**
+     * <pre>
+     * Changes with each start of the sidecar.
+     * </pre>
+     *
+     * <code>string instance = 6;</code>
+     * @return The instance.
+     */
+    public java.lang.String getInstance() {
+      java.lang.Object ref = instance_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        instance_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Changes with each start of the sidecar.
+     * </pre>
+     *
+     * <code>string instance = 6;</code>
+     * @return The bytes for instance.
+     */
+    public com.google.protobuf.ByteString
+        getInstanceBytes() {
+      java.lang.Object ref = instance_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        instance_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Changes with each start of the sidecar.
+     * </pre>
+     *
+     * <code>string instance = 6;</code>
+     * @param value The instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstance(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      instance_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes with each start of the sidecar.
+     * </pre>
+     *
+     * <code>string instance = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInstance() {
+      instance_ = getDefaultInstance().getInstance();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Changes with each start of the sidecar.
+     * </pre>
+     *
+     * <code>string instance = 6;</code>
+     * @param value The bytes for instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstanceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      instance_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/org/limpetvale/wire/SidecarIdentityOrBuilder.java
+++ b/wire/src/main/java/org/limpetvale/wire/SidecarIdentityOrBuilder.java
@@ -80,4 +80,24 @@
    */
   com.google.protobuf.ByteString
       getServiceBytes();
+
+  /**
+   * <pre>
+   * Changes with each start of the sidecar.
+   * </pre>
+   *
+   * <code>string instance = 6;</code>
+   * @return The instance.
+   */
+  java.lang.String getInstance();
+  /**
+   * <pre>
+   * Changes with each start of the sidecar.
+   * </pre>
+   *
+   * <code>string instance = 6;</code>
+   * @return The bytes for instance.
+   */
+  com.google.protobuf.ByteString
+      getInstanceBytes();
 }
--- a/wire/src/main/java/org/limpetvale/wire/TakeOrphanedUsageRequest.java
+++ b/wire/src/main/java/org/limpetvale/wire/TakeOrphanedUsageRequest.java
@@ -17,7 +17,7 @@
     super(builder);
   }
   private TakeOrphanedUsageRequest() {
-    entryId_ = "";
+    writerId_ = "";
   }
 
   @java.lang.Override
@@ -40,45 +40,60 @@
             org.limpetvale.wire.TakeOrphanedUsageRequest.class, org.limpetvale.wire.TakeOrphanedUsageRequest.Builder.class);
   }
 
-  public static final int ENTRY_ID_FIELD_NUMBER = 1;
+  public static final int WRITER_ID_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
-  private volatile java.lang.Object entryId_ = "";
+  private volatile java.lang.Object writerId_ = "";
   /**
-   * <code>string entry_id = 1;</code>
-   * @return The entryId.
+   * <code>string writer_id = 1;</code>
+   * @return The writerId.
    */
   @java.lang.Override
-  public java.lang.String getEntryId() {
-    java.lang.Object ref = entryId_;
+  public java.lang.String getWriterId() {
+    java.lang.Object ref = writerId_;
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
       com.google.protobuf.ByteString bs = 
           (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
-      entryId_ = s;
+      writerId_ = s;
       return s;
     }
   }
   /**
-   * <code>string entry_id = 1;</code>
-   * @return The bytes for entryId.
+   * <code>string writer_id = 1;</code>
+   * @return The bytes for writerId.
    */
   @java.lang.Override
   public com.google.protobuf.ByteString
-      getEntryIdBytes() {
-    java.lang.Object ref = entryId_;
+      getWriterIdBytes() {
+    java.lang.Object ref = writerId_;
     if (ref instanceof java.lang.String) {
       com.google.protobuf.ByteString b = 
           com.google.protobuf.ByteString.copyFromUtf8(
               (java.lang.String) ref);
-      entryId_ = b;
+      writerId_ = b;
       return b;
     } else {
       return (com.google.protobuf.ByteString) ref;
     }
   }
 
+  public static final int FORGET_FIELD_NUMBER = 2;
+  private boolean forget_ = false;
+  /**
+   * <pre>
+   * Set once the records have reached the table; the sidecar then forgets them.
+   * </pre>
+   *
+   * <code>bool forget = 2;</code>
+   * @return The forget.
+   */
+  @java.lang.Override
+  public boolean getForget() {
+    return forget_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -93,8 +108,11 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(entryId_)) {
-      com.google.protobuf.GeneratedMessageV3.writeString(output, 1, entryId_);
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(writerId_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 1, writerId_);
+    }
+    if (forget_ != false) {
+      output.writeBool(2, forget_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -105,8 +123,12 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(entryId_)) {
-      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(1, entryId_);
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(writerId_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(1, writerId_);
+    }
+    if (forget_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, forget_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -123,8 +145,10 @@
     }
     org.limpetvale.wire.TakeOrphanedUsageRequest other = (org.limpetvale.wire.TakeOrphanedUsageRequest) obj;
 
-    if (!getEntryId()
-        .equals(other.getEntryId())) return false;
+    if (!getWriterId()
+        .equals(other.getWriterId())) return false;
+    if (getForget()
+        != other.getForget()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -136,8 +160,11 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + ENTRY_ID_FIELD_NUMBER;
-    hash = (53 * hash) + getEntryId().hashCode();
+    hash = (37 * hash) + WRITER_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getWriterId().hashCode();
+    hash = (37 * hash) + FORGET_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getForget());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -269,7 +296,8 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      entryId_ = "";
+      writerId_ = "";
+      forget_ = false;
       return this;
     }
 
@@ -304,7 +332,10 @@
     private void buildPartial0(org.limpetvale.wire.TakeOrphanedUsageRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.entryId_ = entryId_;
+        result.writerId_ = writerId_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.forget_ = forget_;
       }
     }
 
@@ -352,11 +383,14 @@
 
     public Builder mergeFrom(org.limpetvale.wire.TakeOrphanedUsageRequest other) {
       if (other == org.limpetvale.wire.TakeOrphanedUsageRequest.getDefaultInstance()) return this;
-      if (!other.getEntryId().isEmpty()) {
-        entryId_ = other.entryId_;
+      if (!other.getWriterId().isEmpty()) {
+        writerId_ = other.writerId_;
         bitField0_ |= 0x00000001;
         onChanged();
       }
+      if (other.getForget() != false) {
+        setForget(other.getForget());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -384,10 +418,15 @@
               done = true;
               break;
             case 10: {
-              entryId_ = input.readStringRequireUtf8();
+              writerId_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000001;
               break;
             } // case 10
+            case 16: {
+              forget_ = input.readBool();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -405,77 +444,121 @@
     }
     private int bitField0_;
 
-    private java.lang.Object entryId_ = "";
+    private java.lang.Object writerId_ = "";
     /**
-     * <code>string entry_id = 1;</code>
-     * @return The entryId.
+     * <code>string writer_id = 1;</code>
+     * @return The writerId.
      */
-    public java.lang.String getEntryId() {
-      java.lang.Object ref = entryId_;
+    public java.lang.String getWriterId() {
+      java.lang.Object ref = writerId_;
       if (!(ref instanceof java.lang.String)) {
         com.google.protobuf.ByteString bs =
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        entryId_ = s;
+        writerId_ = s;
         return s;
       } else {
         return (java.lang.String) ref;
       }
     }
     /**
-     * <code>string entry_id = 1;</code>
-     * @return The bytes for entryId.
+     * <code>string writer_id = 1;</code>
+     * @return The bytes for writerId.
      */
     public com.google.protobuf.ByteString
-        getEntryIdBytes() {
-      java.lang.Object ref = entryId_;
+        getWriterIdBytes() {
+      java.lang.Object ref = writerId_;
       if (ref instanceof String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        entryId_ = b;
+        writerId_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
     /**
-     * <code>string entry_id = 1;</code>
-     * @param value The entryId to set.
+     * <code>string writer_id = 1;</code>
+     * @param value The writerId to set.
      * @return This builder for chaining.
      */
-    public Builder setEntryId(
+    public Builder setWriterId(
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
-      entryId_ = value;
+      writerId_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>string entry_id = 1;</code>
+     * <code>string writer_id = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearEntryId() {
-      entryId_ = getDefaultInstance().getEntryId();
+    public Builder clearWriterId() {
+      writerId_ = getDefaultInstance().getWriterId();
       bitField0_ = (bitField0_ & ~0x00000001);
       onChanged();
       return this;
     }
     /**
-     * <code>string entry_id = 1;</code>
-     * @param value The bytes for entryId to set.
+     * <code>string writer_id = 1;</code>
+     * @param value The bytes for writerId to set.
      * @return This builder for chaining.
      */
-    public Builder setEntryIdBytes(
+    public Builder setWriterIdBytes(
         com.google.protobuf.ByteString value) {
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
-      entryId_ = value;
+      writerId_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
+
+    private boolean forget_ ;
+    /**
+     * <pre>
+     * Set once the records have reached the table; the sidecar then forgets them.
+     * </pre>
+     *
+     * <code>bool forget = 2;</code>
+     * @return The forget.
+     */
+    @java.lang.Override
+    public boolean getForget() {
+      return forget_;
+    }
+    /**
+     * <pre>
+     * Set once the records have reached the table; the sidecar then forgets them.
+     * </pre>
+     *
+     * <code>bool forget = 2;</code>
+     * @param value The forget to set.
+     * @return This builder for chaining.
+     */
+    public Builder setForget(boolean value) {
+
+      forget_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set once the records have reached the table; the sidecar then forgets them.
+     * </pre>
+     *
+     * <code>bool forget = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearForget() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      forget_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/org/limpetvale/wire/TakeOrphanedUsageRequestOrBuilder.java
+++ b/wire/src/main/java/org/limpetvale/wire/TakeOrphanedUsageRequestOrBuilder.java
@@ -9,14 +9,24 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string entry_id = 1;</code>
-   * @return The entryId.
+   * <code>string writer_id = 1;</code>
+   * @return The writerId.
    */
-  java.lang.String getEntryId();
+  java.lang.String getWriterId();
   /**
-   * <code>string entry_id = 1;</code>
-   * @return The bytes for entryId.
+   * <code>string writer_id = 1;</code>
+   * @return The bytes for writerId.
    */
   com.google.protobuf.ByteString
-      getEntryIdBytes();
+      getWriterIdBytes();
+
+  /**
+   * <pre>
+   * Set once the records have reached the table; the sidecar then forgets them.
+   * </pre>
+   *
+   * <code>bool forget = 2;</code>
+   * @return The forget.
+   */
+  boolean getForget();
 }
--- a/wire/src/main/java/org/limpetvale/wire/UsageRecord.java
+++ b/wire/src/main/java/org/limpetvale/wire/UsageRecord.java
@@ -19,8 +19,6 @@
   private UsageRecord() {
     recordId_ = "";
     workspace_ = "";
-    requestClass_ = "";
-    subject_ = "";
   }
 
   @java.lang.Override
@@ -121,88 +119,10 @@
     }
   }
 
-  public static final int REQUEST_CLASS_FIELD_NUMBER = 3;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object requestClass_ = "";
-  /**
-   * <code>string request_class = 3;</code>
-   * @return The requestClass.
-   */
-  @java.lang.Override
-  public java.lang.String getRequestClass() {
-    java.lang.Object ref = requestClass_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      requestClass_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string request_class = 3;</code>
-   * @return The bytes for requestClass.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getRequestClassBytes() {
-    java.lang.Object ref = requestClass_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      requestClass_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int SUBJECT_FIELD_NUMBER = 4;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object subject_ = "";
-  /**
-   * <code>string subject = 4;</code>
-   * @return The subject.
-   */
-  @java.lang.Override
-  public java.lang.String getSubject() {
-    java.lang.Object ref = subject_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      subject_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string subject = 4;</code>
-   * @return The bytes for subject.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getSubjectBytes() {
-    java.lang.Object ref = subject_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      subject_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int PROMPT_TOKENS_FIELD_NUMBER = 5;
+  public static final int PROMPT_TOKENS_FIELD_NUMBER = 3;
   private long promptTokens_ = 0L;
   /**
-   * <code>int64 prompt_tokens = 5;</code>
+   * <code>int64 prompt_tokens = 3;</code>
    * @return The promptTokens.
    */
   @java.lang.Override
@@ -210,10 +130,10 @@
     return promptTokens_;
   }
 
-  public static final int COMPLETION_TOKENS_FIELD_NUMBER = 6;
+  public static final int COMPLETION_TOKENS_FIELD_NUMBER = 4;
   private long completionTokens_ = 0L;
   /**
-   * <code>int64 completion_tokens = 6;</code>
+   * <code>int64 completion_tokens = 4;</code>
    * @return The completionTokens.
    */
   @java.lang.Override
@@ -221,10 +141,10 @@
     return completionTokens_;
   }
 
-  public static final int CALLS_FIELD_NUMBER = 7;
+  public static final int CALLS_FIELD_NUMBER = 5;
   private long calls_ = 0L;
   /**
-   * <code>int64 calls = 7;</code>
+   * <code>int64 calls = 5;</code>
    * @return The calls.
    */
   @java.lang.Override
@@ -252,20 +172,14 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(workspace_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 2, workspace_);
     }
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(requestClass_)) {
-      com.google.protobuf.GeneratedMessageV3.writeString(output, 3, requestClass_);
-    }
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(subject_)) {
-      com.google.protobuf.GeneratedMessageV3.writeString(output, 4, subject_);
-    }
     if (promptTokens_ != 0L) {
-      output.writeInt64(5, promptTokens_);
+      output.writeInt64(3, promptTokens_);
     }
     if (completionTokens_ != 0L) {
-      output.writeInt64(6, completionTokens_);
+      output.writeInt64(4, completionTokens_);
     }
     if (calls_ != 0L) {
-      output.writeInt64(7, calls_);
+      output.writeInt64(5, calls_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -282,23 +196,17 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(workspace_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(2, workspace_);
     }
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(requestClass_)) {
-      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(3, requestClass_);
-    }
-    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(subject_)) {
-      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(4, subject_);
-    }
     if (promptTokens_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(5, promptTokens_);
+        .computeInt64Size(3, promptTokens_);
     }
     if (completionTokens_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(6, completionTokens_);
+        .computeInt64Size(4, completionTokens_);
     }
     if (calls_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(7, calls_);
+        .computeInt64Size(5, calls_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -319,10 +227,6 @@
         .equals(other.getRecordId())) return false;
     if (!getWorkspace()
         .equals(other.getWorkspace())) return false;
-    if (!getRequestClass()
-        .equals(other.getRequestClass())) return false;
-    if (!getSubject()
-        .equals(other.getSubject())) return false;
     if (getPromptTokens()
         != other.getPromptTokens()) return false;
     if (getCompletionTokens()
@@ -344,10 +248,6 @@
     hash = (53 * hash) + getRecordId().hashCode();
     hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
     hash = (53 * hash) + getWorkspace().hashCode();
-    hash = (37 * hash) + REQUEST_CLASS_FIELD_NUMBER;
-    hash = (53 * hash) + getRequestClass().hashCode();
-    hash = (37 * hash) + SUBJECT_FIELD_NUMBER;
-    hash = (53 * hash) + getSubject().hashCode();
     hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getPromptTokens());
@@ -490,8 +390,6 @@
       bitField0_ = 0;
       recordId_ = "";
       workspace_ = "";
-      requestClass_ = "";
-      subject_ = "";
       promptTokens_ = 0L;
       completionTokens_ = 0L;
       calls_ = 0L;
@@ -535,18 +433,12 @@
         result.workspace_ = workspace_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.requestClass_ = requestClass_;
-      }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.subject_ = subject_;
-      }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
         result.promptTokens_ = promptTokens_;
       }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
+      if (((from_bitField0_ & 0x00000008) != 0)) {
         result.completionTokens_ = completionTokens_;
       }
-      if (((from_bitField0_ & 0x00000040) != 0)) {
+      if (((from_bitField0_ & 0x00000010) != 0)) {
         result.calls_ = calls_;
       }
     }
@@ -605,16 +497,6 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
-      if (!other.getRequestClass().isEmpty()) {
-        requestClass_ = other.requestClass_;
-        bitField0_ |= 0x00000004;
-        onChanged();
-      }
-      if (!other.getSubject().isEmpty()) {
-        subject_ = other.subject_;
-        bitField0_ |= 0x00000008;
-        onChanged();
-      }
       if (other.getPromptTokens() != 0L) {
         setPromptTokens(other.getPromptTokens());
       }
@@ -660,31 +542,21 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
-            case 26: {
-              requestClass_ = input.readStringRequireUtf8();
+            case 24: {
+              promptTokens_ = input.readInt64();
               bitField0_ |= 0x00000004;
               break;
-            } // case 26
-            case 34: {
-              subject_ = input.readStringRequireUtf8();
+            } // case 24
+            case 32: {
+              completionTokens_ = input.readInt64();
               bitField0_ |= 0x00000008;
               break;
-            } // case 34
+            } // case 32
             case 40: {
-              promptTokens_ = input.readInt64();
+              calls_ = input.readInt64();
               bitField0_ |= 0x00000010;
               break;
             } // case 40
-            case 48: {
-              completionTokens_ = input.readInt64();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 48
-            case 56: {
-              calls_ = input.readInt64();
-              bitField0_ |= 0x00000040;
-              break;
-            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -846,153 +718,9 @@
       return this;
     }
 
-    private java.lang.Object requestClass_ = "";
-    /**
-     * <code>string request_class = 3;</code>
-     * @return The requestClass.
-     */
-    public java.lang.String getRequestClass() {
-      java.lang.Object ref = requestClass_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        requestClass_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string request_class = 3;</code>
-     * @return The bytes for requestClass.
-     */
-    public com.google.protobuf.ByteString
-        getRequestClassBytes() {
-      java.lang.Object ref = requestClass_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        requestClass_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string request_class = 3;</code>
-     * @param value The requestClass to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRequestClass(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      requestClass_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string request_class = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRequestClass() {
-      requestClass_ = getDefaultInstance().getRequestClass();
-      bitField0_ = (bitField0_ & ~0x00000004);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string request_class = 3;</code>
-     * @param value The bytes for requestClass to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRequestClassBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      requestClass_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-
-    private java.lang.Object subject_ = "";
-    /**
-     * <code>string subject = 4;</code>
-     * @return The subject.
-     */
-    public java.lang.String getSubject() {
-      java.lang.Object ref = subject_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        subject_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string subject = 4;</code>
-     * @return The bytes for subject.
-     */
-    public com.google.protobuf.ByteString
-        getSubjectBytes() {
-      java.lang.Object ref = subject_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        subject_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string subject = 4;</code>
-     * @param value The subject to set.
-     * @return This builder for chaining.
-     */
-    public Builder setSubject(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      subject_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string subject = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearSubject() {
-      subject_ = getDefaultInstance().getSubject();
-      bitField0_ = (bitField0_ & ~0x00000008);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string subject = 4;</code>
-     * @param value The bytes for subject to set.
-     * @return This builder for chaining.
-     */
-    public Builder setSubjectBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      subject_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-
     private long promptTokens_ ;
     /**
-     * <code>int64 prompt_tokens = 5;</code>
+     * <code>int64 prompt_tokens = 3;</code>
      * @return The promptTokens.
      */
     @java.lang.Override
@@ -1000,23 +728,23 @@
       return promptTokens_;
     }
     /**
-     * <code>int64 prompt_tokens = 5;</code>
+     * <code>int64 prompt_tokens = 3;</code>
      * @param value The promptTokens to set.
      * @return This builder for chaining.
      */
     public Builder setPromptTokens(long value) {
 
       promptTokens_ = value;
-      bitField0_ |= 0x00000010;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 prompt_tokens = 5;</code>
+     * <code>int64 prompt_tokens = 3;</code>
      * @return This builder for chaining.
      */
     public Builder clearPromptTokens() {
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000004);
       promptTokens_ = 0L;
       onChanged();
       return this;
@@ -1024,7 +752,7 @@
 
     private long completionTokens_ ;
     /**
-     * <code>int64 completion_tokens = 6;</code>
+     * <code>int64 completion_tokens = 4;</code>
      * @return The completionTokens.
      */
     @java.lang.Override
@@ -1032,23 +760,23 @@
       return completionTokens_;
     }
     /**
-     * <code>int64 completion_tokens = 6;</code>
+     * <code>int64 completion_tokens = 4;</code>
      * @param value The completionTokens to set.
      * @return This builder for chaining.
      */
     public Builder setCompletionTokens(long value) {
 
       completionTokens_ = value;
-      bitField0_ |= 0x00000020;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 completion_tokens = 6;</code>
+     * <code>int64 completion_tokens = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearCompletionTokens() {
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000008);
       completionTokens_ = 0L;
       onChanged();
       return this;
@@ -1056,7 +784,7 @@
 
     private long calls_ ;
     /**
-     * <code>int64 calls = 7;</code>
+     * <code>int64 calls = 5;</code>
      * @return The calls.
      */
     @java.lang.Override
@@ -1064,23 +792,23 @@
       return calls_;
     }
     /**
-     * <code>int64 calls = 7;</code>
+     * <code>int64 calls = 5;</code>
      * @param value The calls to set.
      * @return This builder for chaining.
      */
     public Builder setCalls(long value) {
 
       calls_ = value;
-      bitField0_ |= 0x00000040;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 calls = 7;</code>
+     * <code>int64 calls = 5;</code>
      * @return This builder for chaining.
      */
     public Builder clearCalls() {
-      bitField0_ = (bitField0_ & ~0x00000040);
+      bitField0_ = (bitField0_ & ~0x00000010);
       calls_ = 0L;
       onChanged();
       return this;
--- a/wire/src/main/java/org/limpetvale/wire/UsageRecordOrBuilder.java
+++ b/wire/src/main/java/org/limpetvale/wire/UsageRecordOrBuilder.java
@@ -33,43 +33,19 @@
       getWorkspaceBytes();
 
   /**
-   * <code>string request_class = 3;</code>
-   * @return The requestClass.
-   */
-  java.lang.String getRequestClass();
-  /**
-   * <code>string request_class = 3;</code>
-   * @return The bytes for requestClass.
-   */
-  com.google.protobuf.ByteString
-      getRequestClassBytes();
-
-  /**
-   * <code>string subject = 4;</code>
-   * @return The subject.
-   */
-  java.lang.String getSubject();
-  /**
-   * <code>string subject = 4;</code>
-   * @return The bytes for subject.
-   */
-  com.google.protobuf.ByteString
-      getSubjectBytes();
-
-  /**
-   * <code>int64 prompt_tokens = 5;</code>
+   * <code>int64 prompt_tokens = 3;</code>
    * @return The promptTokens.
    */
   long getPromptTokens();
 
   /**
-   * <code>int64 completion_tokens = 6;</code>
+   * <code>int64 completion_tokens = 4;</code>
    * @return The completionTokens.
    */
   long getCompletionTokens();
 
   /**
-   * <code>int64 calls = 7;</code>
+   * <code>int64 calls = 5;</code>
    * @return The calls.
    */
   long getCalls();
--- a/wire/src/main/java/org/limpetvale/wire/WatchPing.java
+++ b/wire/src/main/java/org/limpetvale/wire/WatchPing.java
@@ -18,6 +18,9 @@
   }
   private WatchPing() {
     entryId_ = "";
+    flushedRecordIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    writerId_ = "";
   }
 
   @java.lang.Override
@@ -116,6 +119,98 @@
     return sequence_;
   }
 
+  public static final int FLUSHED_RECORD_IDS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList flushedRecordIds_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Usage records that have reached the table since the last ping.
+   * </pre>
+   *
+   * <code>repeated string flushed_record_ids = 5;</code>
+   * @return A list containing the flushedRecordIds.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getFlushedRecordIdsList() {
+    return flushedRecordIds_;
+  }
+  /**
+   * <pre>
+   * Usage records that have reached the table since the last ping.
+   * </pre>
+   *
+   * <code>repeated string flushed_record_ids = 5;</code>
+   * @return The count of flushedRecordIds.
+   */
+  public int getFlushedRecordIdsCount() {
+    return flushedRecordIds_.size();
+  }
+  /**
+   * <pre>
+   * Usage records that have reached the table since the last ping.
+   * </pre>
+   *
+   * <code>repeated string flushed_record_ids = 5;</code>
+   * @param index The index of the element to return.
+   * @return The flushedRecordIds at the given index.
+   */
+  public java.lang.String getFlushedRecordIds(int index) {
+    return flushedRecordIds_.get(index);
+  }
+  /**
+   * <pre>
+   * Usage records that have reached the table since the last ping.
+   * </pre>
+   *
+   * <code>repeated string flushed_record_ids = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the flushedRecordIds at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getFlushedRecordIdsBytes(int index) {
+    return flushedRecordIds_.getByteString(index);
+  }
+
+  public static final int WRITER_ID_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object writerId_ = "";
+  /**
+   * <code>string writer_id = 6;</code>
+   * @return The writerId.
+   */
+  @java.lang.Override
+  public java.lang.String getWriterId() {
+    java.lang.Object ref = writerId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      writerId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string writer_id = 6;</code>
+   * @return The bytes for writerId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWriterIdBytes() {
+    java.lang.Object ref = writerId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      writerId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -142,6 +237,12 @@
     if (sequence_ != 0L) {
       output.writeUInt64(4, sequence_);
     }
+    for (int i = 0; i < flushedRecordIds_.size(); i++) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 5, flushedRecordIds_.getRaw(i));
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(writerId_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, writerId_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -166,6 +267,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, sequence_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < flushedRecordIds_.size(); i++) {
+        dataSize += computeStringSizeNoTag(flushedRecordIds_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getFlushedRecordIdsList().size();
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(writerId_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(6, writerId_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -189,6 +301,10 @@
         != other.getLeaving()) return false;
     if (getSequence()
         != other.getSequence()) return false;
+    if (!getFlushedRecordIdsList()
+        .equals(other.getFlushedRecordIdsList())) return false;
+    if (!getWriterId()
+        .equals(other.getWriterId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -211,6 +327,12 @@
     hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSequence());
+    if (getFlushedRecordIdsCount() > 0) {
+      hash = (37 * hash) + FLUSHED_RECORD_IDS_FIELD_NUMBER;
+      hash = (53 * hash) + getFlushedRecordIdsList().hashCode();
+    }
+    hash = (37 * hash) + WRITER_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getWriterId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -346,6 +468,9 @@
       configVersion_ = 0L;
       leaving_ = false;
       sequence_ = 0L;
+      flushedRecordIds_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      writerId_ = "";
       return this;
     }
 
@@ -391,6 +516,13 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.sequence_ = sequence_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        flushedRecordIds_.makeImmutable();
+        result.flushedRecordIds_ = flushedRecordIds_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.writerId_ = writerId_;
+      }
     }
 
     @java.lang.Override
@@ -451,6 +583,21 @@
       if (other.getSequence() != 0L) {
         setSequence(other.getSequence());
       }
+      if (!other.flushedRecordIds_.isEmpty()) {
+        if (flushedRecordIds_.isEmpty()) {
+          flushedRecordIds_ = other.flushedRecordIds_;
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureFlushedRecordIdsIsMutable();
+          flushedRecordIds_.addAll(other.flushedRecordIds_);
+        }
+        onChanged();
+      }
+      if (!other.getWriterId().isEmpty()) {
+        writerId_ = other.writerId_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -497,6 +644,17 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureFlushedRecordIdsIsMutable();
+              flushedRecordIds_.add(s);
+              break;
+            } // case 42
+            case 50: {
+              writerId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -693,6 +851,225 @@
       onChanged();
       return this;
     }
+
+    private com.google.protobuf.LazyStringArrayList flushedRecordIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureFlushedRecordIdsIsMutable() {
+      if (!flushedRecordIds_.isModifiable()) {
+        flushedRecordIds_ = new com.google.protobuf.LazyStringArrayList(flushedRecordIds_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * Usage records that have reached the table since the last ping.
+     * </pre>
+     *
+     * <code>repeated string flushed_record_ids = 5;</code>
+     * @return A list containing the flushedRecordIds.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getFlushedRecordIdsList() {
+      flushedRecordIds_.makeImmutable();
+      return flushedRecordIds_;
+    }
+    /**
+     * <pre>
+     * Usage records that have reached the table since the last ping.
+     * </pre>
+     *
+     * <code>repeated string flushed_record_ids = 5;</code>
+     * @return The count of flushedRecordIds.
+     */
+    public int getFlushedRecordIdsCount() {
+      return flushedRecordIds_.size();
+    }
+    /**
+     * <pre>
+     * Usage records that have reached the table since the last ping.
+     * </pre>
+     *
+     * <code>repeated string flushed_record_ids = 5;</code>
+     * @param index The index of the element to return.
+     * @return The flushedRecordIds at the given index.
+     */
+    public java.lang.String getFlushedRecordIds(int index) {
+      return flushedRecordIds_.get(index);
+    }
+    /**
+     * <pre>
+     * Usage records that have reached the table since the last ping.
+     * </pre>
+     *
+     * <code>repeated string flushed_record_ids = 5;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the flushedRecordIds at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getFlushedRecordIdsBytes(int index) {
+      return flushedRecordIds_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Usage records that have reached the table since the last ping.
+     * </pre>
+     *
+     * <code>repeated string flushed_record_ids = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The flushedRecordIds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFlushedRecordIds(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureFlushedRecordIdsIsMutable();
+      flushedRecordIds_.set(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Usage records that have reached the table since the last ping.
+     * </pre>
+     *
+     * <code>repeated string flushed_record_ids = 5;</code>
+     * @param value The flushedRecordIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addFlushedRecordIds(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureFlushedRecordIdsIsMutable();
+      flushedRecordIds_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Usage records that have reached the table since the last ping.
+     * </pre>
+     *
+     * <code>repeated string flushed_record_ids = 5;</code>
+     * @param values The flushedRecordIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllFlushedRecordIds(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureFlushedRecordIdsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, flushedRecordIds_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Usage records that have reached the table since the last ping.
+     * </pre>
+     *
+     * <code>repeated string flushed_record_ids = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFlushedRecordIds() {
+      flushedRecordIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000010);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Usage records that have reached the table since the last ping.
+     * </pre>
+     *
+     * <code>repeated string flushed_record_ids = 5;</code>
+     * @param value The bytes of the flushedRecordIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addFlushedRecordIdsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureFlushedRecordIdsIsMutable();
+      flushedRecordIds_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object writerId_ = "";
+    /**
+     * <code>string writer_id = 6;</code>
+     * @return The writerId.
+     */
+    public java.lang.String getWriterId() {
+      java.lang.Object ref = writerId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        writerId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string writer_id = 6;</code>
+     * @return The bytes for writerId.
+     */
+    public com.google.protobuf.ByteString
+        getWriterIdBytes() {
+      java.lang.Object ref = writerId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        writerId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string writer_id = 6;</code>
+     * @param value The writerId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWriterId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      writerId_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string writer_id = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWriterId() {
+      writerId_ = getDefaultInstance().getWriterId();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string writer_id = 6;</code>
+     * @param value The bytes for writerId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWriterIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      writerId_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/org/limpetvale/wire/WatchPingOrBuilder.java
+++ b/wire/src/main/java/org/limpetvale/wire/WatchPingOrBuilder.java
@@ -41,4 +41,57 @@
    * @return The sequence.
    */
   long getSequence();
+
+  /**
+   * <pre>
+   * Usage records that have reached the table since the last ping.
+   * </pre>
+   *
+   * <code>repeated string flushed_record_ids = 5;</code>
+   * @return A list containing the flushedRecordIds.
+   */
+  java.util.List<java.lang.String>
+      getFlushedRecordIdsList();
+  /**
+   * <pre>
+   * Usage records that have reached the table since the last ping.
+   * </pre>
+   *
+   * <code>repeated string flushed_record_ids = 5;</code>
+   * @return The count of flushedRecordIds.
+   */
+  int getFlushedRecordIdsCount();
+  /**
+   * <pre>
+   * Usage records that have reached the table since the last ping.
+   * </pre>
+   *
+   * <code>repeated string flushed_record_ids = 5;</code>
+   * @param index The index of the element to return.
+   * @return The flushedRecordIds at the given index.
+   */
+  java.lang.String getFlushedRecordIds(int index);
+  /**
+   * <pre>
+   * Usage records that have reached the table since the last ping.
+   * </pre>
+   *
+   * <code>repeated string flushed_record_ids = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the flushedRecordIds at the given index.
+   */
+  com.google.protobuf.ByteString
+      getFlushedRecordIdsBytes(int index);
+
+  /**
+   * <code>string writer_id = 6;</code>
+   * @return The writerId.
+   */
+  java.lang.String getWriterId();
+  /**
+   * <code>string writer_id = 6;</code>
+   * @return The bytes for writerId.
+   */
+  com.google.protobuf.ByteString
+      getWriterIdBytes();
 }
--- a/wire/src/main/java/org/limpetvale/wire/WatchReport.java
+++ b/wire/src/main/java/org/limpetvale/wire/WatchReport.java
@@ -17,6 +17,8 @@
     super(builder);
   }
   private WatchReport() {
+    orphanedWriters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   @java.lang.Override
@@ -103,6 +105,59 @@
     return identity_ == null ? org.limpetvale.wire.SidecarIdentity.getDefaultInstance() : identity_;
   }
 
+  public static final int ORPHANED_WRITERS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList orphanedWriters_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Writers of usage whose entry is gone and whose records wait here.
+   * </pre>
+   *
+   * <code>repeated string orphaned_writers = 4;</code>
+   * @return A list containing the orphanedWriters.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getOrphanedWritersList() {
+    return orphanedWriters_;
+  }
+  /**
+   * <pre>
+   * Writers of usage whose entry is gone and whose records wait here.
+   * </pre>
+   *
+   * <code>repeated string orphaned_writers = 4;</code>
+   * @return The count of orphanedWriters.
+   */
+  public int getOrphanedWritersCount() {
+    return orphanedWriters_.size();
+  }
+  /**
+   * <pre>
+   * Writers of usage whose entry is gone and whose records wait here.
+   * </pre>
+   *
+   * <code>repeated string orphaned_writers = 4;</code>
+   * @param index The index of the element to return.
+   * @return The orphanedWriters at the given index.
+   */
+  public java.lang.String getOrphanedWriters(int index) {
+    return orphanedWriters_.get(index);
+  }
+  /**
+   * <pre>
+   * Writers of usage whose entry is gone and whose records wait here.
+   * </pre>
+   *
+   * <code>repeated string orphaned_writers = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the orphanedWriters at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getOrphanedWritersBytes(int index) {
+    return orphanedWriters_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -126,6 +181,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(3, getIdentity());
     }
+    for (int i = 0; i < orphanedWriters_.size(); i++) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 4, orphanedWriters_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -147,6 +205,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, getIdentity());
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < orphanedWriters_.size(); i++) {
+        dataSize += computeStringSizeNoTag(orphanedWriters_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getOrphanedWritersList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -174,6 +240,8 @@
       if (!getIdentity()
           .equals(other.getIdentity())) return false;
     }
+    if (!getOrphanedWritersList()
+        .equals(other.getOrphanedWritersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -196,6 +264,10 @@
       hash = (37 * hash) + IDENTITY_FIELD_NUMBER;
       hash = (53 * hash) + getIdentity().hashCode();
     }
+    if (getOrphanedWritersCount() > 0) {
+      hash = (37 * hash) + ORPHANED_WRITERS_FIELD_NUMBER;
+      hash = (53 * hash) + getOrphanedWritersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -345,6 +417,8 @@
         identityBuilder_.dispose();
         identityBuilder_ = null;
       }
+      orphanedWriters_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -394,6 +468,10 @@
             : identityBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        orphanedWriters_.makeImmutable();
+        result.orphanedWriters_ = orphanedWriters_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -450,6 +528,16 @@
       if (other.hasIdentity()) {
         mergeIdentity(other.getIdentity());
       }
+      if (!other.orphanedWriters_.isEmpty()) {
+        if (orphanedWriters_.isEmpty()) {
+          orphanedWriters_ = other.orphanedWriters_;
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureOrphanedWritersIsMutable();
+          orphanedWriters_.addAll(other.orphanedWriters_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -495,6 +583,12 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureOrphanedWritersIsMutable();
+              orphanedWriters_.add(s);
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -785,6 +879,153 @@
       }
       return identityBuilder_;
     }
+
+    private com.google.protobuf.LazyStringArrayList orphanedWriters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureOrphanedWritersIsMutable() {
+      if (!orphanedWriters_.isModifiable()) {
+        orphanedWriters_ = new com.google.protobuf.LazyStringArrayList(orphanedWriters_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <pre>
+     * Writers of usage whose entry is gone and whose records wait here.
+     * </pre>
+     *
+     * <code>repeated string orphaned_writers = 4;</code>
+     * @return A list containing the orphanedWriters.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getOrphanedWritersList() {
+      orphanedWriters_.makeImmutable();
+      return orphanedWriters_;
+    }
+    /**
+     * <pre>
+     * Writers of usage whose entry is gone and whose records wait here.
+     * </pre>
+     *
+     * <code>repeated string orphaned_writers = 4;</code>
+     * @return The count of orphanedWriters.
+     */
+    public int getOrphanedWritersCount() {
+      return orphanedWriters_.size();
+    }
+    /**
+     * <pre>
+     * Writers of usage whose entry is gone and whose records wait here.
+     * </pre>
+     *
+     * <code>repeated string orphaned_writers = 4;</code>
+     * @param index The index of the element to return.
+     * @return The orphanedWriters at the given index.
+     */
+    public java.lang.String getOrphanedWriters(int index) {
+      return orphanedWriters_.get(index);
+    }
+    /**
+     * <pre>
+     * Writers of usage whose entry is gone and whose records wait here.
+     * </pre>
+     *
+     * <code>repeated string orphaned_writers = 4;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the orphanedWriters at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getOrphanedWritersBytes(int index) {
+      return orphanedWriters_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Writers of usage whose entry is gone and whose records wait here.
+     * </pre>
+     *
+     * <code>repeated string orphaned_writers = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The orphanedWriters to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrphanedWriters(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureOrphanedWritersIsMutable();
+      orphanedWriters_.set(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Writers of usage whose entry is gone and whose records wait here.
+     * </pre>
+     *
+     * <code>repeated string orphaned_writers = 4;</code>
+     * @param value The orphanedWriters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addOrphanedWriters(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureOrphanedWritersIsMutable();
+      orphanedWriters_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Writers of usage whose entry is gone and whose records wait here.
+     * </pre>
+     *
+     * <code>repeated string orphaned_writers = 4;</code>
+     * @param values The orphanedWriters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllOrphanedWriters(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureOrphanedWritersIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, orphanedWriters_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Writers of usage whose entry is gone and whose records wait here.
+     * </pre>
+     *
+     * <code>repeated string orphaned_writers = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrphanedWriters() {
+      orphanedWriters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000008);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Writers of usage whose entry is gone and whose records wait here.
+     * </pre>
+     *
+     * <code>repeated string orphaned_writers = 4;</code>
+     * @param value The bytes of the orphanedWriters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addOrphanedWritersBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureOrphanedWritersIsMutable();
+      orphanedWriters_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/org/limpetvale/wire/WatchReportOrBuilder.java
+++ b/wire/src/main/java/org/limpetvale/wire/WatchReportOrBuilder.java
@@ -43,4 +43,45 @@
    * <code>.limpetvale.v1.SidecarIdentity identity = 3;</code>
    */
   org.limpetvale.wire.SidecarIdentityOrBuilder getIdentityOrBuilder();
+
+  /**
+   * <pre>
+   * Writers of usage whose entry is gone and whose records wait here.
+   * </pre>
+   *
+   * <code>repeated string orphaned_writers = 4;</code>
+   * @return A list containing the orphanedWriters.
+   */
+  java.util.List<java.lang.String>
+      getOrphanedWritersList();
+  /**
+   * <pre>
+   * Writers of usage whose entry is gone and whose records wait here.
+   * </pre>
+   *
+   * <code>repeated string orphaned_writers = 4;</code>
+   * @return The count of orphanedWriters.
+   */
+  int getOrphanedWritersCount();
+  /**
+   * <pre>
+   * Writers of usage whose entry is gone and whose records wait here.
+   * </pre>
+   *
+   * <code>repeated string orphaned_writers = 4;</code>
+   * @param index The index of the element to return.
+   * @return The orphanedWriters at the given index.
+   */
+  java.lang.String getOrphanedWriters(int index);
+  /**
+   * <pre>
+   * Writers of usage whose entry is gone and whose records wait here.
+   * </pre>
+   *
+   * <code>repeated string orphaned_writers = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the orphanedWriters at the given index.
+   */
+  com.google.protobuf.ByteString
+      getOrphanedWritersBytes(int index);
 }
