--- a/core/src/main/java/org/limpetvale/core/lease/OrderRow.java
+++ b/core/src/main/java/org/limpetvale/core/lease/OrderRow.java
@@ -16,10 +16,11 @@
 public record OrderRow(
     String duty, long epoch, String orderId, String sender, Action action, String vm, State state) {
 
-  /** What an order asks of the platform. */
+  /** What an order asks of the platform: to start or stop an upstream, or to take usage reports. */
   public enum Action {
     START,
-    STOP
+    STOP,
+    REPORT
   }
 
   /** How far an order has come. */
--- a/core/src/main/java/org/limpetvale/core/usage/WindowRow.java
+++ b/core/src/main/java/org/limpetvale/core/usage/WindowRow.java
@@ -4,22 +4,27 @@
 import java.util.Objects;
 
 /**
- * A sealed window: its figures never change.
+ * A window that takes no batches any more; once it is sealed its figures never change.
  *
  * @param window number of the window: time of day divided by the window's length
- * @param token token of the seal, which resolves a lost answer
- * @param figures figures by workspace
- * @param reported whether every report has been taken
+ * @param token token of the write, which resolves a lost answer
+ * @param sealed whether the figures are final
+ * @param figures figures by workspace; none before the window is sealed
  */
 public record WindowRow(
-    long window, String token, Map<String, UsageFigures> figures, boolean reported) {
+    long window, String token, boolean sealed, Map<String, UsageFigures> figures) {
   public WindowRow {
     Objects.requireNonNull(token, "token is null");
     figures = Map.copyOf(Objects.requireNonNull(figures, "figures is null"));
   }
 
-  /** Returns this window with its reports taken. */
-  public WindowRow asReported() {
-    return new WindowRow(window, token, figures, true);
+  /** Returns a window that takes no batches any more and has no figures yet. */
+  public static WindowRow closed(long window, String token) {
+    return new WindowRow(window, token, false, Map.of());
+  }
+
+  /** Returns a window with its final figures. */
+  public static WindowRow sealed(long window, String token, Map<String, UsageFigures> figures) {
+    return new WindowRow(window, token, true, figures);
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/EntryApplication.java
@@ -0,0 +1,142 @@
+package org.limpetvale.entry;
+
+import com.codahale.metrics.health.HealthCheck;
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import io.dropwizard.core.setup.Environment;
+import io.dropwizard.lifecycle.Managed;
+import io.grpc.Server;
+import io.micrometer.core.instrument.MeterRegistry;
+import jakarta.servlet.DispatcherType;
+import java.util.EnumSet;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.daemon.DaemonApplication;
+import org.limpetvale.daemon.GrpcFactory;
+import org.limpetvale.daemon.Metrics;
+import org.limpetvale.daemon.TransportSecurity;
+import org.limpetvale.entry.config.ConfigSync;
+import org.limpetvale.entry.config.Freshness;
+import org.limpetvale.entry.config.PeerGrpc;
+import org.limpetvale.entry.control.Duties;
+import org.limpetvale.entry.http.AdminResource;
+import org.limpetvale.entry.http.ChatResource;
+import org.limpetvale.entry.http.DrainFilter;
+import org.limpetvale.entry.http.ServiceResource;
+import org.limpetvale.entry.upstream.SidecarPool;
+import org.limpetvale.entry.upstream.VmDirectory;
+import org.limpetvale.entry.usage.UsageLedger;
+import org.limpetvale.entry.usage.UsageRecovery;
+
+/** The entry daemon. */
+public final class EntryApplication extends DaemonApplication<EntrySettings> {
+  @Override
+  public String getName() {
+    return "limpetvale-entry";
+  }
+
+  @Override
+  public void run(EntrySettings settings, Environment environment) {
+    MeterRegistry metrics = Metrics.serve(environment);
+    Injector injector = Guice.createInjector(new EntryModule(settings, metrics));
+    DrainFilter drain = new DrainFilter();
+    environment
+        .servlets()
+        .addFilter("drain", drain)
+        .addMappingForUrlPatterns(EnumSet.of(DispatcherType.REQUEST), false, "/*");
+    environment.jersey().register(injector.getInstance(ChatResource.class));
+    environment.jersey().register(injector.getInstance(ServiceResource.class));
+    environment.jersey().register(injector.getInstance(AdminResource.class));
+    environment
+        .healthChecks()
+        .register("serving", new Serving(drain, injector.getInstance(Freshness.class)));
+    environment.lifecycle().manage(new Parts(settings, injector, drain));
+  }
+
+  /** Tells the balancer whether to send requests here. */
+  private static final class Serving extends HealthCheck {
+    private final DrainFilter drain;
+    private final Freshness freshness;
+
+    Serving(DrainFilter drain, Freshness freshness) {
+      this.drain = Objects.requireNonNull(drain, "drain is null");
+      this.freshness = Objects.requireNonNull(freshness, "freshness is null");
+    }
+
+    @Override
+    protected Result check() {
+      if (drain.isDraining()) {
+        return Result.unhealthy("stopping");
+      }
+      return freshness.mayServe()
+          ? Result.healthy()
+          : Result.unhealthy("the configuration cannot be confirmed");
+    }
+  }
+
+  /** Starts the parts, and stops them without cutting a request. */
+  private static final class Parts implements Managed {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long POLL_MILLIS = 50;
+    private static final long FLUSH_LIMIT_MILLIS = 10_000;
+
+    private final EntrySettings settings;
+    private final Injector injector;
+    private final DrainFilter drain;
+    private Server server;
+
+    Parts(EntrySettings settings, Injector injector, DrainFilter drain) {
+      this.settings = Objects.requireNonNull(settings, "settings is null");
+      this.injector = Objects.requireNonNull(injector, "injector is null");
+      this.drain = Objects.requireNonNull(drain, "drain is null");
+    }
+
+    @Override
+    public void start() {
+      server =
+          GrpcFactory.serve(
+              settings.grpc(),
+              injector.getInstance(TransportSecurity.class),
+              injector.getInstance(PeerGrpc.class));
+      VmDirectory directory = injector.getInstance(VmDirectory.class);
+      SidecarPool pool = injector.getInstance(SidecarPool.class);
+      directory.subscribe(pool::update);
+      directory.start();
+      injector.getInstance(ConfigSync.class).start();
+      injector.getInstance(UsageRecovery.class);
+      injector.getInstance(Duties.class).start();
+      logger.atInfo().log(
+          "listening vm=%s zone=%s grpc=%s:%d",
+          settings.identity().vm(),
+          settings.identity().zone(),
+          settings.grpc().host(),
+          settings.grpc().port());
+    }
+
+    @Override
+    public void stop() throws InterruptedException {
+      TimerService timer = injector.getInstance(TimerService.class);
+      logger.atInfo().log("stopping: %d requests run", drain.active());
+      drain.drain();
+      injector.getInstance(Duties.class).stop();
+      long endMillis = timer.nowMillis() + settings.shutdownGraceMillis();
+      while (drain.active() > 0 && timer.nowMillis() < endMillis) {
+        Thread.sleep(POLL_MILLIS);
+      }
+      flush(timer);
+      injector.getInstance(SidecarPool.class).close();
+      server.shutdownNow().awaitTermination(1, TimeUnit.SECONDS);
+      logger.atInfo().log("stopped: %d requests cut", drain.active());
+    }
+
+    private void flush(TimerService timer) throws InterruptedException {
+      UsageLedger ledger = injector.getInstance(UsageLedger.class);
+      long endMillis = timer.nowMillis() + FLUSH_LIMIT_MILLIS;
+      while (!ledger.flush() && timer.nowMillis() < endMillis) {
+        Thread.sleep(POLL_MILLIS);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/EntryModule.java
@@ -0,0 +1,361 @@
+package org.limpetvale.entry;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Objects;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.daemon.Digests;
+import org.limpetvale.daemon.Identity;
+import org.limpetvale.daemon.Ids;
+import org.limpetvale.daemon.PlatformSettings;
+import org.limpetvale.daemon.TransportSecurity;
+import org.limpetvale.entry.config.ConfigHistory;
+import org.limpetvale.entry.config.ConfigHolder;
+import org.limpetvale.entry.config.ConfigReader;
+import org.limpetvale.entry.config.ConfigSync;
+import org.limpetvale.entry.config.ConfigWriter;
+import org.limpetvale.entry.config.Freshness;
+import org.limpetvale.entry.config.PeerGrpc;
+import org.limpetvale.entry.config.Peers;
+import org.limpetvale.entry.control.Duties;
+import org.limpetvale.entry.control.FencedSender;
+import org.limpetvale.entry.control.Wishes;
+import org.limpetvale.entry.http.StatusReport;
+import org.limpetvale.entry.request.Accounting;
+import org.limpetvale.entry.request.Authenticator;
+import org.limpetvale.entry.request.Budgets;
+import org.limpetvale.entry.request.Claims;
+import org.limpetvale.entry.request.DecisionBook;
+import org.limpetvale.entry.request.Dispatcher;
+import org.limpetvale.entry.request.LengthEstimates;
+import org.limpetvale.entry.request.ModelRuns;
+import org.limpetvale.entry.request.OpenRequests;
+import org.limpetvale.entry.request.SuspectBook;
+import org.limpetvale.entry.upstream.SidecarPool;
+import org.limpetvale.entry.upstream.VmDirectory;
+import org.limpetvale.entry.usage.UsageLedger;
+import org.limpetvale.entry.usage.UsageRecovery;
+import org.limpetvale.platform.ObjectStore;
+import org.limpetvale.platform.PowerInterface;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.UsageSink;
+import org.limpetvale.platform.Vm;
+import org.limpetvale.platform.VmList;
+import org.limpetvale.platform.http.HttpObjectStore;
+import org.limpetvale.platform.http.HttpPower;
+import org.limpetvale.platform.http.HttpTable;
+import org.limpetvale.platform.http.HttpUsageSink;
+import org.limpetvale.platform.http.HttpVmList;
+import org.limpetvale.platform.http.JsonHttp;
+import org.limpetvale.platform.time.ThreadTimerService;
+
+/** Puts the parts of an entry together. */
+final class EntryModule extends AbstractModule {
+  private final EntrySettings settings;
+  private final MeterRegistry metrics;
+  private final String entryId;
+
+  EntryModule(EntrySettings settings, MeterRegistry metrics) {
+    this.settings = Objects.requireNonNull(settings, "settings is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+    this.entryId = settings.identity().vm() + "/" + Ids.next();
+  }
+
+  @Override
+  protected void configure() {
+    bind(MeterRegistry.class).toInstance(metrics);
+    bind(Identity.class).toInstance(settings.identity());
+  }
+
+  // -- platform
+
+  @Provides
+  @Singleton
+  TimerService timer() {
+    return ThreadTimerService.of();
+  }
+
+  @Provides
+  @Singleton
+  Table table() {
+    return HttpTable.of(http(settings.platform().tableUrl()));
+  }
+
+  @Provides
+  @Singleton
+  ObjectStore objects() {
+    return HttpObjectStore.of(http(settings.platform().objectStoreUrl()));
+  }
+
+  @Provides
+  @Singleton
+  VmList vmList() {
+    return HttpVmList.of(http(settings.platform().vmListUrl()));
+  }
+
+  @Provides
+  @Singleton
+  PowerInterface power() {
+    return HttpPower.of(http(settings.platform().powerUrl()));
+  }
+
+  @Provides
+  @Singleton
+  UsageSink usageSink() {
+    return HttpUsageSink.of(http(settings.platform().usageUrl()), entryId);
+  }
+
+  @Provides
+  @Singleton
+  ResolvedCommit commits(Table table, TimerService timer) {
+    return ResolvedCommit.of(table, timer);
+  }
+
+  private JsonHttp http(String url) {
+    PlatformSettings platform = settings.platform();
+    return JsonHttp.of(url, settings.identity().vm(), platform.timeoutMillis());
+  }
+
+  // -- configuration
+
+  @Provides
+  @Singleton
+  TransportSecurity security() {
+    return TransportSecurity.of(settings.grpc().tls());
+  }
+
+  @Provides
+  @Singleton
+  Digests digests() {
+    return Digests.of(settings.keyDigestSecret());
+  }
+
+  @Provides
+  @Singleton
+  ConfigHolder config() {
+    return ConfigHolder.empty();
+  }
+
+  @Provides
+  @Singleton
+  Freshness freshness(TimerService timer) {
+    return Freshness.of(timer);
+  }
+
+  @Provides
+  @Singleton
+  ConfigReader configReader(
+      Table table,
+      ObjectStore objects,
+      ConfigHolder holder,
+      Freshness freshness,
+      TimerService timer) {
+    return ConfigReader.of(table, objects, holder, freshness, timer);
+  }
+
+  @Provides
+  @Singleton
+  ConfigWriter configWriter(
+      Table table,
+      ObjectStore objects,
+      ConfigHolder holder,
+      ConfigReader reader,
+      ResolvedCommit commits) {
+    return ConfigWriter.of(table, objects, holder, reader, commits);
+  }
+
+  @Provides
+  @Singleton
+  ConfigHistory configHistory(Table table) {
+    return new ConfigHistory(table);
+  }
+
+  @Provides
+  @Singleton
+  Peers peers(
+      VmDirectory directory,
+      ConfigHolder holder,
+      Freshness freshness,
+      SuspectBook suspects,
+      TransportSecurity security,
+      TimerService timer) {
+    return new Peers(
+        entryId,
+        settings.identity().vm(),
+        directory,
+        holder,
+        freshness,
+        suspects,
+        security,
+        timer,
+        metrics);
+  }
+
+  @Provides
+  @Singleton
+  PeerGrpc peerGrpc(ConfigHolder holder, Freshness freshness, SuspectBook suspects) {
+    return new PeerGrpc(entryId, holder, freshness, suspects);
+  }
+
+  @Provides
+  @Singleton
+  ConfigSync configSync(ConfigReader reader, Peers peers, TimerService timer) {
+    return new ConfigSync(reader, peers, timer);
+  }
+
+  // -- upstreams
+
+  @Provides
+  @Singleton
+  VmDirectory directory(VmList list, TimerService timer) {
+    return new VmDirectory(list, timer);
+  }
+
+  @Provides
+  @Singleton
+  SidecarPool pool(
+      TransportSecurity security, TimerService timer, UsageLedger ledger, ConfigHolder config) {
+    return new SidecarPool(
+        settings.identity(),
+        entryId,
+        settings.routing().sidecarsPerPool(),
+        security,
+        timer,
+        ledger,
+        config,
+        metrics);
+  }
+
+  // -- requests
+
+  @Provides
+  @Singleton
+  Authenticator authenticator(ConfigHolder config, Freshness freshness, Digests digests) {
+    return new Authenticator(config, freshness, digests, settings.operatorKeyDigests());
+  }
+
+  @Provides
+  @Singleton
+  OpenRequests openRequests(ConfigHolder config, Freshness freshness, TimerService timer) {
+    return new OpenRequests(config, freshness, timer);
+  }
+
+  @Provides
+  @Singleton
+  DecisionBook decisions() {
+    return new DecisionBook();
+  }
+
+  @Provides
+  @Singleton
+  SuspectBook suspects(Table table, TimerService timer) {
+    return new SuspectBook(table, timer);
+  }
+
+  @Provides
+  @Singleton
+  Claims claims(Table table, ResolvedCommit commits, Digests digests, TimerService timer) {
+    return new Claims(table, commits, digests, timer);
+  }
+
+  @Provides
+  @Singleton
+  Dispatcher dispatcher(
+      SidecarPool pool, ConfigHolder config, DecisionBook decisions, TimerService timer) {
+    return new Dispatcher(settings, entryId, pool, config, decisions, timer, metrics);
+  }
+
+  @Provides
+  @Singleton
+  LengthEstimates lengths() {
+    return new LengthEstimates();
+  }
+
+  @Provides
+  @Singleton
+  Accounting accounting(
+      UsageLedger ledger, LengthEstimates lengths, DecisionBook decisions, TimerService timer) {
+    return new Accounting(ledger, lengths, decisions, timer, metrics);
+  }
+
+  @Provides
+  @Singleton
+  ModelRuns modelRuns(
+      Dispatcher dispatcher,
+      SuspectBook suspects,
+      LengthEstimates lengths,
+      VmDirectory directory,
+      Accounting accounting,
+      TimerService timer) {
+    Budgets budgets = new Budgets(timer, () -> entryCount(directory));
+    return new ModelRuns(dispatcher, suspects, lengths, budgets, accounting);
+  }
+
+  private static int entryCount(VmDirectory directory) {
+    return (int) directory.all().stream().filter(vm -> vm.role() == Vm.Role.ENTRY).count();
+  }
+
+  // -- usage and control
+
+  @Provides
+  @Singleton
+  UsageLedger ledger(ResolvedCommit commits, TimerService timer) {
+    ControlSettings control = settings.control();
+    return new UsageLedger(
+        commits, timer, metrics, entryId, control.usageWindowMillis(), control.usageFlushMillis());
+  }
+
+  @Provides
+  @Singleton
+  UsageRecovery recovery(
+      UsageLedger ledger,
+      SidecarPool pool,
+      Table table,
+      ResolvedCommit commits,
+      TimerService timer) {
+    return new UsageRecovery(
+        ledger, pool, table, commits, timer, metrics, settings.control().usageWindowMillis());
+  }
+
+  @Provides
+  @Singleton
+  FencedSender sender(Table table, ResolvedCommit commits, VmDirectory directory, Peers peers) {
+    return new FencedSender(
+        entryId, table, commits, process -> Duties.isGone(process, entryId, directory, peers));
+  }
+
+  @Provides
+  @Singleton
+  Duties duties(
+      FencedSender sender,
+      PowerInterface power,
+      SidecarPool pool,
+      VmDirectory directory,
+      Table table,
+      ResolvedCommit commits,
+      UsageSink sink,
+      TimerService timer) {
+    return new Duties(
+        settings, entryId, sender, power, pool, directory, table, commits, sink, timer, metrics);
+  }
+
+  @Provides
+  @Singleton
+  Wishes wishes(VmDirectory directory, PowerInterface power, Table table, ResolvedCommit commits) {
+    return new Wishes(directory, power, table, commits);
+  }
+
+  @Provides
+  @Singleton
+  StatusReport status(
+      ConfigHolder config,
+      Freshness freshness,
+      SidecarPool pool,
+      OpenRequests open,
+      Duties duties) {
+    return new StatusReport(entryId, config, freshness, pool, open, duties::leases);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/RoutingSettings.java
@@ -0,0 +1,42 @@
+package org.limpetvale.entry;
+
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotNull;
+import org.limpetvale.core.routing.RoutingPolicy;
+
+/**
+ * Settings of routing.
+ *
+ * @param policy way to order the upstreams
+ * @param tiers whether requests carry their tier; false makes all requests alike
+ * @param sidecarsPerPool most sidecars of one model or service that this entry keeps connections to
+ * @param mostOffers most upstreams that one request is offered to
+ */
+public record RoutingSettings(
+    @NotNull Policy policy,
+    boolean tiers,
+    @Min(1) @Max(4096) int sidecarsPerPool,
+    @Min(1) @Max(64) int mostOffers) {
+
+  /** Ways to order the upstreams. */
+  public enum Policy {
+    PREDICTED,
+    ROUND_ROBIN,
+    LEAST_OUTSTANDING
+  }
+
+  /** Returns the settings of an entry that sets none. */
+  static RoutingSettings standard() {
+    return new RoutingSettings(Policy.PREDICTED, true, 24, 4);
+  }
+
+  /** Returns the routing policy. */
+  public RoutingPolicy routingPolicy() {
+    return switch (policy) {
+      case PREDICTED -> RoutingPolicy.Predicted.standard();
+      case ROUND_ROBIN -> new RoutingPolicy.RoundRobin();
+      case LEAST_OUTSTANDING -> new RoutingPolicy.LeastOutstanding();
+    };
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/config/ConfigHistory.java
@@ -0,0 +1,37 @@
+package org.limpetvale.entry.config;
+
+import java.util.List;
+import java.util.Objects;
+import org.limpetvale.core.config.ChangeRecord;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.result.Result;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+
+/** The accepted changes, read from the table. */
+public final class ConfigHistory {
+  private static final int PAGE = 200;
+
+  private final Table table;
+
+  /** Creates the history over a table. */
+  public ConfigHistory(Table table) {
+    this.table = Objects.requireNonNull(table, "table is null");
+  }
+
+  /** Returns the changes after a version, up to 200 of them. */
+  public Result<List<ChangeRecord>> after(long version) {
+    Read<List<Row>> read = table.scan(ConfigRows.CHANGES, ConfigRows.change(version), PAGE);
+    return switch (read) {
+      case Read.Found<List<Row>>(List<Row> rows) ->
+          Result.ok(
+              rows.stream()
+                  .map(row -> StrictJson.stored(row.value(), ChangeRecord.class))
+                  .toList());
+      case Read.Unavailable<List<Row>>(String detail) ->
+          Result.err(ResultCode.TABLE_UNAVAILABLE, detail);
+    };
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/config/ConfigReader.java
@@ -0,0 +1,106 @@
+package org.limpetvale.entry.config;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.limpetvale.core.config.ChangeRecord;
+import org.limpetvale.core.config.ConfigState;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.platform.ObjectStore;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+
+/** Reads the configuration from the platform: the newest snapshot and the changes after it. */
+public final class ConfigReader {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int PAGE = 500;
+
+  /** Distance beyond which a snapshot is read instead of the changes. */
+  private static final long FAR_BEHIND = 2000;
+
+  private final Table table;
+  private final ObjectStore objects;
+  private final ConfigHolder holder;
+  private final Freshness freshness;
+  private final TimerService timer;
+
+  private ConfigReader(
+      Table table,
+      ObjectStore objects,
+      ConfigHolder holder,
+      Freshness freshness,
+      TimerService timer) {
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.objects = Objects.requireNonNull(objects, "objects is null");
+    this.holder = Objects.requireNonNull(holder, "holder is null");
+    this.freshness = Objects.requireNonNull(freshness, "freshness is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+  }
+
+  /** Returns a reader that installs what it reads into a holder. */
+  public static ConfigReader of(
+      Table table,
+      ObjectStore objects,
+      ConfigHolder holder,
+      Freshness freshness,
+      TimerService timer) {
+    return new ConfigReader(table, objects, holder, freshness, timer);
+  }
+
+  /**
+   * Brings the configuration in force up to the table's.
+   *
+   * @return whether the table confirmed that it is current
+   */
+  public synchronized boolean refresh() {
+    long startMillis = timer.nowMillis();
+    Optional<Optional<Row>> head = table.get(ConfigRows.HEAD).toOptional();
+    if (head.isEmpty()) {
+      return false;
+    }
+    long newest =
+        head.get()
+            .map(row -> StrictJson.stored(row.value(), ConfigRows.Head.class).version())
+            .orElse(0L);
+    if (newest - holder.current().version() > FAR_BEHIND) {
+      readSnapshot();
+    }
+    while (holder.current().version() < newest) {
+      if (!readChanges()) {
+        return false;
+      }
+    }
+    freshness.confirmedAt(startMillis);
+    return true;
+  }
+
+  private boolean readChanges() {
+    long version = holder.current().version();
+    String after = ConfigRows.change(version);
+    Read<List<Row>> read = table.scan(ConfigRows.CHANGES, after, PAGE);
+    if (!(read instanceof Read.Found<List<Row>>(List<Row> rows)) || rows.isEmpty()) {
+      return false;
+    }
+    List<ChangeRecord> changes = new ArrayList<>();
+    rows.forEach(row -> changes.add(StrictJson.stored(row.value(), ChangeRecord.class)));
+    holder.install(changes);
+    return holder.current().version() > version;
+  }
+
+  private void readSnapshot() {
+    Optional<Row> pointer = table.get(ConfigRows.SNAPSHOT).toOptional().flatMap(row -> row);
+    if (pointer.isEmpty()) {
+      return;
+    }
+    String object =
+        StrictJson.stored(pointer.get().value(), ConfigRows.SnapshotPointer.class).object();
+    Optional<String> content = objects.get(object).toOptional().flatMap(found -> found);
+    content.ifPresentOrElse(
+        json -> holder.install(StrictJson.stored(json, ConfigState.class)),
+        () -> logger.atWarning().log("snapshot %s cannot be read; reading the changes", object));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/config/ConfigWriter.java
@@ -0,0 +1,162 @@
+package org.limpetvale.entry.config;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.limpetvale.core.config.ChangeRecord;
+import org.limpetvale.core.config.ConfigChange;
+import org.limpetvale.core.config.ConfigState;
+import org.limpetvale.core.config.ConfigValidator;
+import org.limpetvale.core.config.Fault;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.result.Ran;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.Result;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.daemon.Ids;
+import org.limpetvale.platform.ObjectStore;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+
+/**
+ * Accepts changes of the configuration: each accepted change is one transaction and one version.
+ */
+public final class ConfigWriter {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MOST_RACES = 20;
+  private static final long RESOLVE_MILLIS = 10_000;
+  private static final long RETRY_AFTER_MILLIS = 2000;
+  private static final long SNAPSHOT_EVERY = 500;
+
+  private final Table table;
+  private final ObjectStore objects;
+  private final ConfigHolder holder;
+  private final ConfigReader reader;
+  private final ResolvedCommit commits;
+
+  private ConfigWriter(
+      Table table,
+      ObjectStore objects,
+      ConfigHolder holder,
+      ConfigReader reader,
+      ResolvedCommit commits) {
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.objects = Objects.requireNonNull(objects, "objects is null");
+    this.holder = Objects.requireNonNull(holder, "holder is null");
+    this.reader = Objects.requireNonNull(reader, "reader is null");
+    this.commits = Objects.requireNonNull(commits, "commits is null");
+  }
+
+  /** Returns a writer. */
+  public static ConfigWriter of(
+      Table table,
+      ObjectStore objects,
+      ConfigHolder holder,
+      ConfigReader reader,
+      ResolvedCommit commits) {
+    return new ConfigWriter(table, objects, holder, reader, commits);
+  }
+
+  /**
+   * Checks and commits a change.
+   *
+   * @param author the operator
+   * @param change the change
+   * @return the accepted change with its version, or why it was not accepted; a refusal with {@link
+   *     Ran#MAY_HAVE_RUN} could not be resolved
+   */
+  public Result<ChangeRecord> apply(String author, ConfigChange change) {
+    String changeId = Ids.next();
+    for (int race = 0; race < MOST_RACES; race++) {
+      Optional<Optional<Row>> head = table.get(ConfigRows.HEAD).toOptional();
+      if (head.isEmpty() || !reader.refresh()) {
+        return unavailable("the table does not answer", Ran.NOT_RUN);
+      }
+      long version = head.get().map(ConfigWriter::versionOf).orElse(0L);
+      ConfigState state = holder.current();
+      if (state.version() != version) {
+        continue;
+      }
+      List<Fault> faults = ConfigValidator.check(state, change);
+      if (!faults.isEmpty()) {
+        String lines = faults.stream().map(Fault::line).collect(Collectors.joining("\n"));
+        return Result.err(ResultCode.CONFIG_INVALID, lines);
+      }
+      ChangeRecord record = new ChangeRecord(version + 1, changeId, author, change);
+      switch (commits.commit(
+          transaction(record, head.get().map(Row::revision).orElse(0L)),
+          ConfigRows.change(record.version()),
+          value -> StrictJson.stored(value, ChangeRecord.class).changeId().equals(changeId),
+          RESOLVE_MILLIS)) {
+        case ResolvedCommit.Outcome.Applied ignored -> {
+          return accepted(record);
+        }
+        case ResolvedCommit.Outcome.Conflict() -> {
+          continue;
+        }
+        case ResolvedCommit.Outcome.NotApplied(String detail) -> {
+          return unavailable(detail, Ran.NOT_RUN);
+        }
+        case ResolvedCommit.Outcome.Unresolved(String detail) -> {
+          return unavailable(detail, Ran.MAY_HAVE_RUN);
+        }
+      }
+    }
+    return unavailable("too many operators change the configuration at once", Ran.NOT_RUN);
+  }
+
+  private Result<ChangeRecord> accepted(ChangeRecord record) {
+    logger.atInfo().log(
+        "accepted version=%d change=%s author=%s kind=%s",
+        record.version(),
+        record.changeId(),
+        record.author(),
+        record.change().getClass().getSimpleName());
+    holder.install(List.of(record));
+    if (record.version() % SNAPSHOT_EVERY == 0) {
+      writeSnapshot(holder.current());
+    }
+    return Result.ok(record);
+  }
+
+  private void writeSnapshot(ConfigState state) {
+    String object = "config-snapshot-" + state.version();
+    if (!objects.put(object, StrictJson.write(state))) {
+      logger.atWarning().log("snapshot %s was not written", object);
+      return;
+    }
+    Optional<Optional<Row>> pointer = table.get(ConfigRows.SNAPSHOT).toOptional();
+    pointer.ifPresent(
+        row -> {
+          String value = StrictJson.write(new ConfigRows.SnapshotPointer(state.version(), object));
+          long revision = row.map(Row::revision).orElse(0L);
+          table.commit(Transaction.put(ConfigRows.SNAPSHOT, revision, value));
+        });
+  }
+
+  private static Transaction transaction(ChangeRecord record, long headRevision) {
+    String changeKey = ConfigRows.change(record.version());
+    return new Transaction(
+        List.of(
+            new Transaction.Check(ConfigRows.HEAD, headRevision),
+            new Transaction.Check(changeKey, 0)),
+        List.of(
+            new Transaction.Put(
+                ConfigRows.HEAD, StrictJson.write(new ConfigRows.Head(record.version()))),
+            new Transaction.Put(changeKey, StrictJson.write(record))),
+        List.of());
+  }
+
+  private static long versionOf(Row head) {
+    return StrictJson.stored(head.value(), ConfigRows.Head.class).version();
+  }
+
+  private static Result<ChangeRecord> unavailable(String detail, Ran ran) {
+    return Result.err(
+        Refusal.of(ResultCode.TABLE_UNAVAILABLE, detail, RETRY_AFTER_MILLIS).withRan(ran));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/config/PeerGrpc.java
@@ -0,0 +1,44 @@
+package org.limpetvale.entry.config;
+
+import io.grpc.stub.StreamObserver;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.limpetvale.core.config.ChangeRecord;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.wire.ExchangeReply;
+import org.limpetvale.wire.ExchangeRequest;
+import org.limpetvale.wire.PeerServiceGrpc;
+
+/** An entry's side of the exchange with its peers. */
+public final class PeerGrpc extends PeerServiceGrpc.PeerServiceImplBase {
+  private final String self;
+  private final ConfigHolder holder;
+  private final Freshness freshness;
+  private final SuspectNewsbox newsbox;
+
+  /** Creates the service of one entry. */
+  public PeerGrpc(String self, ConfigHolder holder, Freshness freshness, SuspectNewsbox newsbox) {
+    this.self = Objects.requireNonNull(self, "self is null");
+    this.holder = Objects.requireNonNull(holder, "holder is null");
+    this.freshness = Objects.requireNonNull(freshness, "freshness is null");
+    this.newsbox = Objects.requireNonNull(newsbox, "newsbox is null");
+  }
+
+  @Override
+  public void exchange(ExchangeRequest request, StreamObserver<ExchangeReply> out) {
+    newsbox.take(request.getSuspectsList());
+    long ageMillis = freshness.ageMillis();
+    Optional<List<ChangeRecord>> changes = holder.changesAfter(request.getConfigVersion());
+    ExchangeReply.Builder reply =
+        ExchangeReply.newBuilder()
+            .setEntryId(self)
+            .setConfigVersion(holder.current().version())
+            .setConfirmedAgeMillis(ageMillis);
+    changes.ifPresentOrElse(
+        list -> list.forEach(each -> reply.addChanges(StrictJson.write(each))),
+        () -> reply.setSnapshot(StrictJson.write(holder.current())));
+    out.onNext(reply.build());
+    out.onCompleted();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/config/Peers.java
@@ -0,0 +1,160 @@
+package org.limpetvale.entry.config;
+
+import com.google.common.flogger.FluentLogger;
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.net.ConnectException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.limpetvale.core.config.ChangeRecord;
+import org.limpetvale.core.config.ConfigState;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.daemon.GrpcFactory;
+import org.limpetvale.daemon.TransportSecurity;
+import org.limpetvale.entry.upstream.VmDirectory;
+import org.limpetvale.platform.Vm;
+import org.limpetvale.wire.ExchangeReply;
+import org.limpetvale.wire.ExchangeRequest;
+import org.limpetvale.wire.PeerServiceGrpc;
+
+/**
+ * Exchanges configuration versions with other entries.
+ *
+ * <p>While the table answers, one random peer is asked each round. While it does not, up to {@link
+ * #WIDE_ROUND} peers are asked, which also tells whether an unreached peer may still commit.
+ */
+public final class Peers {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int WIDE_ROUND = 8;
+  private static final long DEADLINE_MILLIS = 800;
+
+  private final String self;
+  private final String selfVm;
+  private final VmDirectory directory;
+  private final ConfigHolder holder;
+  private final Freshness freshness;
+  private final SuspectNewsbox newsbox;
+  private final TransportSecurity security;
+  private final TimerService timer;
+  private final MeterRegistry metrics;
+  private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
+  private final Map<String, String> instances = new ConcurrentHashMap<>();
+
+  /** Creates the exchange of one entry. */
+  public Peers(
+      String self,
+      String selfVm,
+      VmDirectory directory,
+      ConfigHolder holder,
+      Freshness freshness,
+      SuspectNewsbox newsbox,
+      TransportSecurity security,
+      TimerService timer,
+      MeterRegistry metrics) {
+    this.self = Objects.requireNonNull(self, "self is null");
+    this.selfVm = Objects.requireNonNull(selfVm, "selfVm is null");
+    this.directory = Objects.requireNonNull(directory, "directory is null");
+    this.holder = Objects.requireNonNull(holder, "holder is null");
+    this.freshness = Objects.requireNonNull(freshness, "freshness is null");
+    this.newsbox = Objects.requireNonNull(newsbox, "newsbox is null");
+    this.security = Objects.requireNonNull(security, "security is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+  }
+
+  /** Runs one round. */
+  public void round(boolean tableAnswers) {
+    List<Vm> peers = new ArrayList<>(directory.peers(selfVm));
+    Collections.shuffle(peers);
+    int most = tableAnswers && !newsbox.hasNews() ? 1 : WIDE_ROUND;
+    List<Thread> calls =
+        peers.stream()
+            .limit(most)
+            .map(peer -> Thread.ofVirtual().start(() -> exchange(peer)))
+            .toList();
+    calls.forEach(Peers::join);
+  }
+
+  /** Returns the process that answered last at a VM's address, as {@code vm/instance}. */
+  public Optional<String> processAt(String vm) {
+    return Optional.ofNullable(instances.get(vm));
+  }
+
+  private void exchange(Vm peer) {
+    long startMillis = timer.nowMillis();
+    ExchangeRequest request =
+        ExchangeRequest.newBuilder()
+            .setEntryId(self)
+            .setConfigVersion(holder.current().version())
+            .setConfirmedAgeMillis(freshness.ageMillis())
+            .addAllSuspects(newsbox.news())
+            .build();
+    try {
+      ExchangeReply reply =
+          PeerServiceGrpc.newBlockingStub(channel(peer))
+              .withDeadlineAfter(DEADLINE_MILLIS, TimeUnit.MILLISECONDS)
+              .exchange(request);
+      metrics
+          .counter("limpetvale.control.bytes", "with", "peer")
+          .increment(request.getSerializedSize() + (double) reply.getSerializedSize());
+      instances.put(peer.name(), reply.getEntryId());
+      take(reply, startMillis);
+    } catch (StatusRuntimeException e) {
+      if (!isRefused(e)) {
+        freshness.peerUnreached();
+      }
+      logger.atFine().log("peer %s: %s", peer.name(), e.getStatus());
+    }
+  }
+
+  private void take(ExchangeReply reply, long startMillis) {
+    if (!reply.getSnapshot().isEmpty()) {
+      holder.install(StrictJson.stored(reply.getSnapshot(), ConfigState.class));
+    }
+    holder.install(
+        reply.getChangesList().stream()
+            .map(json -> StrictJson.stored(json, ChangeRecord.class))
+            .toList());
+    if (reply.getConfigVersion() > 0) {
+      freshness.loadedFromPeer();
+    }
+    if (holder.current().version() >= reply.getConfigVersion()) {
+      freshness.confirmedAt(startMillis - reply.getConfirmedAgeMillis());
+    }
+  }
+
+  private ManagedChannel channel(Vm peer) {
+    return channels.computeIfAbsent(
+        peer.address(), address -> GrpcFactory.channel(address, security));
+  }
+
+  /** A refused connection shows that no process listens there, so none can commit from there. */
+  private static boolean isRefused(StatusRuntimeException e) {
+    if (e.getStatus().getCode() != Status.Code.UNAVAILABLE) {
+      return false;
+    }
+    for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+      if (cause instanceof ConnectException) {
+        return String.valueOf(cause.getMessage()).contains("refused");
+      }
+    }
+    return false;
+  }
+
+  private static void join(Thread thread) {
+    try {
+      thread.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/config/SuspectNewsbox.java
@@ -0,0 +1,17 @@
+package org.limpetvale.entry.config;
+
+import java.util.Collection;
+import java.util.List;
+import org.limpetvale.wire.SuspectNews;
+
+/** News of suspects that travels with the exchange between peers. */
+public interface SuspectNewsbox {
+  /** Returns the news to pass on. */
+  List<SuspectNews> news();
+
+  /** Tells whether there is news that peers lack. */
+  boolean hasNews();
+
+  /** Takes news from a peer. */
+  void take(Collection<SuspectNews> news);
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration in force: reading, exchanging with peers and changing it. */
+package org.limpetvale.entry.config;
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/control/Duties.java
@@ -0,0 +1,157 @@
+package org.limpetvale.entry.control;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.entry.EntrySettings;
+import org.limpetvale.entry.config.Peers;
+import org.limpetvale.entry.upstream.SidecarPool;
+import org.limpetvale.entry.upstream.VmDirectory;
+import org.limpetvale.entry.usage.UsageReporter;
+import org.limpetvale.platform.PowerInterface;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.UsageSink;
+import org.limpetvale.platform.Vm;
+
+/**
+ * The control duties that this entry contends for: one for each availability zone, and the usage
+ * reports.
+ *
+ * <p>Only a few entries contend for a duty, those of its zone first, so that the reads of the lease
+ * rows do not grow with the number of entries.
+ */
+public final class Duties {
+  private static final int CONTENDERS = 3;
+  private static final String USAGE = "usage";
+
+  private final EntrySettings settings;
+  private final String self;
+  private final FencedSender sender;
+  private final PowerInterface power;
+  private final SidecarPool pool;
+  private final VmDirectory directory;
+  private final Table table;
+  private final ResolvedCommit commits;
+  private final UsageSink sink;
+  private final TimerService timer;
+  private final MeterRegistry metrics;
+  private final Map<String, LeaseKeeper> leases = new ConcurrentHashMap<>();
+
+  /** Creates the duties of one entry. */
+  public Duties(
+      EntrySettings settings,
+      String self,
+      FencedSender sender,
+      PowerInterface power,
+      SidecarPool pool,
+      VmDirectory directory,
+      Table table,
+      ResolvedCommit commits,
+      UsageSink sink,
+      TimerService timer,
+      MeterRegistry metrics) {
+    this.settings = Objects.requireNonNull(settings, "settings is null");
+    this.self = Objects.requireNonNull(self, "self is null");
+    this.sender = Objects.requireNonNull(sender, "sender is null");
+    this.power = Objects.requireNonNull(power, "power is null");
+    this.pool = Objects.requireNonNull(pool, "pool is null");
+    this.directory = Objects.requireNonNull(directory, "directory is null");
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.commits = Objects.requireNonNull(commits, "commits is null");
+    this.sink = Objects.requireNonNull(sink, "sink is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+  }
+
+  /** Begins to contend. */
+  public void start() {
+    LeaseKeeper usage = keeper(USAGE, "");
+    new UsageReporter(
+        usage,
+        sender,
+        table,
+        commits,
+        sink,
+        timer,
+        metrics,
+        settings.control().usageWindowMillis());
+    directory.subscribe(this::addZones);
+  }
+
+  /** Gives all leases up. */
+  public void stop() {
+    leases.values().forEach(LeaseKeeper::release);
+  }
+
+  /** Returns the keepers of all duties. */
+  public Collection<LeaseKeeper> leases() {
+    return leases.values();
+  }
+
+  /**
+   * Tells whether a process is known to be gone for good: its VM has left the list, or a newer
+   * process answers at its address.
+   *
+   * @param process the process, as {@code vm/instance}
+   */
+  public static boolean isGone(String process, String self, VmDirectory directory, Peers peers) {
+    String vm = process.substring(0, Math.max(0, process.indexOf('/')));
+    String selfVm = self.substring(0, self.indexOf('/'));
+    if (vm.equals(selfVm)) {
+      return !process.equals(self);
+    }
+    Optional<String> answering = peers.processAt(vm);
+    return directory.isGone(vm) || answering.filter(each -> !each.equals(process)).isPresent();
+  }
+
+  private synchronized void addZones(List<Vm> vms) {
+    vms.stream()
+        .filter(vm -> vm.role() != Vm.Role.ENTRY)
+        .map(Vm::zone)
+        .distinct()
+        .filter(zone -> !leases.containsKey(duty(zone)))
+        .forEach(this::addZone);
+  }
+
+  private void addZone(String zone) {
+    LeaseKeeper lease = keeper(duty(zone), zone);
+    new ZoneController(zone, lease, sender, power, pool, table, settings.control(), timer, metrics);
+  }
+
+  private LeaseKeeper keeper(String duty, String zone) {
+    LeaseKeeper keeper =
+        new LeaseKeeper(
+            self,
+            duty,
+            settings.control().leaseMillis(),
+            () -> contends(duty, zone),
+            table,
+            commits,
+            timer);
+    leases.put(duty, keeper);
+    return keeper;
+  }
+
+  private boolean contends(String duty, String zone) {
+    List<Vm> entries =
+        directory.all().stream()
+            .filter(vm -> vm.role() == Vm.Role.ENTRY && !vm.leaving())
+            .sorted(
+                Comparator.<Vm, Boolean>comparing(vm -> !vm.zone().equals(zone))
+                    .thenComparingInt(vm -> (duty + vm.name()).hashCode()))
+            .limit(CONTENDERS)
+            .toList();
+    return entries.stream().anyMatch(vm -> vm.name().equals(settings.identity().vm()));
+  }
+
+  private static String duty(String zone) {
+    return "power." + zone;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
@@ -0,0 +1,115 @@
+package org.limpetvale.entry.control;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.lease.OrderRow;
+import org.limpetvale.daemon.Ids;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+
+/**
+ * Claims orders in the table before they are sent, so that at most one process sends for a duty,
+ * also towards receivers that ignore fencing numbers.
+ *
+ * <p>The claim is written in one transaction that checks the lease. Whoever finds another's claim
+ * that may be in flight sends nothing for that duty until its sender has concluded it or is known
+ * to be gone for good.
+ */
+public final class FencedSender {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long RESOLVE_MILLIS = 2000;
+
+  private final String self;
+  private final Table table;
+  private final ResolvedCommit commits;
+  private final Predicate<String> processGone;
+
+  /**
+   * Creates a sender.
+   *
+   * @param self this process, as {@code vm/instance}
+   * @param processGone tells whether a process is known to be gone for good
+   */
+  public FencedSender(
+      String self, Table table, ResolvedCommit commits, Predicate<String> processGone) {
+    this.self = Objects.requireNonNull(self, "self is null");
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.commits = Objects.requireNonNull(commits, "commits is null");
+    this.processGone = Objects.requireNonNull(processGone, "processGone is null");
+  }
+
+  /**
+   * A claimed order.
+   *
+   * @param order the order
+   * @param revision revision of its row
+   */
+  public record Claimed(OrderRow order, long revision) {}
+
+  /**
+   * Claims the next order of a duty.
+   *
+   * @param lease the lease, held now
+   * @param action what to ask for
+   * @param subject the VM or window it is about
+   * @return the claim, or empty when nothing may be sent now
+   */
+  public Optional<Claimed> claim(LeaseKeeper.Held lease, OrderRow.Action action, String subject) {
+    String key = key(lease.duty());
+    if (!(table.get(key) instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+      return Optional.empty();
+    }
+    Optional<OrderRow> standing = row.map(each -> StrictJson.stored(each.value(), OrderRow.class));
+    if (standing.isPresent()
+        && !standing.get().allowsNext(self, processGone.test(standing.get().sender()))) {
+      logger.atInfo().log(
+          "order blocked duty=%s sender=%s order=%s",
+          lease.duty(), standing.get().sender(), standing.get().orderId());
+      return Optional.empty();
+    }
+    OrderRow order =
+        new OrderRow(
+            lease.duty(), lease.epoch(), Ids.next(), self, action, subject, OrderRow.State.SENDING);
+    Transaction transaction =
+        new Transaction(
+            List.of(
+                new Transaction.Check(lease.rowKey(), lease.revision()),
+                new Transaction.Check(key, row.map(Row::revision).orElse(0L))),
+            List.of(new Transaction.Put(key, StrictJson.write(order))),
+            List.of());
+    ResolvedCommit.Outcome outcome =
+        commits.commit(transaction, key, value -> isMine(value, order), RESOLVE_MILLIS);
+    return outcome instanceof ResolvedCommit.Outcome.Applied(long revision)
+        ? Optional.of(new Claimed(order, revision))
+        : Optional.empty();
+  }
+
+  /** Concludes a claim; false when the table does not answer, and the claim stands. */
+  public boolean conclude(Claimed claimed, OrderRow.State state) {
+    String key = key(claimed.order().duty());
+    OrderRow next = claimed.order().in(state);
+    ResolvedCommit.Outcome outcome =
+        commits.commit(
+            Transaction.put(key, claimed.revision(), StrictJson.write(next)),
+            key,
+            value -> StrictJson.stored(value, OrderRow.class).equals(next),
+            RESOLVE_MILLIS);
+    return outcome instanceof ResolvedCommit.Outcome.Applied
+        || outcome instanceof ResolvedCommit.Outcome.Conflict;
+  }
+
+  private static boolean isMine(String value, OrderRow order) {
+    return StrictJson.stored(value, OrderRow.class).orderId().equals(order.orderId());
+  }
+
+  private static String key(String duty) {
+    return "orders/" + duty;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/control/LeaseKeeper.java
@@ -0,0 +1,135 @@
+package org.limpetvale.entry.control;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.lease.LeaseRow;
+import org.limpetvale.core.lease.LeaseView;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.daemon.Ids;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+
+/** Holds or contends for the lease of one duty. */
+public final class LeaseKeeper {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int ROUNDS_PER_LEASE = 5;
+
+  private final String self;
+  private final String duty;
+  private final long durationMillis;
+  private final BooleanSupplier contends;
+  private final Table table;
+  private final ResolvedCommit commits;
+  private final TimerService timer;
+  private LeaseView view = LeaseView.empty();
+  private boolean stopped;
+
+  /**
+   * Creates the keeper of one duty and starts its rounds.
+   *
+   * @param self this process, as {@code vm/instance}
+   * @param duty the duty
+   * @param durationMillis duration of the lease, in milliseconds
+   * @param contends whether this process wants the lease now
+   */
+  public LeaseKeeper(
+      String self,
+      String duty,
+      long durationMillis,
+      BooleanSupplier contends,
+      Table table,
+      ResolvedCommit commits,
+      TimerService timer) {
+    this.self = Objects.requireNonNull(self, "self is null");
+    this.duty = Objects.requireNonNull(duty, "duty is null");
+    this.durationMillis = durationMillis;
+    this.contends = Objects.requireNonNull(contends, "contends is null");
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.commits = Objects.requireNonNull(commits, "commits is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    timer.every(durationMillis / ROUNDS_PER_LEASE, this::round);
+  }
+
+  /**
+   * A lease that is held now.
+   *
+   * @param duty the duty
+   * @param epoch fencing number
+   * @param rowKey key of the lease's row
+   * @param revision revision of the row, for transactions that must only happen under the lease
+   */
+  public record Held(String duty, long epoch, String rowKey, long revision) {}
+
+  /** Returns the lease, if this process may act as its holder now. */
+  public synchronized Optional<Held> held() {
+    return view.held(timer.nowMillis())
+        ? Optional.of(new Held(duty, view.epoch(), key(), view.revision()))
+        : Optional.empty();
+  }
+
+  /** Gives the lease up. */
+  public synchronized void release() {
+    stopped = true;
+    if (view.held(timer.nowMillis())) {
+      LeaseRow free = new LeaseRow(duty, "", view.epoch(), durationMillis, Ids.next());
+      write(free, timer.nowMillis());
+    }
+  }
+
+  private synchronized void round() {
+    if (stopped) {
+      return;
+    }
+    boolean wasHeld = view.held(timer.nowMillis());
+    if (!wasHeld && !contends.getAsBoolean()) {
+      return;
+    }
+    if (!wasHeld) {
+      long readMillis = timer.nowMillis();
+      if (!(table.get(key()) instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+        return;
+      }
+      view =
+          view.afterRead(
+              row.map(each -> StrictJson.stored(each.value(), LeaseRow.class)),
+              row.map(Row::revision).orElse(0L),
+              readMillis);
+    }
+    long sentMillis = timer.nowMillis();
+    view.nextWrite(self, duty, durationMillis, Ids.next(), sentMillis)
+        .ifPresent(next -> write(next, sentMillis));
+    if (!wasHeld && view.held(timer.nowMillis())) {
+      logger.atInfo().log("lease acquired duty=%s epoch=%d", duty, view.epoch());
+    }
+  }
+
+  private void write(LeaseRow next, long sentMillis) {
+    ResolvedCommit.Outcome outcome =
+        commits.commit(
+            Transaction.put(key(), view.revision(), StrictJson.write(next)),
+            key(),
+            value -> StrictJson.stored(value, LeaseRow.class).token().equals(next.token()),
+            durationMillis / ROUNDS_PER_LEASE);
+    switch (outcome) {
+      case ResolvedCommit.Outcome.Applied(long revision) ->
+          view = view.afterWrite(next, revision, sentMillis);
+      case ResolvedCommit.Outcome.Conflict() -> {
+        logger.atInfo().log("lease lost duty=%s epoch=%d", duty, view.epoch());
+        view = LeaseView.empty();
+      }
+      case ResolvedCommit.Outcome.NotApplied ignored -> {}
+      // The write may yet take effect, after which the revision known here is wrong.
+      case ResolvedCommit.Outcome.Unresolved ignored -> view = LeaseView.empty();
+    }
+  }
+
+  private String key() {
+    return "leases/" + duty;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/control/Wishes.java
@@ -0,0 +1,88 @@
+package org.limpetvale.entry.control;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.result.Ran;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.Result;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.entry.upstream.VmDirectory;
+import org.limpetvale.platform.PowerInterface;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+import org.limpetvale.platform.Vm;
+
+/** Takes operators' wishes; the holder of the zone's lease carries them out. */
+public final class Wishes {
+  private static final long RESOLVE_MILLIS = 3000;
+
+  private final VmDirectory directory;
+  private final PowerInterface power;
+  private final Table table;
+  private final ResolvedCommit commits;
+
+  /** Creates the intake of one entry. */
+  public Wishes(VmDirectory directory, PowerInterface power, Table table, ResolvedCommit commits) {
+    this.directory = Objects.requireNonNull(directory, "directory is null");
+    this.power = Objects.requireNonNull(power, "power is null");
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.commits = Objects.requireNonNull(commits, "commits is null");
+  }
+
+  /** Writes a wish into the table. */
+  public Result<Wish> put(String vm, Wish.Action action, String author) {
+    Optional<String> zone = zoneOf(vm);
+    if (zone.isEmpty()) {
+      return Result.err(ResultCode.FIELD_INVALID, "no upstream VM is called " + vm);
+    }
+    Wish wish = new Wish(vm, zone.get(), action, author);
+    String key = Wish.key(zone.get(), vm);
+    if (!(table.get(key) instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+      return Result.err(ResultCode.TABLE_UNAVAILABLE, "the table does not answer");
+    }
+    String value = StrictJson.write(wish);
+    ResolvedCommit.Outcome outcome =
+        commits.commit(
+            Transaction.put(key, row.map(Row::revision).orElse(0L), value),
+            key,
+            value::equals,
+            RESOLVE_MILLIS);
+    return switch (outcome) {
+      case ResolvedCommit.Outcome.Applied ignored -> Result.ok(wish);
+      case ResolvedCommit.Outcome.Conflict() ->
+          Result.err(ResultCode.ORDER_BLOCKED, "another operator changed it at the same time");
+      case ResolvedCommit.Outcome.NotApplied(String detail) ->
+          Result.err(ResultCode.TABLE_UNAVAILABLE, detail);
+      case ResolvedCommit.Outcome.Unresolved(String detail) ->
+          Result.err(Refusal.of(ResultCode.TABLE_UNAVAILABLE, detail).withRan(Ran.MAY_HAVE_RUN));
+    };
+  }
+
+  /** Finds the zone in the VM list or, for a VM that does not run, in the power interface. */
+  private Optional<String> zoneOf(String vm) {
+    Optional<String> listed =
+        directory.all().stream()
+            .filter(each -> each.name().equals(vm) && each.role() != Vm.Role.ENTRY)
+            .map(Vm::zone)
+            .findFirst();
+    return listed.or(
+        () ->
+            directory.all().stream()
+                .map(Vm::zone)
+                .distinct()
+                .filter(zone -> hasUnit(zone, vm))
+                .findFirst());
+  }
+
+  private boolean hasUnit(String zone, String vm) {
+    return power
+        .units(zone)
+        .toOptional()
+        .map(units -> units.stream().anyMatch(each -> each.vm().equals(vm)))
+        .orElse(false);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/control/ZoneController.java
@@ -0,0 +1,254 @@
+package org.limpetvale.entry.control;
+
+import com.google.common.flogger.FluentLogger;
+import io.grpc.StatusRuntimeException;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.lease.OrderRow;
+import org.limpetvale.core.lease.Scaling;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.entry.ControlSettings;
+import org.limpetvale.entry.upstream.SidecarLink;
+import org.limpetvale.entry.upstream.SidecarPool;
+import org.limpetvale.platform.PowerInterface;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+import org.limpetvale.wire.Drain;
+import org.limpetvale.wire.OrderReply;
+import org.limpetvale.wire.OrderRequest;
+import org.limpetvale.wire.Undrain;
+
+/** Starts and stops the upstreams of one availability zone while it holds the zone's lease. */
+public final class ZoneController {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long PERIOD_MILLIS = 500;
+  private static final int MOST_WISHES = 500;
+
+  private final String zone;
+  private final LeaseKeeper lease;
+  private final FencedSender sender;
+  private final PowerInterface power;
+  private final SidecarPool pool;
+  private final Table table;
+  private final ControlSettings settings;
+  private final TimerService timer;
+  private final MeterRegistry metrics;
+  private final Map<String, Long> busySinceMillis = new ConcurrentHashMap<>();
+
+  /** Creates the controller of one zone and starts its rounds. */
+  public ZoneController(
+      String zone,
+      LeaseKeeper lease,
+      FencedSender sender,
+      PowerInterface power,
+      SidecarPool pool,
+      Table table,
+      ControlSettings settings,
+      TimerService timer,
+      MeterRegistry metrics) {
+    this.zone = Objects.requireNonNull(zone, "zone is null");
+    this.lease = Objects.requireNonNull(lease, "lease is null");
+    this.sender = Objects.requireNonNull(sender, "sender is null");
+    this.power = Objects.requireNonNull(power, "power is null");
+    this.pool = Objects.requireNonNull(pool, "pool is null");
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.settings = Objects.requireNonNull(settings, "settings is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+    timer.every(PERIOD_MILLIS, this::round);
+  }
+
+  /** Returns the keeper of the zone's lease. */
+  public LeaseKeeper lease() {
+    return lease;
+  }
+
+  private synchronized void round() {
+    if (lease.held().isEmpty()) {
+      return;
+    }
+    if (!(power.units(zone) instanceof Read.Found<List<PowerInterface.Unit>>(var units))) {
+      return;
+    }
+    if (!(table.scan(Wish.PREFIX + zone + "/", "", MOST_WISHES)
+        instanceof Read.Found<List<Row>>(List<Row> rows))) {
+      return;
+    }
+    Map<String, Wish> wishes = new TreeMap<>();
+    rows.forEach(
+        row -> {
+          Wish wish = StrictJson.stored(row.value(), Wish.class);
+          wishes.put(wish.vm(), wish);
+          carryOut(row, wish, units);
+        });
+    if (settings.scaling()) {
+      scale(units, wishes);
+    }
+  }
+
+  // -- operators' wishes
+
+  private void carryOut(Row row, Wish wish, List<PowerInterface.Unit> units) {
+    Optional<PowerInterface.Unit> unit =
+        units.stream().filter(each -> each.vm().equals(wish.vm())).findFirst();
+    if (unit.isEmpty()) {
+      return;
+    }
+    boolean done =
+        switch (wish.action()) {
+          case DRAIN -> drain(wish.vm());
+          case UNDRAIN -> undrain(wish.vm()) && forget(row);
+          case START ->
+              (unit.get().running() || order(OrderRow.Action.START, wish.vm())) && forget(row);
+          case STOP -> stop(wish.vm(), unit.get().running()) && forget(row);
+        };
+    logger.atFine().log("wish vm=%s action=%s done=%s", wish.vm(), wish.action(), done);
+  }
+
+  private boolean forget(Row row) {
+    table.commit(
+        new Transaction(
+            List.of(new Transaction.Check(row.key(), row.revision())),
+            List.of(),
+            List.of(row.key())));
+    return true;
+  }
+
+  // -- the loop
+
+  private void scale(List<PowerInterface.Unit> units, Map<String, Wish> wishes) {
+    Scaling.Targets targets =
+        new Scaling.Targets(
+            settings.startAboveLoad(), settings.stopBelowLoad(), settings.leastPerZone());
+    Map<String, List<PowerInterface.Unit>> pools =
+        units.stream().collect(Collectors.groupingBy(PowerInterface.Unit::pool));
+    pools.forEach(
+        (name, members) -> {
+          List<Scaling.Unit> seen = new ArrayList<>();
+          members.forEach(each -> seen.add(seen(each, wishes)));
+          long quietMillis = quietMillis(name, seen, targets);
+          Scaling.decide(seen, targets, quietMillis, settings.stopAfterMillis())
+              .ifPresent(this::act);
+        });
+  }
+
+  private Scaling.Unit seen(PowerInterface.Unit unit, Map<String, Wish> wishes) {
+    Optional<SidecarLink> link = pool.link(unit.vm());
+    int load = link.map(l -> l.load().getRunning() + l.load().getQueued()).orElse(0);
+    int capacity = link.map(l -> l.load().getCapacity()).orElse(0);
+    boolean draining = link.map(l -> l.load().getDraining()).orElse(false);
+    return new Scaling.Unit(
+        unit.vm(),
+        unit.pool(),
+        unit.running(),
+        draining || wishes.containsKey(unit.vm()),
+        load,
+        Math.max(1, capacity));
+  }
+
+  private long quietMillis(String name, List<Scaling.Unit> seen, Scaling.Targets targets) {
+    int load = seen.stream().filter(Scaling.Unit::running).mapToInt(Scaling.Unit::load).sum();
+    int capacity =
+        seen.stream().filter(Scaling.Unit::running).mapToInt(Scaling.Unit::capacity).sum();
+    long nowMillis = timer.nowMillis();
+    if (load >= targets.stopBelow() * capacity) {
+      busySinceMillis.put(name, nowMillis);
+    }
+    return nowMillis - busySinceMillis.computeIfAbsent(name, ignored -> nowMillis);
+  }
+
+  private void act(Scaling.Wish wish) {
+    switch (wish) {
+      case Scaling.Wish.Start(String vm) -> order(OrderRow.Action.START, vm);
+      case Scaling.Wish.Stop(String vm) -> stop(vm, true);
+    }
+  }
+
+  // -- orders
+
+  /** Drains, then stops once nothing runs; returns whether the VM is stopped. */
+  private boolean stop(String vm, boolean running) {
+    if (!running) {
+      return true;
+    }
+    if (!drain(vm)) {
+      return false;
+    }
+    boolean empty =
+        pool.link(vm)
+            .map(link -> link.load().getDraining() && link.load().getRunning() == 0)
+            .orElse(true);
+    return empty && order(OrderRow.Action.STOP, vm);
+  }
+
+  private boolean order(OrderRow.Action action, String vm) {
+    Optional<LeaseKeeper.Held> held = lease.held();
+    if (held.isEmpty()) {
+      return false;
+    }
+    Optional<FencedSender.Claimed> claimed = sender.claim(held.get(), action, vm);
+    if (claimed.isEmpty() || lease.held().isEmpty()) {
+      return false;
+    }
+    logger.atInfo().log(
+        "power order zone=%s action=%s vm=%s epoch=%d", zone, action, vm, held.get().epoch());
+    PowerInterface.Answer answer = power.send(zone, claimed.get().order());
+    metrics.counter("limpetvale.power.orders", "action", action.name()).increment();
+    return switch (answer) {
+      case PowerInterface.Answer.Taken() -> {
+        sender.conclude(claimed.get(), OrderRow.State.DONE);
+        yield true;
+      }
+      case PowerInterface.Answer.Refused(String detail) -> {
+        logger.atWarning().log("power order refused vm=%s: %s", vm, detail);
+        sender.conclude(claimed.get(), OrderRow.State.DONE);
+        yield false;
+      }
+      case PowerInterface.Answer.Unknown(String detail) -> {
+        logger.atWarning().log("power order unknown vm=%s: %s", vm, detail);
+        sender.conclude(claimed.get(), OrderRow.State.UNKNOWN);
+        yield false;
+      }
+    };
+  }
+
+  private boolean drain(String vm) {
+    return engineOrder(vm, OrderRequest.newBuilder().setDrain(Drain.getDefaultInstance()));
+  }
+
+  private boolean undrain(String vm) {
+    return engineOrder(vm, OrderRequest.newBuilder().setUndrain(Undrain.getDefaultInstance()));
+  }
+
+  private boolean engineOrder(String vm, OrderRequest.Builder request) {
+    Optional<LeaseKeeper.Held> held = lease.held();
+    Optional<SidecarLink> link = pool.link(vm);
+    if (held.isEmpty() || link.isEmpty()) {
+      return false;
+    }
+    try {
+      OrderReply reply =
+          link.get()
+              .order(
+                  request
+                      .setOrderId(held.get().duty() + "." + held.get().epoch())
+                      .setEpoch(held.get().epoch())
+                      .setDuty(held.get().duty())
+                      .build());
+      return reply.getApplied();
+    } catch (StatusRuntimeException e) {
+      logger.atInfo().log("order to the sidecar of %s failed: %s", vm, e.getStatus());
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/http/AdminResource.java
@@ -0,0 +1,291 @@
+package org.limpetvale.entry.http;
+
+import com.google.common.flogger.FluentLogger;
+import jakarta.inject.Inject;
+import jakarta.ws.rs.DELETE;
+import jakarta.ws.rs.DefaultValue;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HeaderParam;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.QueryParam;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.limpetvale.core.config.ChangeRecord;
+import org.limpetvale.core.config.ConfigChange;
+import org.limpetvale.core.config.ConfigValidator;
+import org.limpetvale.core.config.Fault;
+import org.limpetvale.core.config.KeyGrant;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.Result;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.daemon.Digests;
+import org.limpetvale.daemon.Ids;
+import org.limpetvale.entry.config.ConfigHistory;
+import org.limpetvale.entry.config.ConfigHolder;
+import org.limpetvale.entry.config.ConfigWriter;
+import org.limpetvale.entry.control.Wish;
+import org.limpetvale.entry.control.Wishes;
+import org.limpetvale.entry.request.Authenticator;
+import org.limpetvale.entry.request.DecisionBook;
+
+/** The operators' interface. */
+@Path("/v1/admin")
+@Produces(MediaType.APPLICATION_JSON)
+public final class AdminResource {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Authenticator authenticator;
+  private final ConfigHolder config;
+  private final ConfigWriter writer;
+  private final ConfigHistory history;
+  private final Wishes wishes;
+  private final Digests digests;
+  private final DecisionBook decisions;
+  private final StatusReport status;
+
+  /** Creates the resource. */
+  @Inject
+  public AdminResource(
+      Authenticator authenticator,
+      ConfigHolder config,
+      ConfigWriter writer,
+      ConfigHistory history,
+      Wishes wishes,
+      Digests digests,
+      DecisionBook decisions,
+      StatusReport status) {
+    this.authenticator = Objects.requireNonNull(authenticator, "authenticator is null");
+    this.config = Objects.requireNonNull(config, "config is null");
+    this.writer = Objects.requireNonNull(writer, "writer is null");
+    this.history = Objects.requireNonNull(history, "history is null");
+    this.wishes = Objects.requireNonNull(wishes, "wishes is null");
+    this.digests = Objects.requireNonNull(digests, "digests is null");
+    this.decisions = Objects.requireNonNull(decisions, "decisions is null");
+    this.status = Objects.requireNonNull(status, "status is null");
+  }
+
+  /** What an operator sends to grant a key. */
+  public record GrantRequest(String keyId, String workspace) {}
+
+  /** A granted key, shown once. */
+  public record Granted(String keyId, String workspace, String key, long version) {}
+
+  /** A key as listed: without digest or key. */
+  public record ListedKey(String keyId, String workspace) {}
+
+  /** The version that a change made. */
+  public record Accepted(long version) {}
+
+  /** The faults of a change; none when it is sound. */
+  public record Checked(List<Fault> faults) {}
+
+  // -- configuration
+
+  /** Accepts a change. */
+  @POST
+  @Path("/changes")
+  public Response change(@HeaderParam("Authorization") String authorization, InputStream body) {
+    return operate(
+        authorization,
+        operator ->
+            read(body, ConfigChange.class)
+                .flatMap(this::withoutKeyChanges)
+                .flatMap(change -> writer.apply(operator, change))
+                .flatMap(record -> Result.ok(new Accepted(record.version()))));
+  }
+
+  /** Checks a change without accepting it. */
+  @POST
+  @Path("/validate")
+  public Response validate(@HeaderParam("Authorization") String authorization, InputStream body) {
+    return operate(
+        authorization,
+        operator ->
+            read(body, ConfigChange.class)
+                .flatMap(
+                    change ->
+                        Result.ok(new Checked(ConfigValidator.check(config.current(), change)))));
+  }
+
+  /** Lists accepted changes. */
+  @GET
+  @Path("/changes")
+  public Response changes(
+      @HeaderParam("Authorization") String authorization,
+      @QueryParam("after") @DefaultValue("0") long after) {
+    return operate(authorization, operator -> history.after(after));
+  }
+
+  /** Shows a template. */
+  @GET
+  @Path("/templates/{name}")
+  public Response template(
+      @HeaderParam("Authorization") String authorization, @PathParam("name") String name) {
+    return operate(
+        authorization,
+        operator -> found(Optional.ofNullable(config.current().templates().get(name)), name));
+  }
+
+  /** Shows a workspace's parameters. */
+  @GET
+  @Path("/workspaces/{name}")
+  public Response workspace(
+      @HeaderParam("Authorization") String authorization, @PathParam("name") String name) {
+    return operate(authorization, operator -> found(config.current().workspace(name), name));
+  }
+
+  // -- keys
+
+  /** Grants a key; the answer is the only place where it is shown. */
+  @POST
+  @Path("/keys")
+  public Response grant(@HeaderParam("Authorization") String authorization, InputStream body) {
+    String key = Ids.nextKey();
+    return operate(
+        authorization,
+        operator ->
+            read(body, GrantRequest.class)
+                .flatMap(
+                    request ->
+                        grant(operator, request, key)
+                            .flatMap(
+                                record ->
+                                    Result.ok(
+                                        new Granted(
+                                            request.keyId(),
+                                            request.workspace(),
+                                            key,
+                                            record.version())))));
+  }
+
+  /** Withdraws a key. */
+  @DELETE
+  @Path("/keys/{keyId}")
+  public Response withdraw(
+      @HeaderParam("Authorization") String authorization, @PathParam("keyId") String keyId) {
+    return operate(
+        authorization,
+        operator ->
+            writer
+                .apply(operator, new ConfigChange.WithdrawKey(keyId))
+                .flatMap(record -> Result.ok(new Accepted(record.version()))));
+  }
+
+  /** Lists the keys in force. */
+  @GET
+  @Path("/keys")
+  public Response keys(@HeaderParam("Authorization") String authorization) {
+    return operate(
+        authorization,
+        operator ->
+            Result.ok(
+                config.current().keys().values().stream()
+                    .map(grant -> new ListedKey(grant.keyId(), grant.workspace()))
+                    .sorted(Comparator.comparing(ListedKey::keyId))
+                    .toList()));
+  }
+
+  // -- upstreams and state
+
+  /** Wishes something for an upstream. */
+  @POST
+  @Path("/upstreams/{vm}/{action}")
+  public Response upstream(
+      @HeaderParam("Authorization") String authorization,
+      @PathParam("vm") String vm,
+      @PathParam("action") String action) {
+    return operate(
+        authorization,
+        operator -> action(action).flatMap(wanted -> wishes.put(vm, wanted, operator)));
+  }
+
+  /** Shows the state of this entry. */
+  @GET
+  @Path("/status")
+  public Response status(@HeaderParam("Authorization") String authorization) {
+    return operate(authorization, operator -> Result.ok(status.make()));
+  }
+
+  /** Shows the decisions on a request that this entry has made of late. */
+  @GET
+  @Path("/requests/{requestId}")
+  public Response explain(
+      @HeaderParam("Authorization") String authorization,
+      @PathParam("requestId") String requestId) {
+    return operate(authorization, operator -> Result.ok(decisions.explain(requestId)));
+  }
+
+  // -- parts
+
+  private Response operate(String authorization, Function<String, Result<?>> operation) {
+    String requestId = RequestIds.next(null);
+    Result<String> operator = authenticator.operator(authorization);
+    if (operator instanceof Result.Err<String>(Refusal refusal)) {
+      return Problems.response(refusal, requestId);
+    }
+    Result<?> result = operation.apply(((Result.Ok<String>) operator).value());
+    return switch (result) {
+      case Result.Ok<?>(Object value) -> Response.ok(StrictJson.write(value)).build();
+      case Result.Err<?>(Refusal refusal) -> {
+        logger.atInfo().log("operator refused: %s %s", refusal.code().label(), refusal.detail());
+        yield Problems.response(refusal, requestId);
+      }
+    };
+  }
+
+  private static <T> Result<T> read(InputStream body, Class<T> type) {
+    return BodyReader.read(body)
+        .flatMap(
+            bytes ->
+                switch (StrictJson.read(new String(bytes, StandardCharsets.UTF_8), type)) {
+                  case StrictJson.Read.Value<T>(T value) -> Result.ok(value);
+                  case StrictJson.Read.Faults<T>(List<Fault> faults) ->
+                      Result.err(
+                          ResultCode.CONFIG_INVALID,
+                          faults.stream().map(Fault::line).collect(Collectors.joining("\n")));
+                });
+  }
+
+  private Result<ConfigChange> withoutKeyChanges(ConfigChange change) {
+    return change instanceof ConfigChange.GrantKey
+        ? Result.err(ResultCode.CONFIG_INVALID, "grant keys by POST /v1/admin/keys")
+        : Result.ok(change);
+  }
+
+  private Result<ChangeRecord> grant(String operator, GrantRequest request, String key) {
+    if (request.keyId() == null || request.workspace() == null) {
+      return Result.err(ResultCode.CONFIG_INVALID, "keyId and workspace are needed");
+    }
+    KeyGrant grant = new KeyGrant(request.keyId(), request.workspace(), digests.digest(key));
+    return writer.apply(operator, new ConfigChange.GrantKey(grant));
+  }
+
+  private static Result<Wish.Action> action(String name) {
+    return Arrays.stream(Wish.Action.values())
+        .filter(each -> each.name().toLowerCase(Locale.ROOT).equals(name))
+        .findFirst()
+        .map(Result::ok)
+        .orElseGet(
+            () -> Result.err(ResultCode.FIELD_INVALID, "action: drain, undrain, start or stop"));
+  }
+
+  private static <T> Result<T> found(Optional<T> value, String name) {
+    return value
+        .map(Result::ok)
+        .orElseGet(() -> Result.err(ResultCode.ROUTE_UNKNOWN, name + " is not defined"));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/http/DrainFilter.java
@@ -0,0 +1,60 @@
+package org.limpetvale.entry.http;
+
+import jakarta.servlet.Filter;
+import jakarta.servlet.FilterChain;
+import jakarta.servlet.ServletException;
+import jakarta.servlet.ServletRequest;
+import jakarta.servlet.ServletResponse;
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.daemon.Ids;
+
+/** Counts the requests that are being answered, and refuses new ones while the entry stops. */
+public final class DrainFilter implements Filter {
+  private static final long RETRY_AFTER_MILLIS = 1000;
+
+  private final AtomicInteger active = new AtomicInteger();
+  private volatile boolean draining;
+
+  /** Refuses new requests from now on. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Tells whether new requests are refused. */
+  public boolean isDraining() {
+    return draining;
+  }
+
+  /** Returns the number of requests that are being answered. */
+  public int active() {
+    return active.get();
+  }
+
+  @Override
+  public void doFilter(ServletRequest request, ServletResponse response, FilterChain chain)
+      throws IOException, ServletException {
+    active.incrementAndGet();
+    try {
+      if (draining) {
+        refuse((HttpServletResponse) response);
+        return;
+      }
+      chain.doFilter(request, response);
+    } finally {
+      active.decrementAndGet();
+    }
+  }
+
+  private static void refuse(HttpServletResponse response) throws IOException {
+    Refusal refusal = Refusal.of(ResultCode.DRAINING, "this entry is stopping", RETRY_AFTER_MILLIS);
+    response.setStatus(refusal.code().httpStatus());
+    response.setContentType("application/problem+json");
+    response.setHeader("Retry-After", "1");
+    response.setHeader("Connection", "close");
+    response.getWriter().write(Problems.body(refusal, Ids.next()).toString());
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/http/Problems.java
@@ -0,0 +1,53 @@
+package org.limpetvale.entry.http;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import jakarta.ws.rs.core.Response;
+import org.limpetvale.core.result.Refusal;
+
+/** Error answers: problem JSON that also carries the error object that OpenAI clients read. */
+public final class Problems {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String MEDIA_TYPE = "application/problem+json";
+  private static final long MILLIS_PER_SECOND = 1000;
+
+  private Problems() {}
+
+  /** Returns the answer for a refusal. */
+  public static Response response(Refusal refusal, String requestId) {
+    Response.ResponseBuilder builder =
+        Response.status(refusal.code().httpStatus())
+            .type(MEDIA_TYPE)
+            .header("X-Request-Id", requestId)
+            .entity(body(refusal, requestId).toString());
+    if (refusal.retryAfterMillis() > 0) {
+      builder.header("Retry-After", retryAfterSeconds(refusal));
+    }
+    return builder.build();
+  }
+
+  /** Returns the body for a refusal. */
+  public static ObjectNode body(Refusal refusal, String requestId) {
+    ObjectNode body = MAPPER.createObjectNode();
+    body.put("type", "urn:limpetvale:" + refusal.code().number());
+    body.put("title", refusal.code().meaning());
+    body.put("status", refusal.code().httpStatus());
+    body.put("detail", refusal.detail());
+    body.put("code", refusal.code().label());
+    body.put("ran", refusal.ran().text());
+    body.put("request_id", requestId);
+    if (refusal.retryAfterMillis() > 0) {
+      body.put("retry_after_seconds", retryAfterSeconds(refusal));
+    }
+    ObjectNode error = body.putObject("error");
+    error.put("message", refusal.code().meaning() + " " + refusal.detail());
+    error.put("type", refusal.code().name().toLowerCase(java.util.Locale.ROOT));
+    error.put("code", refusal.code().label());
+    error.putNull("param");
+    return body;
+  }
+
+  private static long retryAfterSeconds(Refusal refusal) {
+    return Math.max(1, (refusal.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/http/RequestIds.java
@@ -0,0 +1,22 @@
+package org.limpetvale.entry.http;
+
+import java.util.regex.Pattern;
+import org.limpetvale.daemon.Ids;
+
+/** Names of requests. */
+final class RequestIds {
+  private static final Pattern GIVEN = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+
+  private RequestIds() {}
+
+  /**
+   * Returns a name that no other request has.
+   *
+   * @param given the caller's own name for it, which becomes part of the name; may be null
+   */
+  static String next(String given) {
+    return given != null && GIVEN.matcher(given).matches()
+        ? given + "." + Ids.next().substring(0, 8)
+        : Ids.next();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/http/ServiceResource.java
@@ -0,0 +1,300 @@
+package org.limpetvale.entry.http;
+
+import jakarta.inject.Inject;
+import jakarta.ws.rs.DELETE;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.PATCH;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.PUT;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.core.Context;
+import jakarta.ws.rs.core.HttpHeaders;
+import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.core.UriInfo;
+import java.io.InputStream;
+import java.util.Base64;
+import java.util.Objects;
+import java.util.Optional;
+import org.limpetvale.core.config.RequestClass;
+import org.limpetvale.core.config.ServiceRoute;
+import org.limpetvale.core.repeat.ClaimRow;
+import org.limpetvale.core.result.Ran;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.Result;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.entry.request.Accounting;
+import org.limpetvale.entry.request.Authenticator;
+import org.limpetvale.entry.request.Caller;
+import org.limpetvale.entry.request.Claims;
+import org.limpetvale.entry.request.Dispatcher;
+import org.limpetvale.entry.request.OpenRequests;
+import org.limpetvale.entry.request.ServiceRequest;
+import org.limpetvale.entry.request.ServiceRun;
+import org.limpetvale.wire.ServiceAnswer;
+
+/** The callers' interface to plain services: method, path, headers and body are passed on. */
+@Path("/v1/services/{service}/{path: .*}")
+public final class ServiceResource {
+  private static final int LONGEST_IDEMPOTENCY_KEY = 256;
+
+  private final Authenticator authenticator;
+  private final Claims claims;
+  private final Dispatcher dispatcher;
+  private final OpenRequests open;
+  private final Accounting accounting;
+
+  /** Creates the resource. */
+  @Inject
+  public ServiceResource(
+      Authenticator authenticator,
+      Claims claims,
+      Dispatcher dispatcher,
+      OpenRequests open,
+      Accounting accounting) {
+    this.authenticator = Objects.requireNonNull(authenticator, "authenticator is null");
+    this.claims = Objects.requireNonNull(claims, "claims is null");
+    this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher is null");
+    this.open = Objects.requireNonNull(open, "open is null");
+    this.accounting = Objects.requireNonNull(accounting, "accounting is null");
+  }
+
+  /** Passes on a GET. */
+  @GET
+  public Response get(
+      @PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers) {
+    return call("GET", service, uri, headers, InputStream.nullInputStream());
+  }
+
+  /** Passes on a POST. */
+  @POST
+  public Response post(
+      @PathParam("service") String service,
+      @Context UriInfo uri,
+      @Context HttpHeaders headers,
+      InputStream body) {
+    return call("POST", service, uri, headers, body);
+  }
+
+  /** Passes on a PUT. */
+  @PUT
+  public Response put(
+      @PathParam("service") String service,
+      @Context UriInfo uri,
+      @Context HttpHeaders headers,
+      InputStream body) {
+    return call("PUT", service, uri, headers, body);
+  }
+
+  /** Passes on a PATCH. */
+  @PATCH
+  public Response patch(
+      @PathParam("service") String service,
+      @Context UriInfo uri,
+      @Context HttpHeaders headers,
+      InputStream body) {
+    return call("PATCH", service, uri, headers, body);
+  }
+
+  /** Passes on a DELETE. */
+  @DELETE
+  public Response delete(
+      @PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers) {
+    return call("DELETE", service, uri, headers, InputStream.nullInputStream());
+  }
+
+  /**
+   * A call whose caller and route are known.
+   *
+   * @param caller whom it runs for
+   * @param route its route
+   */
+  private record Routed(Caller caller, ServiceRoute route) {}
+
+  private Response call(
+      String method, String service, UriInfo uri, HttpHeaders headers, InputStream input) {
+    String requestId = RequestIds.next(headers.getHeaderString("X-Request-Id"));
+    String authorization = headers.getHeaderString("Authorization");
+    String path = pathBelowService(uri);
+    Result<ServiceRequest> checked =
+        route(service, method, path, authorization)
+            .flatMap(
+                routed ->
+                    BodyReader.read(input)
+                        .flatMap(
+                            body ->
+                                KeyLeak.isIn(authorization, pathAndQuery(path, uri), body)
+                                    ? Result.err(
+                                        ResultCode.FIELD_INVALID, "path or body contains the key")
+                                    : request(
+                                        requestId, routed, service, method, uri, headers, body)));
+    return switch (checked) {
+      case Result.Err<ServiceRequest>(Refusal refusal) -> {
+        accounting.refused(requestId, "", "", refusal);
+        yield Problems.response(refusal, requestId);
+      }
+      case Result.Ok<ServiceRequest>(ServiceRequest request) -> answer(request, headers);
+    };
+  }
+
+  // -- filters
+
+  private Result<Routed> route(String service, String method, String path, String authorization) {
+    if (authorization == null) {
+      return openRoute(service, method, path)
+          .map(Result::ok)
+          .orElseGet(
+              () ->
+                  Result.err(ResultCode.KEY_MISSING, "send the header Authorization: Bearer KEY"));
+    }
+    return authenticator
+        .byKey(authorization)
+        .flatMap(
+            caller ->
+                ownRoute(caller, service, method, path)
+                    .or(() -> openRoute(service, method, path))
+                    .map(Result::ok)
+                    .orElseGet(
+                        () -> Result.err(ResultCode.ROUTE_UNKNOWN, method + " " + service + path)));
+  }
+
+  private static Optional<Routed> ownRoute(
+      Caller caller, String service, String method, String path) {
+    return caller
+        .config()
+        .serviceRoute(caller.parameters(), service, method, path)
+        .map(route -> new Routed(caller, route));
+  }
+
+  private Optional<Routed> openRoute(String service, String method, String path) {
+    return authenticator
+        .byOpenRoute(service, method, path)
+        .flatMap(caller -> ownRoute(caller, service, method, path));
+  }
+
+  private static Result<ServiceRequest> request(
+      String requestId,
+      Routed routed,
+      String service,
+      String method,
+      UriInfo uri,
+      HttpHeaders headers,
+      byte[] body) {
+    Caller caller = routed.caller();
+    String className =
+        Optional.ofNullable(headers.getHeaderString("X-Request-Class"))
+            .orElse(caller.parameters().defaultClass());
+    Optional<RequestClass> level = caller.config().requestClass(caller.parameters(), className);
+    if (level.isEmpty()) {
+      return Result.err(ResultCode.CLASS_NOT_ALLOWED, className);
+    }
+    String idempotencyKey = headers.getHeaderString("Idempotency-Key");
+    if (idempotencyKey != null && idempotencyKey.length() > LONGEST_IDEMPOTENCY_KEY) {
+      return Result.err(
+          ResultCode.FIELD_INVALID,
+          "Idempotency-Key: up to " + LONGEST_IDEMPOTENCY_KEY + " characters");
+    }
+    return Result.ok(
+        new ServiceRequest(
+            requestId,
+            caller,
+            className,
+            level.get(),
+            service,
+            method,
+            pathAndQuery(pathBelowService(uri), uri),
+            KeyLeak.passable(headers.getRequestHeaders(), headers.getHeaderString("Authorization")),
+            body,
+            routed.route().repeatable()));
+  }
+
+  private static String pathBelowService(UriInfo uri) {
+    return "/" + uri.getPathParameters(false).getFirst("path");
+  }
+
+  private static String pathAndQuery(String path, UriInfo uri) {
+    String query = uri.getRequestUri().getRawQuery();
+    return query == null ? path : path + "?" + query;
+  }
+
+  // -- answers
+
+  private Response answer(ServiceRequest request, HttpHeaders headers) {
+    String idempotencyKey = headers.getHeaderString("Idempotency-Key");
+    if (idempotencyKey == null || request.repeatable()) {
+      return conclude(request, run(request), Optional.empty());
+    }
+    String description = request.method() + " " + request.service() + request.path();
+    Result<Claims.Grant> grant =
+        claims.claim(request.caller().workspace(), idempotencyKey, description, request.body());
+    return switch (grant) {
+      case Result.Err<Claims.Grant>(Refusal refusal) -> {
+        accounting.refused(
+            request.requestId(), request.caller().workspace(), request.className(), refusal);
+        yield Problems.response(refusal, request.requestId());
+      }
+      case Result.Ok<Claims.Grant>(Claims.Grant.Repeat(ClaimRow.StoredAnswer stored)) ->
+          Response.status(stored.status())
+              .type(stored.contentType())
+              .header("X-Request-Id", request.requestId())
+              .header("Idempotent-Replayed", "true")
+              .entity(Base64.getDecoder().decode(stored.bodyBase64()))
+              .build();
+      case Result.Ok<Claims.Grant>(Claims.Grant.Run(Claims.Held held)) ->
+          conclude(request, run(request), Optional.of(held));
+    };
+  }
+
+  private Result<ServiceAnswer> run(ServiceRequest request) {
+    ServiceRun run = new ServiceRun(request, dispatcher);
+    try (OpenRequests.Registration ignored =
+        open.register(request.caller().keyDigest(), run::stop)) {
+      return run.run();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Result.err(ResultCode.INTERNAL, "interrupted");
+    }
+  }
+
+  private Response conclude(
+      ServiceRequest request, Result<ServiceAnswer> result, Optional<Claims.Held> held) {
+    return switch (result) {
+      case Result.Ok<ServiceAnswer>(ServiceAnswer answer) -> {
+        held.ifPresent(each -> claims.finish(each, stored(answer)));
+        accounting.serviceDone(request);
+        yield response(answer, request.requestId());
+      }
+      case Result.Err<ServiceAnswer>(Refusal refusal) -> {
+        held.ifPresent(
+            each -> {
+              if (refusal.ran() == Ran.NOT_RUN) {
+                claims.release(each);
+              } else {
+                claims.unknown(each);
+              }
+            });
+        accounting.serviceRefused(request, refusal);
+        yield Problems.response(refusal, request.requestId());
+      }
+    };
+  }
+
+  private static ClaimRow.StoredAnswer stored(ServiceAnswer answer) {
+    String type =
+        answer.getHeadersList().stream()
+            .filter(each -> each.getName().equalsIgnoreCase("content-type"))
+            .findFirst()
+            .map(org.limpetvale.wire.Header::getValue)
+            .orElse("application/octet-stream");
+    return new ClaimRow.StoredAnswer(
+        answer.getStatus(),
+        type,
+        Base64.getEncoder().encodeToString(answer.getBody().toByteArray()));
+  }
+
+  private static Response response(ServiceAnswer answer, String requestId) {
+    Response.ResponseBuilder builder = Response.status(answer.getStatus());
+    answer.getHeadersList().forEach(each -> builder.header(each.getName(), each.getValue()));
+    return builder.header("X-Request-Id", requestId).entity(answer.getBody().toByteArray()).build();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' and operators' interfaces. */
+package org.limpetvale.entry.http;
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry daemon. */
+package org.limpetvale.entry;
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/request/Accounting.java
@@ -0,0 +1,151 @@
+package org.limpetvale.entry.request;
+
+import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.limpetvale.core.result.Ran;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.core.usage.UsageFigures;
+import org.limpetvale.core.usage.UsageRecord;
+import org.limpetvale.entry.usage.UsageLedger;
+
+/** Counts what became of requests and bills what callers have whole. */
+public final class Accounting {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final UsageLedger ledger;
+  private final LengthEstimates lengths;
+  private final DecisionBook decisions;
+  private final TimerService timer;
+  private final MeterRegistry metrics;
+
+  /** Creates the accounting of one entry. */
+  public Accounting(
+      UsageLedger ledger,
+      LengthEstimates lengths,
+      DecisionBook decisions,
+      TimerService timer,
+      MeterRegistry metrics) {
+    this.ledger = Objects.requireNonNull(ledger, "ledger is null");
+    this.lengths = Objects.requireNonNull(lengths, "lengths is null");
+    this.decisions = Objects.requireNonNull(decisions, "decisions is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+  }
+
+  /** Begins to watch a model request. */
+  public Watch watch(ModelRequest request) {
+    return new Watch(request);
+  }
+
+  /** Counts a request that was refused before it was offered to an upstream. */
+  public void refused(String requestId, String workspace, String className, Refusal refusal) {
+    count(className, "refused", refusal.code().label());
+    logger.atInfo().log(
+        "end request=%s workspace=%s class=%s code=%s ran=%s",
+        requestId, workspace, className, refusal.code().label(), refusal.ran().text());
+    decisions.ended(requestId, 0, refusal.code().label() + " " + refusal.detail());
+  }
+
+  /** Bills a call of a plain service whose answer the caller has. */
+  public void serviceDone(ServiceRequest request) {
+    count(request.className(), "attained", "");
+    ledger.add(
+        new UsageRecord(
+            request.requestId(), request.caller().workspace(), new UsageFigures(0, 0, 1)),
+        "");
+  }
+
+  /** Counts a call of a plain service that was refused or has failed. */
+  public void serviceRefused(ServiceRequest request, Refusal refusal) {
+    refused(request.requestId(), request.caller().workspace(), request.className(), refusal);
+    if (refusal.ran() != Ran.NOT_RUN) {
+      ledger.unproved(request.caller().workspace(), request.requestId(), 0);
+    }
+  }
+
+  private void count(String className, String outcome, String code) {
+    metrics
+        .counter("limpetvale.requests", "class", className, "outcome", outcome, "code", code)
+        .increment();
+  }
+
+  /** Watches one model request. */
+  public final class Watch {
+    private final ModelRequest request;
+    private final long startMillis = timer.nowMillis();
+    private long firstTokenMillis;
+    private int tokens;
+
+    private Watch(ModelRequest request) {
+      this.request = request;
+    }
+
+    /** Notes a token that was passed to the caller. */
+    public void token() {
+      tokens++;
+      if (tokens == 1) {
+        firstTokenMillis = timer.nowMillis();
+        metrics
+            .timer("limpetvale.first.token", "class", request.className())
+            .record(firstTokenMillis - startMillis, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    /** Bills the whole answer. */
+    public void done(Step.Done done, ModelRun run) {
+      UsageFigures figures = new UsageFigures(done.promptTokens(), done.completionTokens(), 1);
+      UsageRecord record =
+          new UsageRecord(request.requestId(), request.caller().workspace(), figures);
+      ledger.add(record, run.vm());
+      run.delivered(ledger.writerId(), wire(record));
+      lengths.learn(request.caller().workspace(), request.className(), done.completionTokens());
+      boolean attained = isAttained();
+      count(request.className(), attained ? "attained" : "late", "");
+      logger.atInfo().log(
+          "end request=%s workspace=%s class=%s vm=%s promptTokens=%d completionTokens=%d"
+              + " cachedTokens=%d firstTokenMillis=%d totalMillis=%d attained=%s",
+          request.requestId(),
+          request.caller().workspace(),
+          request.className(),
+          run.vm(),
+          done.promptTokens(),
+          done.completionTokens(),
+          done.cachedTokens(),
+          firstTokenMillis - startMillis,
+          timer.nowMillis() - startMillis,
+          attained);
+      decisions.ended(request.requestId(), 0, "finished at " + run.vm());
+    }
+
+    /** Counts a request that has ended without a whole answer. */
+    public void refused(Refusal refusal, ModelRun run) {
+      Accounting.this.refused(
+          request.requestId(), request.caller().workspace(), request.className(), refusal);
+      if (run.relayedTokens() > 0) {
+        metrics.counter("limpetvale.wasted.tokens").increment(run.relayedTokens());
+        ledger.unproved(request.caller().workspace(), request.requestId(), run.relayedTokens());
+      }
+    }
+
+    private boolean isAttained() {
+      long first = firstTokenMillis - startMillis;
+      long streamMillis = timer.nowMillis() - firstTokenMillis;
+      double gapMillis = tokens > 1 ? streamMillis / (double) (tokens - 1) : 0;
+      return first <= request.level().firstTokenTargetMillis()
+          && gapMillis <= request.level().tokenGapTargetMillis();
+    }
+  }
+
+  private static org.limpetvale.wire.UsageRecord wire(UsageRecord record) {
+    return org.limpetvale.wire.UsageRecord.newBuilder()
+        .setRecordId(record.recordId())
+        .setWorkspace(record.workspace())
+        .setPromptTokens(record.figures().promptTokens())
+        .setCompletionTokens(record.figures().completionTokens())
+        .setCalls(record.figures().calls())
+        .build();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/request/Authenticator.java
@@ -0,0 +1,96 @@
+package org.limpetvale.entry.request;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.limpetvale.core.config.ConfigState;
+import org.limpetvale.core.config.KeyGrant;
+import org.limpetvale.core.config.WorkspaceParameters;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.Result;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.daemon.Digests;
+import org.limpetvale.entry.config.ConfigHolder;
+import org.limpetvale.entry.config.Freshness;
+
+/** Finds out whom a request runs for. */
+public final class Authenticator {
+  private static final String SCHEME = "Bearer ";
+  private static final int LONGEST_HEADER = 256;
+  private static final long STALE_RETRY_AFTER_MILLIS = 2000;
+
+  private final ConfigHolder config;
+  private final Freshness freshness;
+  private final Digests digests;
+  private final List<String> operatorKeyDigests;
+
+  /** Creates an authenticator. */
+  public Authenticator(
+      ConfigHolder config, Freshness freshness, Digests digests, List<String> operatorKeyDigests) {
+    this.config = Objects.requireNonNull(config, "config is null");
+    this.freshness = Objects.requireNonNull(freshness, "freshness is null");
+    this.digests = Objects.requireNonNull(digests, "digests is null");
+    this.operatorKeyDigests = List.copyOf(operatorKeyDigests);
+  }
+
+  /**
+   * Finds the workspace of a key.
+   *
+   * @param authorization value of the Authorization header; null when there was none
+   */
+  public Result<Caller> byKey(String authorization) {
+    Optional<String> key = key(authorization);
+    if (key.isEmpty()) {
+      return Result.err(ResultCode.KEY_MISSING, "send the header Authorization: Bearer KEY");
+    }
+    if (!freshness.mayServe()) {
+      return Result.err(
+          Refusal.of(
+              ResultCode.CONFIG_STALE,
+              "keys cannot be confirmed to be in force",
+              STALE_RETRY_AFTER_MILLIS));
+    }
+    ConfigState state = config.current();
+    String digest = digests.digest(key.get());
+    return state
+        .grant(digest)
+        .filter(grant -> Digests.same(grant.digest(), digest))
+        .flatMap(grant -> caller(state, grant))
+        .map(Result::ok)
+        .orElseGet(() -> Result.err(ResultCode.KEY_UNKNOWN, "the key is not in force"));
+  }
+
+  /** Finds the workspace that opens a route to all, if one does. */
+  public Optional<Caller> byOpenRoute(String service, String method, String path) {
+    ConfigState state = config.current();
+    return state
+        .openRoute(service, method, path)
+        .map(parameters -> new Caller(state, parameters, Optional.empty()));
+  }
+
+  /** Tells whether a key is an operator's. */
+  public Result<String> operator(String authorization) {
+    String digest = key(authorization).map(digests::digest).orElse("");
+    return operatorKeyDigests.stream()
+        .filter(each -> Digests.same(each, digest))
+        .findFirst()
+        .map(each -> Result.ok(each.substring(0, Math.min(8, each.length()))))
+        .orElseGet(
+            () -> Result.err(ResultCode.OPERATOR_KEY_REFUSED, "the key is not an operator's"));
+  }
+
+  private static Optional<String> key(String authorization) {
+    if (authorization == null
+        || authorization.length() > LONGEST_HEADER
+        || !authorization.startsWith(SCHEME)) {
+      return Optional.empty();
+    }
+    String key = authorization.substring(SCHEME.length()).trim();
+    return key.isEmpty() ? Optional.empty() : Optional.of(key);
+  }
+
+  private static Optional<Caller> caller(ConfigState state, KeyGrant grant) {
+    Optional<WorkspaceParameters> parameters = state.workspace(grant.workspace());
+    return parameters.map(found -> new Caller(state, found, Optional.of(grant.digest())));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/request/Claims.java
@@ -0,0 +1,251 @@
+package org.limpetvale.entry.request;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.repeat.ClaimDecision;
+import org.limpetvale.core.repeat.ClaimRow;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.Result;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.daemon.Digests;
+import org.limpetvale.daemon.Ids;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+
+/**
+ * Claims of calls that may not be repeated: a call runs only after a conditional insert into the
+ * table, so that it runs at most once whichever entries its repeats come through.
+ */
+public final class Claims {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String PREFIX = "claims/";
+  private static final long RESOLVE_MILLIS = 3000;
+  private static final long CONCLUDE_MILLIS = 1000;
+  private static final long CONCLUDE_RETRY_MILLIS = 2000;
+  private static final int MOST_CONCLUDE_TRIES = 300;
+  private static final int MOST_RACES = 10;
+  private static final long RETRY_AFTER_MILLIS = 1000;
+
+  /** Time without a change after which a claim's holder counts as gone, in milliseconds. */
+  private static final long ABANDONED_MILLIS = 60_000;
+
+  private static final int MOST_REMEMBERED = 10_000;
+
+  private final Table table;
+  private final ResolvedCommit commits;
+  private final Digests digests;
+  private final TimerService timer;
+  private final Map<String, Seen> firstSeen = new ConcurrentHashMap<>();
+  private final Map<String, ClaimRow> finished = new ConcurrentHashMap<>();
+
+  private record Seen(long revision, long atMillis) {}
+
+  /** Creates the claims of one entry. */
+  public Claims(Table table, ResolvedCommit commits, Digests digests, TimerService timer) {
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.commits = Objects.requireNonNull(commits, "commits is null");
+    this.digests = Objects.requireNonNull(digests, "digests is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+  }
+
+  /** What came of asking for a claim. */
+  public sealed interface Grant {
+    /** The call is this process's to run, once; it must be concluded. */
+    record Run(Held held) implements Grant {}
+
+    /** The call ran before; its answer is repeated. */
+    record Repeat(ClaimRow.StoredAnswer answer) implements Grant {}
+  }
+
+  /**
+   * A claim that this process holds.
+   *
+   * @param key key of the row
+   * @param revision revision of the row
+   * @param row the row
+   */
+  public record Held(String key, long revision, ClaimRow row) {}
+
+  /**
+   * Claims a call.
+   *
+   * @param workspace the workspace
+   * @param idempotencyKey the caller's key for the call
+   * @param description method and path
+   * @param body body of the call
+   */
+  public Result<Grant> claim(
+      String workspace, String idempotencyKey, String description, byte[] body) {
+    String key = PREFIX + workspace + "/" + digests.digest(workspace + "\n" + idempotencyKey);
+    String bodyDigest = digests.digest(description, body);
+    for (int race = 0; race < MOST_RACES; race++) {
+      Read<Optional<Row>> read = table.get(key);
+      if (!(read instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+        return withoutTable(key, bodyDigest);
+      }
+      Optional<ClaimRow> standing =
+          row.map(each -> StrictJson.stored(each.value(), ClaimRow.class));
+      switch (ClaimDecision.of(standing, bodyDigest)) {
+        case ClaimDecision.Answer(ClaimRow.StoredAnswer answer) -> {
+          return Result.ok(new Grant.Repeat(answer));
+        }
+        case ClaimDecision.OtherBody() -> {
+          return Result.err(ResultCode.KEY_REUSED, "the key belongs to another call");
+        }
+        case ClaimDecision.MayHaveRun() -> {
+          return Result.err(ResultCode.REPEAT_UNRESOLVED, "the earlier call was not resolved");
+        }
+        case ClaimDecision.Running() -> {
+          return running(row.orElseThrow(), standing.orElseThrow());
+        }
+        case ClaimDecision.Run() -> {
+          Optional<Result<Grant>> outcome = insert(key, bodyDigest, row);
+          if (outcome.isPresent()) {
+            return outcome.get();
+          }
+        }
+      }
+    }
+    return notRun("too many repeats of the call at once");
+  }
+
+  /** Concludes a claim with the answer of the call. */
+  public void finish(Held held, ClaimRow.StoredAnswer answer) {
+    ClaimRow row = held.row().finished(answer);
+    if (finished.size() < MOST_REMEMBERED) {
+      finished.put(held.key(), row);
+    }
+    conclude(held, row, 0);
+  }
+
+  /** Concludes a claim whose call certainly did not run. */
+  public void release(Held held) {
+    conclude(held, held.row().in(ClaimRow.State.RELEASED), 0);
+  }
+
+  /** Concludes a claim whose call may have run. */
+  public void unknown(Held held) {
+    conclude(held, held.row().in(ClaimRow.State.UNKNOWN), 0);
+  }
+
+  // -- parts
+
+  /** Inserts a claim; empty when another write came first. */
+  private Optional<Result<Grant>> insert(String key, String bodyDigest, Optional<Row> standing) {
+    ClaimRow row = ClaimRow.claimed(Ids.next(), bodyDigest);
+    long revision = standing.map(Row::revision).orElse(0L);
+    ResolvedCommit.Outcome outcome =
+        commits.commit(
+            Transaction.put(key, revision, StrictJson.write(row)),
+            key,
+            value -> isMine(value, row),
+            RESOLVE_MILLIS);
+    return switch (outcome) {
+      case ResolvedCommit.Outcome.Applied(long newRevision) ->
+          Optional.of(Result.ok(new Grant.Run(new Held(key, newRevision, row))));
+      case ResolvedCommit.Outcome.Conflict() -> Optional.empty();
+      case ResolvedCommit.Outcome.NotApplied(String detail) -> Optional.of(notRun(detail));
+      case ResolvedCommit.Outcome.Unresolved(String detail) -> {
+        withdrawLater(key, revision, row, 0);
+        yield Optional.of(notRun(detail));
+      }
+    };
+  }
+
+  private Result<Grant> running(Row row, ClaimRow claim) {
+    Seen seen =
+        firstSeen.compute(
+            row.key(),
+            (key, old) ->
+                old != null && old.revision() == row.revision()
+                    ? old
+                    : new Seen(row.revision(), timer.nowMillis()));
+    if (timer.nowMillis() - seen.atMillis() > ABANDONED_MILLIS) {
+      table.commit(
+          Transaction.put(
+              row.key(), row.revision(), StrictJson.write(claim.in(ClaimRow.State.UNKNOWN))));
+      return Result.err(ResultCode.REPEAT_UNRESOLVED, "the process that ran the call is gone");
+    }
+    return Result.err(
+        Refusal.of(ResultCode.REPEAT_RUNNING, "the earlier call is running", RETRY_AFTER_MILLIS));
+  }
+
+  private Result<Grant> withoutTable(String key, String bodyDigest) {
+    ClaimRow known = finished.get(key);
+    if (known != null && known.bodyDigest().equals(bodyDigest)) {
+      return Result.ok(new Grant.Repeat(known.answer().orElseThrow()));
+    }
+    return notRun("the table does not answer");
+  }
+
+  private static Result<Grant> notRun(String detail) {
+    return Result.err(Refusal.of(ResultCode.TABLE_UNAVAILABLE, detail, RETRY_AFTER_MILLIS));
+  }
+
+  /** Writes the conclusion now, and again later while the table does not answer. */
+  private void conclude(Held held, ClaimRow row, int tries) {
+    ResolvedCommit.Outcome outcome =
+        commits.commit(
+            Transaction.put(held.key(), held.revision(), StrictJson.write(row)),
+            held.key(),
+            value -> StrictJson.stored(value, ClaimRow.class).equals(row),
+            CONCLUDE_MILLIS);
+    switch (outcome) {
+      case ResolvedCommit.Outcome.Applied ignored -> firstSeen.remove(held.key());
+      case ResolvedCommit.Outcome.Conflict() -> afterConflict(held, row, tries);
+      default -> {
+        if (tries >= MOST_CONCLUDE_TRIES) {
+          logger.atSevere().log("claim %s stays open: the table does not answer", held.key());
+          return;
+        }
+        timer.after(CONCLUDE_RETRY_MILLIS, () -> conclude(held, row, tries + 1));
+      }
+    }
+  }
+
+  /** A repeat may have marked the claim as unknown; the holder knows better. */
+  private void afterConflict(Held held, ClaimRow row, int tries) {
+    Optional<Row> standing = table.get(held.key()).toOptional().flatMap(found -> found);
+    standing
+        .filter(each -> isMine(each.value(), held.row()))
+        .filter(each -> each.revision() != held.revision())
+        .ifPresent(
+            each -> conclude(new Held(held.key(), each.revision(), held.row()), row, tries + 1));
+  }
+
+  /** Takes back a claim whose insert was not resolved; its call has not run. */
+  private void withdrawLater(String key, long revision, ClaimRow row, int tries) {
+    timer.after(
+        CONCLUDE_RETRY_MILLIS,
+        () -> {
+          ClaimRow released = row.in(ClaimRow.State.RELEASED);
+          ResolvedCommit.Outcome outcome =
+              commits.commit(
+                  Transaction.put(key, revision, StrictJson.write(released)),
+                  key,
+                  value -> StrictJson.stored(value, ClaimRow.class).equals(released),
+                  CONCLUDE_MILLIS);
+          if (outcome instanceof ResolvedCommit.Outcome.Conflict) {
+            Optional<Row> standing = table.get(key).toOptional().flatMap(found -> found);
+            standing
+                .filter(each -> isMine(each.value(), row))
+                .ifPresent(each -> release(new Held(key, each.revision(), row)));
+          } else if (!(outcome instanceof ResolvedCommit.Outcome.Applied)
+              && tries < MOST_CONCLUDE_TRIES) {
+            withdrawLater(key, revision, row, tries + 1);
+          }
+        });
+  }
+
+  private static boolean isMine(String value, ClaimRow row) {
+    return StrictJson.stored(value, ClaimRow.class).token().equals(row.token());
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/request/Dispatcher.java
@@ -0,0 +1,133 @@
+package org.limpetvale.entry.request;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.limpetvale.core.routing.Candidate;
+import org.limpetvale.core.routing.RequestShape;
+import org.limpetvale.core.routing.RetryBudget;
+import org.limpetvale.core.routing.Router;
+import org.limpetvale.core.routing.Scored;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.entry.EntrySettings;
+import org.limpetvale.entry.RoutingSettings;
+import org.limpetvale.entry.config.ConfigHolder;
+import org.limpetvale.entry.upstream.RemoteAttempt;
+import org.limpetvale.entry.upstream.SidecarLink;
+import org.limpetvale.entry.upstream.SidecarPool;
+import org.limpetvale.wire.Open;
+
+/** Chooses a sidecar for an attempt and opens it; holds what all requests of an entry share. */
+public final class Dispatcher {
+  /** Tier, class and workspace of every request when tiers are switched off. */
+  private static final int SINGLE_TIER = 1;
+
+  private static final String SINGLE_NAME = "all";
+
+  private final EntrySettings settings;
+  private final String entryId;
+  private final SidecarPool pool;
+  private final ConfigHolder config;
+  private final DecisionBook decisions;
+  private final TimerService timer;
+  private final MeterRegistry metrics;
+  private final AtomicLong turns = new AtomicLong();
+  private final AtomicReference<RetryBudget> retries = new AtomicReference<>(RetryBudget.full());
+
+  /** Creates the dispatcher of one entry. */
+  public Dispatcher(
+      EntrySettings settings,
+      String entryId,
+      SidecarPool pool,
+      ConfigHolder config,
+      DecisionBook decisions,
+      TimerService timer,
+      MeterRegistry metrics) {
+    this.settings = Objects.requireNonNull(settings, "settings is null");
+    this.entryId = Objects.requireNonNull(entryId, "entryId is null");
+    this.pool = Objects.requireNonNull(pool, "pool is null");
+    this.config = Objects.requireNonNull(config, "config is null");
+    this.decisions = Objects.requireNonNull(decisions, "decisions is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+  }
+
+  /**
+   * Opens an attempt at the best sidecar.
+   *
+   * @param poolName model or service
+   * @param open the offer, without what the dispatcher fills in
+   * @param excluded VMs that have refused or failed the request
+   * @return the attempt, or empty when no sidecar is left
+   */
+  Optional<RemoteAttempt> open(String poolName, Open.Builder open, Set<String> excluded) {
+    List<SidecarLink> links =
+        pool.serving(poolName).stream()
+            .filter(link -> !excluded.contains(link.vm().name()))
+            .toList();
+    int tier = settings.routing().tiers() ? open.getTier() : SINGLE_TIER;
+    List<Candidate> candidates = links.stream().map(link -> link.candidate(tier)).toList();
+    RequestShape shape =
+        new RequestShape(
+            settings.identity().zone(),
+            open.hasModelCall() ? open.getModelCall().getPrefixHash() : 0,
+            turns.incrementAndGet());
+    List<Scored> ordered = Router.order(candidates, shape, settings.routing().routingPolicy());
+    if (ordered.isEmpty()) {
+      return Optional.empty();
+    }
+    decisions.chose(
+        open.getRequestId(),
+        open.getAttempt(),
+        open.getWorkspace(),
+        open.getRequestClass(),
+        ordered);
+    open.setConfigVersion(config.current().version()).setEntryId(entryId);
+    if (!settings.routing().tiers()) {
+      open.setTier(SINGLE_TIER)
+          .setFloorShare(0)
+          .setWorkspace(SINGLE_NAME)
+          .setRequestClass(SINGLE_NAME)
+          .setOverBudget(false);
+    }
+    String chosen = ordered.getFirst().candidate().vm();
+    SidecarLink link =
+        links.stream().filter(each -> each.vm().name().equals(chosen)).findFirst().orElseThrow();
+    return Optional.of(RemoteAttempt.open(link, open.build(), timer));
+  }
+
+  /** Returns the most offers that one request may make. */
+  int mostOffers() {
+    RoutingSettings routing = settings.routing();
+    return routing.mostOffers();
+  }
+
+  /** Takes a retry from the budget; false when it is spent. */
+  boolean takeRetry() {
+    RetryBudget before =
+        retries.getAndUpdate(budget -> budget.allows() ? budget.afterRetry() : budget);
+    metrics.counter("limpetvale.retries", "granted", String.valueOf(before.allows())).increment();
+    return before.allows();
+  }
+
+  /** Notes a success, which earns part of a retry. */
+  void success() {
+    retries.updateAndGet(RetryBudget::afterSuccess);
+  }
+
+  DecisionBook decisions() {
+    return decisions;
+  }
+
+  TimerService timer() {
+    return timer;
+  }
+
+  MeterRegistry metrics() {
+    return metrics;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/request/ModelRuns.java
@@ -0,0 +1,48 @@
+package org.limpetvale.entry.request;
+
+import java.util.Objects;
+
+/** Starts model requests with what an entry's requests share. */
+public final class ModelRuns {
+  private final Dispatcher dispatcher;
+  private final SuspectBook suspects;
+  private final LengthEstimates lengths;
+  private final Budgets budgets;
+  private final Accounting accounting;
+
+  /** Creates the starter of one entry. */
+  public ModelRuns(
+      Dispatcher dispatcher,
+      SuspectBook suspects,
+      LengthEstimates lengths,
+      Budgets budgets,
+      Accounting accounting) {
+    this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher is null");
+    this.suspects = Objects.requireNonNull(suspects, "suspects is null");
+    this.lengths = Objects.requireNonNull(lengths, "lengths is null");
+    this.budgets = Objects.requireNonNull(budgets, "budgets is null");
+    this.accounting = Objects.requireNonNull(accounting, "accounting is null");
+  }
+
+  /** Starts a request. */
+  public ModelRun start(ModelRequest request) {
+    long estimate =
+        lengths.estimate(
+            request.caller().workspace(),
+            request.className(),
+            request.body().length,
+            request.maxTokens());
+    boolean overBudget = budgets.chargeIsOver(request.caller().parameters(), estimate);
+    return new ModelRun(request, dispatcher, suspects, estimate, overBudget);
+  }
+
+  /** Returns the accounting of the entry. */
+  public Accounting accounting() {
+    return accounting;
+  }
+
+  /** Returns the dispatcher of the entry. */
+  public Dispatcher dispatcher() {
+    return dispatcher;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/request/ServiceRequest.java
@@ -0,0 +1,41 @@
+package org.limpetvale.entry.request;
+
+import java.util.List;
+import java.util.Objects;
+import org.limpetvale.core.config.RequestClass;
+import org.limpetvale.wire.Header;
+
+/**
+ * A checked call of a plain service.
+ *
+ * @param requestId the request
+ * @param caller whom it runs for
+ * @param className name of its class
+ * @param level service level of the class
+ * @param service the service
+ * @param method HTTP method
+ * @param path path and query below the service
+ * @param headers headers to pass on; none of them carries a key
+ * @param body body
+ * @param repeatable whether the call may run more than once
+ */
+public record ServiceRequest(
+    String requestId,
+    Caller caller,
+    String className,
+    RequestClass level,
+    String service,
+    String method,
+    String path,
+    List<Header> headers,
+    byte[] body,
+    boolean repeatable) {
+  public ServiceRequest {
+    Objects.requireNonNull(requestId, "requestId is null");
+    Objects.requireNonNull(caller, "caller is null");
+    Objects.requireNonNull(level, "level is null");
+    Objects.requireNonNull(service, "service is null");
+    headers = List.copyOf(headers);
+    Objects.requireNonNull(body, "body is null");
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/request/ServiceRun.java
@@ -0,0 +1,189 @@
+package org.limpetvale.entry.request;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.limpetvale.core.result.Ran;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.Result;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.entry.upstream.Next;
+import org.limpetvale.entry.upstream.RemoteAttempt;
+import org.limpetvale.wire.Failed;
+import org.limpetvale.wire.Open;
+import org.limpetvale.wire.RunEvent;
+import org.limpetvale.wire.ServiceAnswer;
+import org.limpetvale.wire.ServiceCall;
+
+/**
+ * A running call of a plain service.
+ *
+ * <p>A call that may not be repeated is offered again only while every sidecar so far has proved
+ * that it did not run.
+ */
+public final class ServiceRun {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long POLL_MILLIS = 1000;
+  private static final long RETRY_AFTER_MILLIS = 1000;
+
+  private final ServiceRequest request;
+  private final Dispatcher dispatcher;
+  private final long startedMillis;
+  private final Set<String> excluded = new HashSet<>();
+  private int attemptNumber;
+  private volatile RemoteAttempt attempt;
+  private volatile Refusal stopped;
+
+  /** Creates a run that has not been offered yet. */
+  public ServiceRun(ServiceRequest request, Dispatcher dispatcher) {
+    this.request = Objects.requireNonNull(request, "request is null");
+    this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher is null");
+    this.startedMillis = dispatcher.timer().nowMillis();
+  }
+
+  /** How one attempt ended. */
+  private sealed interface Ending {
+    record Answered(ServiceAnswer answer) implements Ending {}
+
+    record NotRun(Refusal refusal) implements Ending {}
+
+    record MayHaveRun(Refusal refusal) implements Ending {}
+
+    record Stopped(Refusal refusal) implements Ending {}
+  }
+
+  /** Runs the call; the refusal tells truly whether it ran. */
+  public Result<ServiceAnswer> run() throws InterruptedException {
+    Refusal last =
+        Refusal.of(ResultCode.NO_UPSTREAM, "no upstream is available", RETRY_AFTER_MILLIS);
+    boolean mayHaveRun = false;
+    for (int offer = 0; offer < dispatcher.mostOffers() && stopped == null; offer++) {
+      Optional<RemoteAttempt> opened = dispatcher.open(request.service(), offer(), excluded);
+      if (opened.isEmpty()) {
+        break;
+      }
+      attempt = opened.get();
+      attemptNumber++;
+      Ending ending;
+      try {
+        ending = await(attempt);
+      } finally {
+        attempt.close();
+      }
+      excluded.add(attempt.link().vm().name());
+      switch (ending) {
+        case Ending.Answered(ServiceAnswer answer) -> {
+          dispatcher.success();
+          return Result.ok(answer);
+        }
+        case Ending.Stopped(Refusal refusal) -> {
+          return Result.err(refusal);
+        }
+        case Ending.NotRun(Refusal refusal) -> last = refusal;
+        case Ending.MayHaveRun(Refusal refusal) -> {
+          last = refusal;
+          mayHaveRun = true;
+          if (!request.repeatable() || !dispatcher.takeRetry()) {
+            return Result.err(refusal.withRan(Ran.MAY_HAVE_RUN));
+          }
+        }
+      }
+    }
+    Refusal refusal = stopped == null ? last : stopped.withRan(Ran.NOT_RUN);
+    return Result.err(mayHaveRun ? refusal.withRan(Ran.MAY_HAVE_RUN) : refusal);
+  }
+
+  /** Stops the call from another thread. */
+  public void stop(Refusal refusal) {
+    stopped = refusal;
+    RemoteAttempt current = attempt;
+    if (current != null) {
+      current.stop(refusal);
+    }
+  }
+
+  private Ending await(RemoteAttempt current) throws InterruptedException {
+    if (stopped != null) {
+      current.stop(stopped);
+    }
+    ServiceAnswer answer = null;
+    while (true) {
+      switch (current.next(POLL_MILLIS)) {
+        case Next.Idle() -> {
+          continue;
+        }
+        case Next.Stopped(Refusal refusal) -> {
+          return new Ending.Stopped(refusal);
+        }
+        case Next.Lost(String detail) -> {
+          return new Ending.MayHaveRun(
+              Refusal.of(ResultCode.CONNECTION_LOST, detail, RETRY_AFTER_MILLIS));
+        }
+        case Next.Event(RunEvent event) -> {
+          if (event.hasServiceAnswer()) {
+            answer = event.getServiceAnswer();
+          }
+          Optional<Ending> ending = ending(event, answer);
+          if (ending.isPresent()) {
+            return ending.get();
+          }
+        }
+      }
+    }
+  }
+
+  private Optional<Ending> ending(RunEvent event, ServiceAnswer answer) {
+    return switch (event.getEventCase()) {
+      case FINISHED -> Optional.of(new Ending.Answered(answer));
+      case REFUSED ->
+          Optional.of(
+              new Ending.NotRun(
+                  new Refusal(
+                      code(event.getRefused().getCode()),
+                      event.getRefused().getDetail(),
+                      Ran.NOT_RUN,
+                      event.getRefused().getRetryAfterMillis())));
+      case FAILED -> Optional.of(failed(event.getFailed()));
+      case ACCEPTED, DISPATCHED, TOKEN, SERVICE_ANSWER, EVENT_NOT_SET -> Optional.empty();
+    };
+  }
+
+  private Ending failed(Failed failed) {
+    logger.atInfo().log(
+        "call failed request=%s notRun=%s detail=%s",
+        request.requestId(), failed.getNotRun(), failed.getDetail());
+    Refusal refusal = Refusal.of(code(failed.getCode()), failed.getDetail(), RETRY_AFTER_MILLIS);
+    return failed.getNotRun()
+        ? new Ending.NotRun(refusal.withRan(Ran.NOT_RUN))
+        : new Ending.MayHaveRun(refusal.withRan(Ran.MAY_HAVE_RUN));
+  }
+
+  private Open.Builder offer() {
+    long elapsedMillis = dispatcher.timer().nowMillis() - startedMillis;
+    return Open.newBuilder()
+        .setRequestId(request.requestId())
+        .setAttempt(attemptNumber)
+        .setWorkspace(request.caller().workspace())
+        .setRequestClass(request.className())
+        .setTier(request.level().tier())
+        .setMaxWaitMillis(Math.max(1, request.level().maxWaitMillis() - elapsedMillis))
+        .setEstimatedTokens(1)
+        .setFloorShare(request.level().floorShare())
+        .setWeight(request.caller().parameters().weight())
+        .setRepeatable(request.repeatable())
+        .setServiceCall(
+            ServiceCall.newBuilder()
+                .setService(request.service())
+                .setMethod(request.method())
+                .setPath(request.path())
+                .addAllHeaders(request.headers())
+                .setBody(ByteString.copyFrom(request.body())));
+  }
+
+  private static ResultCode code(int number) {
+    return ResultCode.ofNumber(number).orElse(ResultCode.INTERNAL);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/request/SuspectBook.java
@@ -0,0 +1,182 @@
+package org.limpetvale.entry.request;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.crash.Suspect;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.entry.config.SuspectNewsbox;
+import org.limpetvale.platform.Commit;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+import org.limpetvale.wire.SuspectNews;
+
+/**
+ * Requests that ran when an upstream crashed, shared among entries through the table and the
+ * exchange between peers.
+ */
+public final class SuspectBook implements SuspectNewsbox {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String PREFIX = "suspects/";
+  private static final long KEPT_MILLIS = 600_000;
+  private static final long NEWS_MILLIS = 10_000;
+  private static final long URGENT_MILLIS = 2000;
+  private static final long SWEEP_MILLIS = 10_000;
+  private static final int MOST_RACES = 5;
+
+  private final Table table;
+  private final TimerService timer;
+  private final Map<String, Entry> entries = new ConcurrentHashMap<>();
+
+  private record Entry(int crashes, long changedMillis) {}
+
+  /** Whether a request may run. */
+  public sealed interface Verdict {
+    /** It may run like any other. */
+    record Clear() implements Verdict {}
+
+    /** It may run as the only suspect at its upstream. */
+    record Trial() implements Verdict {}
+
+    /** Another process tries it now. */
+    record Busy() implements Verdict {}
+
+    /** It is not run again. */
+    record Condemned() implements Verdict {}
+  }
+
+  /** Creates an empty book. */
+  public SuspectBook(Table table, TimerService timer) {
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    timer.every(SWEEP_MILLIS, this::sweep);
+  }
+
+  // -- the request path
+
+  /** Judges a request; looks into the table only for known suspects. */
+  public Verdict judge(String digest, String holder) {
+    Entry known = entries.get(digest);
+    if (known == null || known.crashes() == 0) {
+      return new Verdict.Clear();
+    }
+    if (known.crashes() >= Suspect.MOST_CRASHES) {
+      return new Verdict.Condemned();
+    }
+    return claimTrial(digest, holder);
+  }
+
+  /** Notes that an upstream crashed while it ran a request. */
+  public void crashed(String digest) {
+    Entry entry =
+        entries.compute(
+            digest,
+            (key, old) -> new Entry((old == null ? 0 : old.crashes()) + 1, timer.nowMillis()));
+    logger.atWarning().log("suspect digest=%.16s crashes=%d", digest, entry.crashes());
+    for (int race = 0; race < MOST_RACES; race++) {
+      Optional<Optional<Row>> read = table.get(PREFIX + digest).toOptional();
+      if (read.isEmpty()) {
+        return;
+      }
+      Suspect next =
+          read.get()
+              .map(row -> StrictJson.stored(row.value(), Suspect.class).crashedAgain())
+              .orElseGet(() -> Suspect.first(digest));
+      note(digest, next.crashes());
+      if (write(next, read.get()) instanceof Commit.Committed) {
+        return;
+      }
+    }
+  }
+
+  /** Notes that a suspect has ended without a crash. */
+  public void cleared(String digest) {
+    entries.put(digest, new Entry(0, timer.nowMillis()));
+    Optional<Row> row = table.get(PREFIX + digest).toOptional().flatMap(found -> found);
+    row.ifPresent(
+        found ->
+            table.commit(
+                new Transaction(
+                    List.of(new Transaction.Check(found.key(), found.revision())),
+                    List.of(),
+                    List.of(found.key()))));
+  }
+
+  // -- news between peers
+
+  @Override
+  public List<SuspectNews> news() {
+    long nowMillis = timer.nowMillis();
+    return entries.entrySet().stream()
+        .filter(each -> nowMillis - each.getValue().changedMillis() < NEWS_MILLIS)
+        .map(
+            each ->
+                SuspectNews.newBuilder()
+                    .setDigest(each.getKey())
+                    .setCrashes(each.getValue().crashes())
+                    .build())
+        .toList();
+  }
+
+  @Override
+  public boolean hasNews() {
+    long nowMillis = timer.nowMillis();
+    return entries.values().stream()
+        .anyMatch(each -> nowMillis - each.changedMillis() < URGENT_MILLIS);
+  }
+
+  @Override
+  public void take(Collection<SuspectNews> news) {
+    news.forEach(each -> note(each.getDigest(), each.getCrashes()));
+  }
+
+  // -- parts
+
+  private Verdict claimTrial(String digest, String holder) {
+    Read<Optional<Row>> read = table.get(PREFIX + digest);
+    if (!(read instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+      // Without the table the count of this entry and its peers must do.
+      return new Verdict.Trial();
+    }
+    Suspect standing =
+        row.map(each -> StrictJson.stored(each.value(), Suspect.class))
+            .orElseGet(() -> Suspect.first(digest));
+    if (standing.condemned()) {
+      note(digest, standing.crashes());
+      return new Verdict.Condemned();
+    }
+    if (!standing.trialHolder().isEmpty() && !standing.trialHolder().equals(holder)) {
+      return new Verdict.Busy();
+    }
+    return write(standing.triedBy(holder), row) instanceof Commit.Conflict
+        ? new Verdict.Busy()
+        : new Verdict.Trial();
+  }
+
+  private Commit write(Suspect suspect, Optional<Row> standing) {
+    return table.commit(
+        Transaction.put(
+            PREFIX + suspect.digest(),
+            standing.map(Row::revision).orElse(0L),
+            StrictJson.write(suspect)));
+  }
+
+  private void note(String digest, int crashes) {
+    entries.merge(
+        digest,
+        new Entry(crashes, timer.nowMillis()),
+        (old, news) -> news.crashes() > old.crashes() ? news : old);
+  }
+
+  private void sweep() {
+    long nowMillis = timer.nowMillis();
+    entries.values().removeIf(each -> nowMillis - each.changedMillis() > KEPT_MILLIS);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/upstream/SidecarPool.java
@@ -0,0 +1,125 @@
+package org.limpetvale.entry.upstream;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.limpetvale.core.routing.Subset;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.daemon.Identity;
+import org.limpetvale.daemon.TransportSecurity;
+import org.limpetvale.entry.config.ConfigHolder;
+import org.limpetvale.platform.Vm;
+
+/** The links of this entry: for each model and service a subset of its sidecars. */
+public final class SidecarPool {
+  private final Identity identity;
+  private final String entryId;
+  private final int sidecarsPerPool;
+  private final TransportSecurity security;
+  private final TimerService timer;
+  private final FlushedRecords usage;
+  private final ConfigHolder config;
+  private final MeterRegistry metrics;
+  private final Map<String, SidecarLink> links = new ConcurrentHashMap<>();
+
+  /** Creates an empty pool. */
+  public SidecarPool(
+      Identity identity,
+      String entryId,
+      int sidecarsPerPool,
+      TransportSecurity security,
+      TimerService timer,
+      FlushedRecords usage,
+      ConfigHolder config,
+      MeterRegistry metrics) {
+    this.identity = Objects.requireNonNull(identity, "identity is null");
+    this.entryId = Objects.requireNonNull(entryId, "entryId is null");
+    this.sidecarsPerPool = sidecarsPerPool;
+    this.security = Objects.requireNonNull(security, "security is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.usage = Objects.requireNonNull(usage, "usage is null");
+    this.config = Objects.requireNonNull(config, "config is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+  }
+
+  /** Opens and closes links so that they follow the VM list. */
+  public synchronized void update(List<Vm> vms) {
+    Set<String> wanted = new HashSet<>();
+    vms.stream()
+        .filter(vm -> vm.role() != Vm.Role.ENTRY)
+        .collect(Collectors.groupingBy(Vm::pool))
+        .values()
+        .forEach(pool -> subset(pool).forEach(vm -> wanted.add(adopt(vm))));
+    links.entrySet().removeIf(entry -> dropUnwanted(entry.getValue(), wanted));
+  }
+
+  /** Returns the links to upstreams of a model or service. */
+  public List<SidecarLink> serving(String pool) {
+    return links.values().stream().filter(link -> link.serves(pool)).toList();
+  }
+
+  /** Returns all links. */
+  public Collection<SidecarLink> all() {
+    return links.values();
+  }
+
+  /** Finds the link to a VM. */
+  public Optional<SidecarLink> link(String vm) {
+    return Optional.ofNullable(links.get(vm));
+  }
+
+  /** Closes all links. */
+  public void close() {
+    links.values().forEach(SidecarLink::close);
+  }
+
+  private List<Vm> subset(List<Vm> pool) {
+    return Subset.choose(pool, identity.vm(), identity.zone(), sidecarsPerPool, Vm::name, Vm::zone);
+  }
+
+  private String adopt(Vm vm) {
+    SidecarLink old = links.get(vm.name());
+    if (old != null && old.vm().address().equals(vm.address())) {
+      old.setLeaving(vm.leaving());
+      return vm.name();
+    }
+    if (old != null) {
+      old.close();
+    }
+    links.put(
+        vm.name(),
+        new SidecarLink(vm, entryId, security, timer, usage, new InForce(config), metrics));
+    return vm.name();
+  }
+
+  private static boolean dropUnwanted(SidecarLink link, Set<String> wanted) {
+    if (wanted.contains(link.vm().name())) {
+      return false;
+    }
+    link.setLeaving(true);
+    if (link.openAttempts() > 0) {
+      return false;
+    }
+    link.close();
+    return true;
+  }
+
+  private record InForce(ConfigHolder config) implements SidecarLink.ConfigVersion {
+    @Override
+    public long current() {
+      return config.current().version();
+    }
+
+    @Override
+    public void heard(long version) {
+      // A newer version is fetched by the next poll of the table or a peer.
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/upstream/VmDirectory.java
@@ -0,0 +1,67 @@
+package org.limpetvale.entry.upstream;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.Vm;
+import org.limpetvale.platform.VmList;
+
+/** The VM list as last read; it stays in force while the list does not answer. */
+public final class VmDirectory {
+  private static final long PERIOD_MILLIS = 1000;
+
+  private final VmList source;
+  private final TimerService timer;
+  private final AtomicReference<List<Vm>> vms = new AtomicReference<>(List.of());
+  private final List<Consumer<List<Vm>>> listeners = new CopyOnWriteArrayList<>();
+  private volatile boolean everRead;
+
+  /** Creates a directory that has read nothing yet. */
+  public VmDirectory(VmList source, TimerService timer) {
+    this.source = Objects.requireNonNull(source, "source is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+  }
+
+  /** Reads once, then goes on in the background. */
+  public void start() {
+    refresh();
+    timer.every(PERIOD_MILLIS, this::refresh);
+  }
+
+  /** Calls a listener after each change of the list. */
+  public void subscribe(Consumer<List<Vm>> listener) {
+    listeners.add(Objects.requireNonNull(listener, "listener is null"));
+    listener.accept(vms.get());
+  }
+
+  /** Returns the list. */
+  public List<Vm> all() {
+    return vms.get();
+  }
+
+  /** Returns the other entries. */
+  public List<Vm> peers(String selfVm) {
+    return vms.get().stream()
+        .filter(vm -> vm.role() == Vm.Role.ENTRY && !vm.name().equals(selfVm))
+        .toList();
+  }
+
+  /** Tells whether a VM is known to be gone: the list has been read and lacks it. */
+  public boolean isGone(String vm) {
+    return everRead && vms.get().stream().noneMatch(each -> each.name().equals(vm));
+  }
+
+  private void refresh() {
+    if (source.list() instanceof Read.Found<List<Vm>>(List<Vm> read)) {
+      everRead = true;
+      List<Vm> old = vms.getAndSet(read);
+      if (!old.equals(read)) {
+        listeners.forEach(each -> each.accept(read));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to sidecars and what is known of the upstreams. */
+package org.limpetvale.entry.upstream;
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/usage/UsageLedger.java
@@ -0,0 +1,248 @@
+package org.limpetvale.entry.usage;
+
+import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.core.usage.UsageBatch;
+import org.limpetvale.core.usage.UsageFigures;
+import org.limpetvale.core.usage.UsageRecord;
+import org.limpetvale.daemon.Ids;
+import org.limpetvale.entry.upstream.FlushedRecords;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Transaction;
+
+/**
+ * The usage records of this entry on their way to the table.
+ *
+ * <p>A batch is written in one transaction that also checks that its window is open and that this
+ * writer has not been closed by a recovery. A batch whose answer was lost is written again
+ * unchanged.
+ */
+public final class UsageLedger implements FlushedRecords {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long RESOLVE_MILLIS = 3000;
+  private static final int MOST_RECORDS = 2000;
+
+  private final ResolvedCommit commits;
+  private final TimerService timer;
+  private final MeterRegistry metrics;
+  private final String entryId;
+  private final long windowMillis;
+  private final AtomicReference<Writer> writer;
+  private final Map<String, Pending> pending = new LinkedHashMap<>();
+  private final Map<String, List<String>> flushedByVm = new ConcurrentHashMap<>();
+  private final Map<String, Set<String>> orphans = new ConcurrentHashMap<>();
+  private UsageBatchPlan inDoubt;
+
+  /** A writer's row: its name and the revision that its batches check; 0 before it is written. */
+  private record Writer(String id, long revision) {}
+
+  private record Pending(UsageRecord record, String vm) {}
+
+  private record UsageBatchPlan(UsageBatch batch, List<Pending> records, Writer writer) {}
+
+  /** Creates the ledger of one entry. */
+  public UsageLedger(
+      ResolvedCommit commits,
+      TimerService timer,
+      MeterRegistry metrics,
+      String entryId,
+      long windowMillis,
+      long flushMillis) {
+    this.commits = Objects.requireNonNull(commits, "commits is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+    this.entryId = Objects.requireNonNull(entryId, "entryId is null");
+    this.windowMillis = windowMillis;
+    this.writer = new AtomicReference<>(newWriter(entryId));
+    timer.every(flushMillis, this::flush);
+  }
+
+  // -- the request path
+
+  /** Adds a record of an answer that the caller has whole. */
+  public synchronized void add(UsageRecord record, String vm) {
+    pending.put(record.recordId(), new Pending(record, vm));
+  }
+
+  /** Counts what cannot be proved, such as the tokens of an answer that was cut. */
+  public void unproved(String workspace, String requestId, long tokens) {
+    metrics.counter("limpetvale.usage.unproved.tokens").increment(tokens);
+    logger.atWarning().log(
+        "usage not proved workspace=%s request=%s tokens=%d", workspace, requestId, tokens);
+  }
+
+  // -- links
+
+  @Override
+  public String writerId() {
+    return writer.get().id();
+  }
+
+  @Override
+  public List<String> takeFlushed(String vm) {
+    List<String> flushed = flushedByVm.remove(vm);
+    return flushed == null ? List.of() : flushed;
+  }
+
+  @Override
+  public void orphanSeen(String vm, String writerId) {
+    orphans.computeIfAbsent(writerId, ignored -> ConcurrentHashMap.newKeySet()).add(vm);
+  }
+
+  /** Takes the orphaned writers seen since the last call, with the VMs that hold their records. */
+  Map<String, Set<String>> takeOrphans() {
+    Map<String, Set<String>> taken = Map.copyOf(orphans);
+    taken.keySet().forEach(orphans::remove);
+    return taken;
+  }
+
+  // -- flushing
+
+  /** Writes what is pending; returns whether nothing is left. */
+  public synchronized boolean flush() {
+    if (inDoubt == null && pending.isEmpty()) {
+      return true;
+    }
+    if (!registered()) {
+      return false;
+    }
+    UsageBatchPlan plan = inDoubt == null ? plan() : inDoubt;
+    String key = UsageRows.batch(plan.batch().window(), plan.writer().id(), plan.batch().batchId());
+    Transaction transaction =
+        new Transaction(
+            List.of(
+                new Transaction.Check(key, 0),
+                new Transaction.Check(UsageRows.window(plan.batch().window()), 0),
+                new Transaction.Check(
+                    UsageRows.writer(plan.writer().id()), plan.writer().revision())),
+            List.of(new Transaction.Put(key, StrictJson.write(row(plan)))),
+            List.of());
+    ResolvedCommit.Outcome outcome =
+        commits.commit(transaction, key, value -> true, RESOLVE_MILLIS);
+    switch (outcome) {
+      case ResolvedCommit.Outcome.Applied ignored -> applied(plan);
+      case ResolvedCommit.Outcome.Conflict() -> conflicted(plan);
+      case ResolvedCommit.Outcome.NotApplied ignored -> {
+        if (inDoubt == null) {
+          return false;
+        }
+      }
+      case ResolvedCommit.Outcome.Unresolved ignored -> inDoubt = plan;
+    }
+    return pending.isEmpty() && inDoubt == null;
+  }
+
+  private UsageBatchPlan plan() {
+    List<Pending> records = pending.values().stream().limit(MOST_RECORDS).toList();
+    long window = timer.wallMillis() / windowMillis;
+    UsageBatch batch =
+        UsageBatch.of(Ids.next(), window, records.stream().map(Pending::record).toList());
+    return new UsageBatchPlan(batch, records, writer.get());
+  }
+
+  private static UsageRows.BatchRow row(UsageBatchPlan plan) {
+    return new UsageRows.BatchRow(
+        plan.batch(), plan.records().stream().map(each -> each.record().recordId()).toList());
+  }
+
+  private void applied(UsageBatchPlan plan) {
+    inDoubt = null;
+    for (Pending each : plan.records()) {
+      pending.remove(each.record().recordId());
+      flushedByVm.merge(each.vm(), List.of(each.record().recordId()), UsageLedger::concat);
+    }
+  }
+
+  /** The window was sealed or the writer closed; the next flush finds out which. */
+  private void conflicted(UsageBatchPlan plan) {
+    if (plan.equals(inDoubt)) {
+      String key =
+          UsageRows.batch(plan.batch().window(), plan.writer().id(), plan.batch().batchId());
+      switch (commits.read(key)) {
+        case Read.Unavailable<Optional<Row>> ignored -> {
+          return;
+        }
+        case Read.Found<Optional<Row>>(Optional<Row> row) when row.isPresent() -> {
+          applied(plan);
+          return;
+        }
+        case Read.Found<Optional<Row>> ignored -> inDoubt = null;
+      }
+    }
+    UsageRows.WriterRow row = readWriter(plan.writer().id());
+    if (row == null || !row.closed()) {
+      return;
+    }
+    // A recovery has taken over the records that sidecars hold for the closed writer.
+    logger.atWarning().log("usage writer %s was closed by a recovery", plan.writer().id());
+    long left =
+        pending.values().stream()
+            .map(each -> each.record().figures())
+            .mapToLong(UsageFigures::calls)
+            .sum();
+    metrics.counter("limpetvale.usage.handed.over.records").increment(left);
+    pending.clear();
+    writer.set(newWriter(entryId));
+  }
+
+  private UsageRows.WriterRow readWriter(String id) {
+    return commits
+        .read(UsageRows.writer(id))
+        .toOptional()
+        .flatMap(found -> found)
+        .map(row -> StrictJson.stored(row.value(), UsageRows.WriterRow.class))
+        .orElse(null);
+  }
+
+  private boolean registered() {
+    Writer current = writer.get();
+    if (current.revision() > 0) {
+      return true;
+    }
+    String key = UsageRows.writer(current.id());
+    ResolvedCommit.Outcome outcome =
+        commits.commit(
+            Transaction.put(key, 0, StrictJson.write(new UsageRows.WriterRow(entryId, false))),
+            key,
+            value -> true,
+            RESOLVE_MILLIS);
+    if (outcome instanceof ResolvedCommit.Outcome.Applied(long revision)) {
+      writer.set(new Writer(current.id(), revision));
+      return true;
+    }
+    if (outcome instanceof ResolvedCommit.Outcome.Conflict) {
+      commits
+          .read(key)
+          .toOptional()
+          .flatMap(found -> found)
+          .filter(row -> !StrictJson.stored(row.value(), UsageRows.WriterRow.class).closed())
+          .ifPresentOrElse(
+              row -> writer.set(new Writer(current.id(), row.revision())),
+              () -> writer.set(newWriter(entryId)));
+    }
+    return false;
+  }
+
+  private static Writer newWriter(String entryId) {
+    return new Writer(entryId.replace('/', '.') + "." + Ids.next().substring(0, 8), 0);
+  }
+
+  private static List<String> concat(List<String> a, List<String> b) {
+    List<String> all = new ArrayList<>(a);
+    all.addAll(b);
+    return List.copyOf(all);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/usage/UsageRecovery.java
@@ -0,0 +1,184 @@
+package org.limpetvale.entry.usage;
+
+import com.google.common.flogger.FluentLogger;
+import io.grpc.StatusRuntimeException;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.core.usage.UsageBatch;
+import org.limpetvale.core.usage.UsageFigures;
+import org.limpetvale.core.usage.UsageRecord;
+import org.limpetvale.daemon.Ids;
+import org.limpetvale.entry.upstream.SidecarLink;
+import org.limpetvale.entry.upstream.SidecarPool;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+
+/**
+ * Recovers the usage records that a lost entry has left at sidecars.
+ *
+ * <p>The lost writer is closed first, so that none of its batches can arrive any more; then the
+ * records that are in none of its batches are written.
+ */
+public final class UsageRecovery {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long PERIOD_MILLIS = 3000;
+  private static final long RESOLVE_MILLIS = 3000;
+  private static final long LOOK_BACK_MILLIS = 900_000;
+  private static final long MOST_WINDOWS = 400;
+  private static final int PAGE = 500;
+
+  private final UsageLedger ledger;
+  private final SidecarPool pool;
+  private final Table table;
+  private final ResolvedCommit commits;
+  private final TimerService timer;
+  private final MeterRegistry metrics;
+  private final long windowMillis;
+
+  /** Creates the recovery of one entry and starts its rounds. */
+  public UsageRecovery(
+      UsageLedger ledger,
+      SidecarPool pool,
+      Table table,
+      ResolvedCommit commits,
+      TimerService timer,
+      MeterRegistry metrics,
+      long windowMillis) {
+    this.ledger = Objects.requireNonNull(ledger, "ledger is null");
+    this.pool = Objects.requireNonNull(pool, "pool is null");
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.commits = Objects.requireNonNull(commits, "commits is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+    this.windowMillis = windowMillis;
+    timer.every(PERIOD_MILLIS, this::round);
+  }
+
+  /** The records of a writer that have been recovered from one sidecar. */
+  private record RecoveredRow(List<String> recordIds) {}
+
+  private synchronized void round() {
+    ledger.takeOrphans().forEach((writerId, vms) -> vms.forEach(vm -> recover(writerId, vm)));
+  }
+
+  private void recover(String writerId, String vm) {
+    Optional<SidecarLink> link = pool.link(vm);
+    if (link.isEmpty() || !closeWriter(writerId)) {
+      return;
+    }
+    try {
+      List<org.limpetvale.wire.UsageRecord> records =
+          link.get().takeOrphanedUsage(writerId, false).getRecordsList();
+      Optional<Set<String>> flushed = flushedBy(writerId);
+      if (flushed.isPresent() && write(writerId, vm, records, flushed.get())) {
+        link.get().takeOrphanedUsage(writerId, true);
+      }
+    } catch (StatusRuntimeException e) {
+      logger.atInfo().log("recovery of %s from %s failed: %s", writerId, vm, e.getStatus());
+    }
+  }
+
+  private boolean closeWriter(String writerId) {
+    String key = UsageRows.writer(writerId);
+    if (!(table.get(key) instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+      return false;
+    }
+    UsageRows.WriterRow standing =
+        row.map(each -> StrictJson.stored(each.value(), UsageRows.WriterRow.class))
+            .orElseGet(() -> new UsageRows.WriterRow(writerId, false));
+    if (standing.closed()) {
+      return true;
+    }
+    UsageRows.WriterRow closed = new UsageRows.WriterRow(standing.entryId(), true);
+    return commits.commit(
+            Transaction.put(key, row.map(Row::revision).orElse(0L), StrictJson.write(closed)),
+            key,
+            value -> StrictJson.stored(value, UsageRows.WriterRow.class).closed(),
+            RESOLVE_MILLIS)
+        instanceof ResolvedCommit.Outcome.Applied;
+  }
+
+  /** Returns the records in the batches of a closed writer. */
+  private Optional<Set<String>> flushedBy(String writerId) {
+    long current = timer.wallMillis() / windowMillis;
+    long windows = Math.min(MOST_WINDOWS, LOOK_BACK_MILLIS / windowMillis + 2);
+    Set<String> recordIds = new HashSet<>();
+    for (long window = current - windows; window <= current; window++) {
+      Read<List<Row>> read = table.scan(UsageRows.batches(window) + writerId + "/", "", PAGE);
+      if (!(read instanceof Read.Found<List<Row>>(List<Row> rows))) {
+        return Optional.empty();
+      }
+      rows.forEach(
+          row ->
+              recordIds.addAll(
+                  StrictJson.stored(row.value(), UsageRows.BatchRow.class).recordIds()));
+    }
+    return Optional.of(recordIds);
+  }
+
+  private boolean write(
+      String writerId,
+      String vm,
+      List<org.limpetvale.wire.UsageRecord> records,
+      Set<String> flushed) {
+    String recoveredKey = "usage/recovered/" + writerId + "/" + vm;
+    if (!(table.get(recoveredKey) instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+      return false;
+    }
+    List<String> done =
+        row.map(each -> StrictJson.stored(each.value(), RecoveredRow.class).recordIds())
+            .orElse(List.of());
+    List<UsageRecord> left =
+        records.stream()
+            .filter(each -> !flushed.contains(each.getRecordId()))
+            .filter(each -> !done.contains(each.getRecordId()))
+            .map(UsageRecovery::record)
+            .toList();
+    if (left.isEmpty()) {
+      return true;
+    }
+    List<String> ids = new ArrayList<>(done);
+    left.forEach(each -> ids.add(each.recordId()));
+    long window = timer.wallMillis() / windowMillis;
+    UsageBatch batch = UsageBatch.of(Ids.next(), window, left);
+    String batchKey = UsageRows.batch(window, "recovered." + writerId, batch.batchId());
+    UsageRows.BatchRow batchRow =
+        new UsageRows.BatchRow(batch, left.stream().map(UsageRecord::recordId).toList());
+    RecoveredRow recovered = new RecoveredRow(List.copyOf(ids));
+    Transaction transaction =
+        new Transaction(
+            List.of(
+                new Transaction.Check(recoveredKey, row.map(Row::revision).orElse(0L)),
+                new Transaction.Check(batchKey, 0),
+                new Transaction.Check(UsageRows.window(window), 0)),
+            List.of(
+                new Transaction.Put(recoveredKey, StrictJson.write(recovered)),
+                new Transaction.Put(batchKey, StrictJson.write(batchRow))),
+            List.of());
+    boolean written =
+        commits.commit(transaction, batchKey, value -> true, RESOLVE_MILLIS)
+            instanceof ResolvedCommit.Outcome.Applied;
+    if (written) {
+      metrics.counter("limpetvale.usage.recovered.records").increment(left.size());
+      logger.atInfo().log("recovered %d usage records of %s from %s", left.size(), writerId, vm);
+    }
+    return written;
+  }
+
+  private static UsageRecord record(org.limpetvale.wire.UsageRecord wire) {
+    return new UsageRecord(
+        wire.getRecordId(),
+        wire.getWorkspace(),
+        new UsageFigures(wire.getPromptTokens(), wire.getCompletionTokens(), wire.getCalls()));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/usage/UsageReporter.java
@@ -0,0 +1,250 @@
+package org.limpetvale.entry.usage;
+
+import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.limpetvale.core.config.StrictJson;
+import org.limpetvale.core.lease.OrderRow;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.core.usage.UsageBatch;
+import org.limpetvale.core.usage.UsageFigures;
+import org.limpetvale.core.usage.WindowRow;
+import org.limpetvale.daemon.Ids;
+import org.limpetvale.entry.control.FencedSender;
+import org.limpetvale.entry.control.LeaseKeeper;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+import org.limpetvale.platform.UsageSink;
+
+/**
+ * Seals the windows of usage and reports them, while it holds the lease of that duty.
+ *
+ * <p>A window is first closed, after which no batch can be added to it, then summed and sealed with
+ * its figures in one transaction. A report carries sealed figures only, so that it is the same
+ * whoever sends it and however often.
+ */
+public final class UsageReporter {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int PAGE = 500;
+  private static final int ROUNDS_PER_WINDOW = 4;
+  private static final long MOST_PERIOD_MILLIS = 2000;
+  private static final long RESOLVE_MILLIS = 2000;
+
+  /** Windows after which the batches of a reported window are deleted. */
+  private static final long BATCHES_KEPT_WINDOWS = 200;
+
+  private static final String CURSOR = "usage/cursor";
+
+  private final LeaseKeeper lease;
+  private final FencedSender sender;
+  private final Table table;
+  private final ResolvedCommit commits;
+  private final UsageSink sink;
+  private final TimerService timer;
+  private final MeterRegistry metrics;
+  private final long windowMillis;
+
+  /** Creates the reporter of one entry and starts its rounds. */
+  public UsageReporter(
+      LeaseKeeper lease,
+      FencedSender sender,
+      Table table,
+      ResolvedCommit commits,
+      UsageSink sink,
+      TimerService timer,
+      MeterRegistry metrics,
+      long windowMillis) {
+    this.lease = Objects.requireNonNull(lease, "lease is null");
+    this.sender = Objects.requireNonNull(sender, "sender is null");
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.commits = Objects.requireNonNull(commits, "commits is null");
+    this.sink = Objects.requireNonNull(sink, "sink is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+    this.windowMillis = windowMillis;
+    timer.every(Math.min(MOST_PERIOD_MILLIS, windowMillis / ROUNDS_PER_WINDOW), this::round);
+  }
+
+  /**
+   * How far the windows have been reported.
+   *
+   * @param next first window that has not been reported
+   */
+  private record Cursor(long next) {}
+
+  /** Returns the keeper of the duty's lease. */
+  public LeaseKeeper lease() {
+    return lease;
+  }
+
+  private synchronized void round() {
+    if (lease.held().isEmpty()) {
+      return;
+    }
+    Read<Optional<Row>> read = table.get(CURSOR);
+    if (!(read instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+      return;
+    }
+    long current = timer.wallMillis() / windowMillis;
+    Optional<Long> first =
+        row.map(each -> StrictJson.stored(each.value(), Cursor.class).next())
+            .or(this::firstWindowWithBatches);
+    if (first.isEmpty()) {
+      return;
+    }
+    long revision = row.map(Row::revision).orElse(0L);
+    for (long window = first.get(); window < current - 1; window++) {
+      if (!sealAndReport(window)) {
+        return;
+      }
+      Optional<Long> moved = moveCursor(window + 1, revision);
+      if (moved.isEmpty()) {
+        return;
+      }
+      revision = moved.get();
+      deleteBatches(window - BATCHES_KEPT_WINDOWS);
+    }
+  }
+
+  /** Finds the window to begin with when nothing has been reported yet. */
+  private Optional<Long> firstWindowWithBatches() {
+    return table
+        .scan(UsageRows.BATCHES, "", 1)
+        .toOptional()
+        .filter(rows -> !rows.isEmpty())
+        .map(rows -> StrictJson.stored(rows.getFirst().value(), UsageRows.BatchRow.class))
+        .map(row -> row.batch().window());
+  }
+
+  private Optional<Long> moveCursor(long next, long revision) {
+    String value = StrictJson.write(new Cursor(next));
+    ResolvedCommit.Outcome outcome =
+        commits.commit(
+            Transaction.put(CURSOR, revision, value), CURSOR, value::equals, RESOLVE_MILLIS);
+    return outcome instanceof ResolvedCommit.Outcome.Applied(long moved)
+        ? Optional.of(moved)
+        : Optional.empty();
+  }
+
+  // -- sealing
+
+  private boolean sealAndReport(long window) {
+    Optional<WindowRow> sealed = seal(window);
+    if (sealed.isEmpty()) {
+      return false;
+    }
+    return sealed.get().figures().isEmpty() || report(sealed.get());
+  }
+
+  /** Returns the sealed window, sealing it first if need be. */
+  private Optional<WindowRow> seal(long window) {
+    String key = UsageRows.window(window);
+    if (!(table.get(key) instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+      return Optional.empty();
+    }
+    Optional<WindowRow> standing =
+        row.map(each -> StrictJson.stored(each.value(), WindowRow.class));
+    if (standing.isPresent() && standing.get().sealed()) {
+      return standing;
+    }
+    long revision;
+    if (standing.isPresent()) {
+      revision = row.get().revision();
+    } else {
+      Optional<Long> closed = write(key, 0, WindowRow.closed(window, Ids.next()));
+      if (closed.isEmpty()) {
+        return Optional.empty();
+      }
+      revision = closed.get();
+    }
+    return sum(window)
+        .map(figures -> WindowRow.sealed(window, Ids.next(), figures))
+        .filter(finalRow -> write(key, revision, finalRow).isPresent());
+  }
+
+  private Optional<Long> write(String key, long revision, WindowRow row) {
+    Optional<LeaseKeeper.Held> held = lease.held();
+    if (held.isEmpty()) {
+      return Optional.empty();
+    }
+    Transaction transaction =
+        new Transaction(
+            List.of(
+                new Transaction.Check(key, revision),
+                new Transaction.Check(held.get().rowKey(), held.get().revision())),
+            List.of(new Transaction.Put(key, StrictJson.write(row))),
+            List.of());
+    ResolvedCommit.Outcome outcome =
+        commits.commit(
+            transaction,
+            key,
+            value -> StrictJson.stored(value, WindowRow.class).token().equals(row.token()),
+            RESOLVE_MILLIS);
+    return outcome instanceof ResolvedCommit.Outcome.Applied(long applied)
+        ? Optional.of(applied)
+        : Optional.empty();
+  }
+
+  private Optional<Map<String, UsageFigures>> sum(long window) {
+    List<UsageBatch> batches = new ArrayList<>();
+    String after = "";
+    while (true) {
+      Read<List<Row>> read = table.scan(UsageRows.batches(window), after, PAGE);
+      if (!(read instanceof Read.Found<List<Row>>(List<Row> rows))) {
+        return Optional.empty();
+      }
+      rows.forEach(
+          row -> batches.add(StrictJson.stored(row.value(), UsageRows.BatchRow.class).batch()));
+      if (rows.size() < PAGE) {
+        return Optional.of(UsageBatch.sum(batches));
+      }
+      after = rows.getLast().key();
+    }
+  }
+
+  // -- reporting
+
+  private boolean report(WindowRow window) {
+    Optional<LeaseKeeper.Held> held = lease.held();
+    if (held.isEmpty()) {
+      return false;
+    }
+    Optional<FencedSender.Claimed> claimed =
+        sender.claim(held.get(), OrderRow.Action.REPORT, String.valueOf(window.window()));
+    if (claimed.isEmpty()) {
+      return false;
+    }
+    boolean all = true;
+    for (Map.Entry<String, UsageFigures> each : window.figures().entrySet()) {
+      if (lease.held().isEmpty()) {
+        all = false;
+        break;
+      }
+      boolean taken = sink.report(each.getKey(), window.window(), each.getValue());
+      metrics.counter("limpetvale.usage.reports", "taken", String.valueOf(taken)).increment();
+      all &= taken;
+    }
+    sender.conclude(claimed.get(), all ? OrderRow.State.DONE : OrderRow.State.UNKNOWN);
+    logger.atInfo().log(
+        "usage window=%d workspaces=%d reported=%s", window.window(), window.figures().size(), all);
+    return all;
+  }
+
+  private void deleteBatches(long window) {
+    table
+        .scan(UsageRows.batches(window), "", PAGE)
+        .toOptional()
+        .filter(rows -> !rows.isEmpty())
+        .ifPresent(
+            rows ->
+                table.commit(
+                    new Transaction(List.of(), List.of(), rows.stream().map(Row::key).toList())));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Usage records on their way to the table and to the reports. */
+package org.limpetvale.entry.usage;
--- /dev/null
+++ b/fakes/src/main/java/org/limpetvale/fakes/FakeTable.java
@@ -0,0 +1,107 @@
+package org.limpetvale.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/** Stand-in of the transactional table. */
+final class FakeTable {
+  private final NavigableMap<String, Row> rows = new TreeMap<>();
+  private final RateLimit reads;
+  private final RateLimit writes;
+  private long revision;
+
+  FakeTable(double readsPerSecond, double writesPerSecond) {
+    this.reads = new RateLimit(readsPerSecond);
+    this.writes = new RateLimit(writesPerSecond);
+  }
+
+  private record Row(String key, long revision, String value) {}
+
+  void handle(HttpExchange exchange, Faults faults) throws IOException {
+    String path = exchange.getRequestURI().getPath();
+    if (path.equals("/v1/transactions")) {
+      commit(exchange, faults);
+      return;
+    }
+    if (!reads.take()) {
+      FakeServer.reply(exchange, 429, Map.of("detail", "too many reads"));
+      return;
+    }
+    Map<String, String> query = FakeServer.query(exchange);
+    if (path.equals("/v1/rows")) {
+      Row row = row(query.get("key"));
+      FakeServer.reply(exchange, row == null ? 404 : 200, row == null ? Map.of() : row);
+    } else {
+      List<Row> found =
+          scan(
+              query.get("prefix"),
+              query.getOrDefault("after", ""),
+              Integer.parseInt(query.get("limit")));
+      FakeServer.reply(exchange, 200, Map.of("rows", found));
+    }
+  }
+
+  Map<String, Long> used() {
+    return Map.of("reads", reads.used(), "writes", writes.used());
+  }
+
+  private void commit(HttpExchange exchange, Faults faults) throws IOException {
+    JsonNode transaction = FakeServer.json(exchange);
+    if (!writes.take()) {
+      FakeServer.reply(exchange, 429, Map.of("detail", "too many writes"));
+      return;
+    }
+    if (faults.losesRequest()) {
+      exchange.close();
+      return;
+    }
+    long committed = apply(transaction);
+    if (faults.losesAnswer()) {
+      exchange.close();
+      return;
+    }
+    FakeServer.reply(
+        exchange,
+        committed > 0 ? 200 : 409,
+        committed > 0 ? Map.of("revision", committed) : Map.of("detail", "conflict"));
+  }
+
+  private synchronized long apply(JsonNode transaction) {
+    for (JsonNode check : transaction.path("checks")) {
+      Row row = rows.get(check.path("key").asText());
+      long standing = row == null ? 0 : row.revision();
+      if (standing != check.path("revision").asLong()) {
+        return 0;
+      }
+    }
+    revision++;
+    for (JsonNode put : transaction.path("puts")) {
+      String key = put.path("key").asText();
+      rows.put(key, new Row(key, revision, put.path("value").asText()));
+    }
+    transaction.path("deletes").forEach(key -> rows.remove(key.asText()));
+    return revision;
+  }
+
+  private synchronized Row row(String key) {
+    return rows.get(key);
+  }
+
+  private synchronized List<Row> scan(String prefix, String after, int limit) {
+    String from = after.isEmpty() ? prefix : after;
+    List<Row> found = new ArrayList<>();
+    for (Row row : rows.tailMap(from, after.isEmpty()).values()) {
+      if (!row.key().startsWith(prefix) || found.size() >= limit) {
+        break;
+      }
+      found.add(row);
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/fakes/src/main/java/org/limpetvale/fakes/FakeUsage.java
@@ -0,0 +1,39 @@
+package org.limpetvale.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Stand-in of the interface that takes usage reports; keeps a journal of what it got. */
+final class FakeUsage {
+  private final List<JsonNode> journal = new ArrayList<>();
+
+  void handle(HttpExchange exchange, Faults faults) throws IOException {
+    if (exchange.getRequestMethod().equals("GET")) {
+      FakeServer.reply(exchange, 200, journal());
+      return;
+    }
+    JsonNode report = FakeServer.json(exchange);
+    if (faults.losesRequest()) {
+      exchange.close();
+      return;
+    }
+    add(report);
+    if (faults.losesAnswer()) {
+      exchange.close();
+      return;
+    }
+    FakeServer.reply(exchange, 200, Map.of());
+  }
+
+  private synchronized void add(JsonNode report) {
+    journal.add(report);
+  }
+
+  private synchronized List<JsonNode> journal() {
+    return List.copyOf(journal);
+  }
+}
--- /dev/null
+++ b/fakes/src/main/java/org/limpetvale/fakes/Faults.java
@@ -0,0 +1,62 @@
+package org.limpetvale.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The faults that a stand-in of the platform shows now. */
+final class Faults {
+  private volatile boolean down;
+  private volatile long latencyMillis;
+  private volatile Set<String> cutClients = Set.of();
+  private final AtomicInteger loseAnswers = new AtomicInteger();
+  private final AtomicInteger loseRequests = new AtomicInteger();
+  private final AtomicInteger skipBeforeLoss = new AtomicInteger();
+
+  /** Sets faults by JSON; fields left out stay as they are. */
+  void set(JsonNode json) {
+    down = json.path("down").asBoolean(down);
+    latencyMillis = json.path("latencyMillis").asLong(latencyMillis);
+    if (json.has("cutClients")) {
+      Set<String> cut = new HashSet<>();
+      json.path("cutClients").forEach(each -> cut.add(each.asText()));
+      cutClients = Set.copyOf(cut);
+    }
+    if (json.has("loseAnswers")) {
+      loseAnswers.set(json.path("loseAnswers").asInt());
+    }
+    if (json.has("loseRequests")) {
+      loseRequests.set(json.path("loseRequests").asInt());
+    }
+    if (json.has("skipBeforeLoss")) {
+      skipBeforeLoss.set(json.path("skipBeforeLoss").asInt());
+    }
+  }
+
+  boolean cuts(String client) {
+    return down || (client != null && cutClients.contains(client));
+  }
+
+  long latencyMillis() {
+    return latencyMillis;
+  }
+
+  /** Tells whether a write is lost before it takes effect. */
+  boolean losesRequest() {
+    return !skips() && take(loseRequests);
+  }
+
+  /** Tells whether the answer of a write that took effect is lost. */
+  boolean losesAnswer() {
+    return skipBeforeLoss.get() <= 0 && take(loseAnswers);
+  }
+
+  private boolean skips() {
+    return skipBeforeLoss.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
+  }
+
+  private static boolean take(AtomicInteger left) {
+    return left.getAndUpdate(old -> Math.max(0, old - 1)) > 0;
+  }
+}
--- /dev/null
+++ b/fakes/src/main/java/org/limpetvale/fakes/RateLimit.java
@@ -0,0 +1,32 @@
+package org.limpetvale.fakes;
+
+/** A limit of calls a second. */
+final class RateLimit {
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final double perSecond;
+  private double tokens;
+  private long lastNanos = System.nanoTime();
+  private long used;
+
+  RateLimit(double perSecond) {
+    this.perSecond = perSecond;
+    this.tokens = perSecond;
+  }
+
+  synchronized boolean take() {
+    long now = System.nanoTime();
+    tokens = Math.min(perSecond, tokens + (now - lastNanos) / NANOS_PER_SECOND * perSecond);
+    lastNanos = now;
+    if (tokens < 1) {
+      return false;
+    }
+    tokens--;
+    used++;
+    return true;
+  }
+
+  synchronized long used() {
+    return used;
+  }
+}
