--- /dev/null
+++ b/cli/src/main/java/org/limpetvale/cli/LoadRun.java
@@ -0,0 +1,217 @@
+package org.limpetvale.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Runs a scenario: each request at its own time, whatever became of those before it. */
+final class LoadRun {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String DATA = "data: ";
+  private static final String DONE = "[DONE]";
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final double MILLIS_PER_SECOND = 1000;
+  private static final int LONGEST_ANSWER = 2000;
+
+  private final LoadScenario scenario;
+  private final Map<LoadScenario.Flow, String> keys;
+  private final List<URI> targets;
+  private final HttpClient client;
+  private final Map<LoadScenario.Flow, LoadResult> results = new ConcurrentHashMap<>();
+  private final AtomicLong turns = new AtomicLong();
+
+  LoadRun(LoadScenario scenario, Map<LoadScenario.Flow, String> keys, List<String> targets) {
+    this.scenario = Objects.requireNonNull(scenario, "scenario is null");
+    this.keys = Map.copyOf(keys);
+    this.targets = targets.stream().map(each -> URI.create(each + "/v1/chat/completions")).toList();
+    this.client =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(3))
+            .build();
+  }
+
+  private record Arrival(long atMillis, LoadScenario.Flow flow, int tokens, long number) {}
+
+  /** Runs the scenario and returns the results by flow. */
+  Map<LoadScenario.Flow, LoadResult> run() throws InterruptedException {
+    scenario.flows().forEach(flow -> results.put(flow, new LoadResult()));
+    long startNanos = System.nanoTime();
+    try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+      for (Arrival arrival : arrivals()) {
+        long dueNanos = startNanos + arrival.atMillis() * NANOS_PER_MILLI;
+        long leftMillis = (dueNanos - System.nanoTime()) / NANOS_PER_MILLI;
+        if (leftMillis > 0) {
+          Thread.sleep(leftMillis);
+        }
+        executor.execute(() -> send(arrival));
+      }
+    }
+    return results;
+  }
+
+  // -- arrivals
+
+  private List<Arrival> arrivals() {
+    List<Arrival> all = new ArrayList<>();
+    long number = 0;
+    for (int i = 0; i < scenario.flows().size(); i++) {
+      LoadScenario.Flow flow = scenario.flows().get(i);
+      SplittableRandom random = new SplittableRandom(scenario.seed() + i);
+      double atMillis = 0;
+      while (true) {
+        boolean burst = atMillis >= flow.burstFromMillis() && atMillis < flow.burstToMillis();
+        double perSecond = flow.perSecond() * (burst ? flow.burstFactor() : 1);
+        atMillis += -Math.log(1 - random.nextDouble()) * MILLIS_PER_SECOND / perSecond;
+        if (atMillis >= scenario.durationMillis()) {
+          break;
+        }
+        double length = flow.medianTokens() * Math.exp(flow.tailSigma() * random.nextGaussian());
+        int tokens = (int) Math.clamp(Math.round(length), 1, LONGEST_ANSWER);
+        all.add(new Arrival(Math.round(atMillis), flow, tokens, number++));
+      }
+    }
+    all.sort(Comparator.comparingLong(Arrival::atMillis));
+    return all;
+  }
+
+  // -- requests
+
+  private void send(Arrival arrival) {
+    LoadResult result = results.get(arrival.flow());
+    result.sent();
+    long retryAfterMillis = attempt(arrival, result);
+    if (retryAfterMillis > 0 && arrival.flow().resend()) {
+      try {
+        Thread.sleep(retryAfterMillis);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+      result.resent();
+      attempt(arrival, result);
+    }
+  }
+
+  /** Sends once; returns when to come back after a refusal, in milliseconds, or 0. */
+  private long attempt(Arrival arrival, LoadResult result) {
+    URI target = targets.get((int) (turns.getAndIncrement() % targets.size()));
+    HttpRequest request =
+        HttpRequest.newBuilder(target)
+            .header("Authorization", "Bearer " + keys.get(arrival.flow()))
+            .header("X-Request-Class", arrival.flow().requestClass())
+            .header("Content-Type", "application/json")
+            .timeout(Duration.ofMinutes(2))
+            .POST(HttpRequest.BodyPublishers.ofString(body(arrival)))
+            .build();
+    long startNanos = System.nanoTime();
+    try {
+      HttpResponse<InputStream> response =
+          client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+      if (response.statusCode() != 200) {
+        return refused(response, result);
+      }
+      read(response.body(), arrival, startNanos, result);
+    } catch (IOException e) {
+      result.failed("io");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return 0;
+  }
+
+  private static long refused(HttpResponse<InputStream> response, LoadResult result)
+      throws IOException {
+    JsonNode problem = MAPPER.readTree(response.body());
+    result.refused(problem.path("code").asText(String.valueOf(response.statusCode())));
+    return response
+        .headers()
+        .firstValue("Retry-After")
+        .map(seconds -> Math.round(Double.parseDouble(seconds) * MILLIS_PER_SECOND))
+        .orElse(0L);
+  }
+
+  private static void read(InputStream body, Arrival arrival, long startNanos, LoadResult result)
+      throws IOException {
+    long firstNanos = 0;
+    long lastNanos = 0;
+    int tokens = 0;
+    boolean whole = false;
+    String error = "";
+    try (BufferedReader lines =
+        new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8))) {
+      for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+        if (!line.startsWith(DATA)) {
+          continue;
+        }
+        String data = line.substring(DATA.length());
+        if (data.equals(DONE)) {
+          whole = true;
+          break;
+        }
+        if (data.contains("\"error\"")) {
+          error = MAPPER.readTree(data).path("code").asText();
+        }
+        if (data.contains("\"content\"")) {
+          lastNanos = System.nanoTime();
+          firstNanos = firstNanos == 0 ? lastNanos : firstNanos;
+          tokens++;
+        }
+      }
+    }
+    if (!whole || tokens != arrival.tokens()) {
+      result.failed(error.isEmpty() ? (whole ? "length" : "cut") : error);
+      result.wasted(tokens);
+      return;
+    }
+    double firstMillis = (firstNanos - startNanos) / (double) NANOS_PER_MILLI;
+    double gapMillis =
+        tokens > 1 ? (lastNanos - firstNanos) / (double) NANOS_PER_MILLI / (tokens - 1) : 0;
+    result.whole(
+        tokens,
+        firstMillis,
+        gapMillis,
+        firstMillis <= arrival.flow().firstTokenTargetMillis()
+            && gapMillis <= arrival.flow().tokenGapTargetMillis());
+  }
+
+  private String body(Arrival arrival) {
+    ObjectNode body = MAPPER.createObjectNode();
+    body.put("model", scenario.model());
+    body.put("stream", true);
+    body.put("max_tokens", LONGEST_ANSWER);
+    ObjectNode message = body.putArray("messages").addObject();
+    message.put("role", "user");
+    message.put(
+        "content",
+        arrival.flow().workspace()
+            + " "
+            + "x".repeat(arrival.flow().promptChars())
+            + " "
+            + arrival.number()
+            + " [len="
+            + arrival.tokens()
+            + "]");
+    return body.toString();
+  }
+}
--- a/core/src/main/java/org/limpetvale/core/time/TimerService.java
+++ b/core/src/main/java/org/limpetvale/core/time/TimerService.java
@@ -15,6 +15,14 @@
   /** Returns the time of day in milliseconds since the epoch, for windows and records. */
   long wallMillis();
 
+  /**
+   * Waits.
+   *
+   * @param millis how long, in milliseconds
+   * @return false when the wait was interrupted
+   */
+  boolean pause(long millis);
+
   /**
    * Runs a task again and again, each time a jittered period after the end of the last run.
    *
--- a/entry/src/main/java/org/limpetvale/entry/EntryModule.java
+++ b/entry/src/main/java/org/limpetvale/entry/EntryModule.java
@@ -322,9 +322,14 @@
 
   @Provides
   @Singleton
-  FencedSender sender(Table table, ResolvedCommit commits, VmDirectory directory, Peers peers) {
+  FencedSender sender(
+      Table table, ResolvedCommit commits, VmDirectory directory, Peers peers, TimerService timer) {
     return new FencedSender(
-        entryId, table, commits, process -> Duties.isGone(process, entryId, directory, peers));
+        entryId,
+        table,
+        commits,
+        process -> Duties.isGone(process, entryId, directory, peers),
+        timer);
   }
 
   @Provides
--- a/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
@@ -2,11 +2,14 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
 import org.limpetvale.core.config.StrictJson;
 import org.limpetvale.core.lease.OrderRow;
+import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.Ids;
 import org.limpetvale.platform.Read;
 import org.limpetvale.platform.ResolvedCommit;
@@ -20,16 +23,19 @@
  *
  * <p>The claim is written in one transaction that checks the lease. Whoever finds another's claim
  * that may be in flight sends nothing for that duty until its sender has concluded it or is known
- * to be gone for good.
+ * to be gone for good. A sender that could not write its conclusion, or could not learn whether its
+ * claim was written, concludes it in the background.
  */
 public final class FencedSender {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long RESOLVE_MILLIS = 2000;
+  private static final long CONCLUDE_PERIOD_MILLIS = 1000;
 
   private final String self;
   private final Table table;
   private final ResolvedCommit commits;
   private final Predicate<String> processGone;
+  private final Map<String, OrderRow> unconcluded = new ConcurrentHashMap<>();
 
   /**
    * Creates a sender.
@@ -38,11 +44,16 @@
    * @param processGone tells whether a process is known to be gone for good
    */
   public FencedSender(
-      String self, Table table, ResolvedCommit commits, Predicate<String> processGone) {
+      String self,
+      Table table,
+      ResolvedCommit commits,
+      Predicate<String> processGone,
+      TimerService timer) {
     this.self = Objects.requireNonNull(self, "self is null");
     this.table = Objects.requireNonNull(table, "table is null");
     this.commits = Objects.requireNonNull(commits, "commits is null");
     this.processGone = Objects.requireNonNull(processGone, "processGone is null");
+    timer.every(CONCLUDE_PERIOD_MILLIS, this::concludeLate);
   }
 
   /**
@@ -86,13 +97,22 @@
             List.of());
     ResolvedCommit.Outcome outcome =
         commits.commit(transaction, key, value -> isMine(value, order), RESOLVE_MILLIS);
-    return outcome instanceof ResolvedCommit.Outcome.Applied(long revision)
-        ? Optional.of(new Claimed(order, revision))
-        : Optional.empty();
+    return switch (outcome) {
+      case ResolvedCommit.Outcome.Applied(long revision) -> {
+        unconcluded.remove(lease.duty());
+        yield Optional.of(new Claimed(order, revision));
+      }
+      case ResolvedCommit.Outcome.Unresolved ignored -> {
+        unconcluded.put(lease.duty(), order.in(OrderRow.State.DONE));
+        yield Optional.empty();
+      }
+      case ResolvedCommit.Outcome.Conflict ignored -> Optional.empty();
+      case ResolvedCommit.Outcome.NotApplied ignored -> Optional.empty();
+    };
   }
 
-  /** Concludes a claim; false when the table does not answer, and the claim stands. */
-  public boolean conclude(Claimed claimed, OrderRow.State state) {
+  /** Concludes a claim, now or as soon as the table answers. */
+  public void conclude(Claimed claimed, OrderRow.State state) {
     String key = key(claimed.order().duty());
     OrderRow next = claimed.order().in(state);
     ResolvedCommit.Outcome outcome =
@@ -101,8 +121,30 @@
             key,
             value -> StrictJson.stored(value, OrderRow.class).equals(next),
             RESOLVE_MILLIS);
-    return outcome instanceof ResolvedCommit.Outcome.Applied
-        || outcome instanceof ResolvedCommit.Outcome.Conflict;
+    boolean settled =
+        outcome instanceof ResolvedCommit.Outcome.Applied
+            || outcome instanceof ResolvedCommit.Outcome.Conflict;
+    if (!settled) {
+      unconcluded.put(next.duty(), next);
+    }
+  }
+
+  private void concludeLate() {
+    unconcluded.forEach(
+        (duty, concluded) -> {
+          if (!(table.get(key(duty)) instanceof Read.Found<Optional<Row>>(Optional<Row> row))) {
+            return;
+          }
+          boolean stands =
+              row.map(each -> StrictJson.stored(each.value(), OrderRow.class))
+                  .filter(each -> each.orderId().equals(concluded.orderId()))
+                  .filter(each -> each.state() == OrderRow.State.SENDING)
+                  .isPresent();
+          unconcluded.remove(duty, concluded);
+          if (stands) {
+            conclude(new Claimed(concluded, row.get().revision()), concluded.state());
+          }
+        });
   }
 
   private static boolean isMine(String value, OrderRow order) {
--- a/entry/src/main/java/org/limpetvale/entry/control/ZoneController.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/ZoneController.java
@@ -197,7 +197,11 @@
       return false;
     }
     Optional<FencedSender.Claimed> claimed = sender.claim(held.get(), action, vm);
-    if (claimed.isEmpty() || lease.held().isEmpty()) {
+    if (claimed.isEmpty()) {
+      return false;
+    }
+    if (lease.held().isEmpty()) {
+      sender.conclude(claimed.get(), OrderRow.State.DONE);
       return false;
     }
     logger.atInfo().log(
--- a/fakes/src/main/java/org/limpetvale/fakes/FakesMain.java
+++ b/fakes/src/main/java/org/limpetvale/fakes/FakesMain.java
@@ -8,7 +8,12 @@
     name = "limpetvale-fakes",
     description = "Stand-ins for the platform and the upstreams.",
     mixinStandardHelpOptions = true,
-    subcommands = {PlatformCommand.class, EngineCommand.class, ServiceCommand.class})
+    subcommands = {
+      PlatformCommand.class,
+      EngineCommand.class,
+      ServiceCommand.class,
+      DemoCommand.class
+    })
 public final class FakesMain {
   private FakesMain() {}
 
--- /dev/null
+++ b/fakes/src/main/java/org/limpetvale/fakes/fleet/Fleet.java
@@ -0,0 +1,537 @@
+package org.limpetvale.fakes.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.stream.Stream;
+
+/** Real processes on loopback: the platform's stand-in, upstreams, sidecars and entries. */
+public final class Fleet implements AutoCloseable {
+  /** The model that the engines serve. */
+  public static final String MODEL = "gully-7b";
+
+  /** The plain service. */
+  public static final String SERVICE = "bookings";
+
+  /** The operator's key. */
+  public static final String OPERATOR_KEY = "operator-key-of-the-loopback-fleet";
+
+  private static final String SECRET = "loopback-digest-secret-0123456789";
+  private static final Duration START_LIMIT = Duration.ofSeconds(60);
+  private static final Duration STOP_LIMIT = Duration.ofSeconds(40);
+  private static final long POLL_MILLIS = 50;
+
+  private final FleetPlan plan;
+  private final Path folder;
+  private final Path root;
+  private final Map<String, Proc> procs = new LinkedHashMap<>();
+  private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private final int platformPort = Ports.free();
+  private final Certificates certificates;
+
+  /**
+   * A VM of the fleet.
+   *
+   * @param vm name of the VM
+   * @param zone availability zone
+   * @param role ENTRY, MODEL or SERVICE
+   * @param grpcPort port for other processes of the system
+   * @param httpPort port of the entry's callers, or of the upstream
+   * @param adminPort port of metrics and health
+   */
+  public record Node(
+      String vm, String zone, String role, int grpcPort, int httpPort, int adminPort) {}
+
+  private Fleet(FleetPlan plan, Path folder, Path root, Certificates certificates) {
+    this.plan = plan;
+    this.folder = folder;
+    this.root = root;
+    this.certificates = certificates;
+  }
+
+  // -- starting
+
+  /** Starts a fleet and waits until all of it answers. */
+  public static Fleet start(FleetPlan plan)
+      throws IOException, InterruptedException, GeneralSecurityException {
+    Objects.requireNonNull(plan, "plan is null");
+    Path folder = Files.createTempDirectory("limpetvale-fleet");
+    Certificates certificates = plan.tls() ? Certificates.in(folder) : null;
+    Fleet fleet = new Fleet(plan, folder, findRoot(), certificates);
+    try {
+      fleet.lay();
+      fleet.startPlatform();
+      for (Node node : fleet.nodes.values()) {
+        fleet.startNode(node);
+      }
+      fleet.awaitServing();
+    } catch (IOException | InterruptedException | RuntimeException | GeneralSecurityException e) {
+      fleet.close();
+      throw e;
+    }
+    return fleet;
+  }
+
+  private static Path findRoot() {
+    Path path = Path.of(System.getProperty("limpetvale.root", "")).toAbsolutePath();
+    while (path != null && !Files.exists(path.resolve("bin/find-jdk"))) {
+      path = path.getParent();
+    }
+    return Objects.requireNonNull(path, "the root of the source tree was not found");
+  }
+
+  private void lay() throws IOException, InterruptedException, GeneralSecurityException {
+    for (int i = 1; i <= plan.engines(); i++) {
+      add("m" + i, "MODEL", i);
+    }
+    for (int i = 1; i <= plan.services(); i++) {
+      add("s" + i, "SERVICE", i);
+    }
+    for (int i = 1; i <= plan.entries(); i++) {
+      add("e" + i, "ENTRY", i);
+    }
+  }
+
+  private void add(String vm, String role, int number)
+      throws IOException, InterruptedException, GeneralSecurityException {
+    String zone = plan.zones().get((number - 1) % plan.zones().size());
+    nodes.put(vm, new Node(vm, zone, role, Ports.free(), Ports.free(), Ports.free()));
+    if (certificates != null) {
+      certificates.issue(vm);
+    }
+  }
+
+  private void startPlatform() throws IOException, InterruptedException {
+    Path inventory = folder.resolve("inventory.json");
+    List<Map<String, Object>> vms = nodes.values().stream().map(this::listed).toList();
+    List<Map<String, Object>> units =
+        nodes.values().stream()
+            .filter(node -> !node.role().equals("ENTRY"))
+            .map(
+                node ->
+                    Map.<String, Object>of(
+                        "vm", node.vm(), "zone", node.zone(), "pool", pool(node), "running", true))
+            .toList();
+    Files.writeString(
+        inventory, Http.MAPPER.writeValueAsString(Map.of("vms", vms, "units", units)));
+    List<String> options = new ArrayList<>(List.of("--inventory", inventory.toString()));
+    options.addAll(plan.platformOptions());
+    startFake("platform", "platform", platformPort, options);
+    awaitHttp("platform", "http://127.0.0.1:" + platformPort + "/used");
+  }
+
+  /** Starts the processes of a VM. */
+  public void startNode(Node node) throws IOException {
+    switch (node.role()) {
+      case "MODEL" -> {
+        startFake(node.vm() + "-engine", "engine", node.httpPort(), plan.engineOptions());
+        startDaemon(node, "sidecar", sidecarSettings(node));
+      }
+      case "SERVICE" -> {
+        startFake(node.vm() + "-service", "service", node.httpPort(), List.of());
+        startDaemon(node, "sidecar", sidecarSettings(node));
+      }
+      default -> startDaemon(node, "entry", entrySettings(node));
+    }
+  }
+
+  /** Starts the daemon of a VM again, its upstream left as it is. */
+  public void startDaemonAgain(String vm) throws IOException {
+    Node node = node(vm);
+    boolean entry = node.role().equals("ENTRY");
+    startDaemon(
+        node, entry ? "entry" : "sidecar", entry ? entrySettings(node) : sidecarSettings(node));
+  }
+
+  private void startFake(String name, String command, int port, List<String> options) {
+    List<String> line =
+        java("fakes", List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+    line.addAll(List.of("org.limpetvale.fakes.FakesMain", command, "--port", String.valueOf(port)));
+    line.addAll(options);
+    procs.put(name, Proc.start(name, line, folder.resolve(name + ".log")));
+  }
+
+  private void startDaemon(Node node, String command, Map<String, Object> settings)
+      throws IOException {
+    Path file = folder.resolve(node.vm() + ".json");
+    Files.writeString(file, Http.MAPPER.writeValueAsString(settings));
+    List<String> line = java("cli", plan.jvmOptions());
+    line.addAll(List.of("org.limpetvale.cli.Main", command, file.toString()));
+    procs.put(node.vm(), Proc.start(node.vm(), line, folder.resolve(node.vm() + ".log")));
+  }
+
+  private List<String> java(String module, List<String> options) {
+    Path target = root.resolve(module).resolve("target");
+    List<String> line = new ArrayList<>();
+    line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    line.addAll(options);
+    line.addAll(
+        List.of(
+            "--enable-native-access=ALL-UNNAMED",
+            "--sun-misc-unsafe-memory-access=allow",
+            "-cp",
+            target.resolve("classes") + ":" + target.resolve("lib") + "/*"));
+    return line;
+  }
+
+  // -- settings
+
+  private Map<String, Object> listed(Node node) {
+    int port = plan.addresses().advertise(node.vm(), node.grpcPort());
+    return Map.of(
+        "name", node.vm(),
+        "zone", node.zone(),
+        "role", node.role(),
+        "pool", pool(node),
+        "address", "127.0.0.1:" + port,
+        "leaving", false);
+  }
+
+  private static String pool(Node node) {
+    return switch (node.role()) {
+      case "MODEL" -> MODEL;
+      case "SERVICE" -> SERVICE;
+      default -> "";
+    };
+  }
+
+  private Map<String, Object> common(Node node) {
+    Map<String, Object> settings = new LinkedHashMap<>();
+    settings.put("identity", Map.of("vm", node.vm(), "zone", node.zone()));
+    Map<String, Object> grpc = new LinkedHashMap<>();
+    grpc.put("host", "127.0.0.1");
+    grpc.put("port", node.grpcPort());
+    if (certificates != null) {
+      grpc.put(
+          "tls",
+          Map.of(
+              "certificateFile", certificates.certificateFile(node.vm()).toString(),
+              "keyFile", certificates.keyFile(node.vm()).toString(),
+              "authorityFile", certificates.authorityFile().toString()));
+    }
+    settings.put("grpc", grpc);
+    settings.put(
+        "logging",
+        Map.of(
+            "level",
+            "INFO",
+            "appenders",
+            List.of(
+                Map.of(
+                    "type",
+                    "console",
+                    "layout",
+                    Map.of("type", "json", "additionalFields", Map.of("process", node.vm()))))));
+    return settings;
+  }
+
+  private Map<String, Object> sidecarSettings(Node node) {
+    boolean model = node.role().equals("MODEL");
+    Map<String, Object> settings = common(node);
+    Map<String, Object> upstream = new LinkedHashMap<>();
+    upstream.put("kind", node.role());
+    upstream.put("url", "http://127.0.0.1:" + node.httpPort());
+    upstream.put("models", model ? List.of(MODEL) : List.of());
+    upstream.put("service", model ? "" : SERVICE);
+    upstream.put("capacity", plan.upstreamCapacity());
+    upstream.put("queueLimit", plan.upstreamQueueLimit());
+    upstream.put("expectedServiceMillis", 500);
+    upstream.put("tokenGapLimitMillis", 2000);
+    upstream.put("callLimitMillis", 5000);
+    settings.put("upstream", upstream);
+    settings.put(
+        "server",
+        Map.of(
+            "type",
+            "simple",
+            "connector",
+            Map.of("type", "http", "bindHost", "127.0.0.1", "port", node.adminPort()),
+            "requestLog",
+            Map.of("appenders", List.of())));
+    return settings;
+  }
+
+  private Map<String, Object> entrySettings(Node node) {
+    Map<String, Object> settings = common(node);
+    String platform = "http://127.0.0.1:" + platformPort;
+    settings.put(
+        "platform",
+        Map.of(
+            "tableUrl", platform,
+            "objectStoreUrl", platform,
+            "vmListUrl", platform,
+            "powerUrl", platform,
+            "usageUrl", platform,
+            "timeoutMillis", 1000));
+    settings.put("keyDigestSecret", SECRET);
+    settings.put("operatorKeyDigests", List.of(operatorDigest()));
+    settings.put("routing", plan.routing());
+    settings.put("control", plan.control());
+    settings.put(
+        "server",
+        Map.of(
+            "enableVirtualThreads", true,
+            "applicationConnectors", List.of(connector(node.httpPort())),
+            "adminConnectors", List.of(connector(node.adminPort())),
+            "gzip", Map.of("enabled", false),
+            "requestLog", Map.of("appenders", List.of())));
+    return settings;
+  }
+
+  private static Map<String, Object> connector(int port) {
+    return Map.of("type", "http", "bindHost", "127.0.0.1", "port", port);
+  }
+
+  /** Returns the keyed digest that the entries know the operator's key by. */
+  private static String operatorDigest() {
+    try {
+      javax.crypto.Mac mac = javax.crypto.Mac.getInstance("HmacSHA256");
+      mac.init(
+          new javax.crypto.spec.SecretKeySpec(
+              SECRET.getBytes(java.nio.charset.StandardCharsets.UTF_8), "HmacSHA256"));
+      mac.update(OPERATOR_KEY.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+      mac.update((byte) 0);
+      return java.util.HexFormat.of().formatHex(mac.doFinal());
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  // -- waiting
+
+  private void awaitServing() throws IOException, InterruptedException {
+    for (Node node : nodes.values()) {
+      boolean entry = node.role().equals("ENTRY");
+      String path = entry ? "/healthcheck" : "/admin/healthcheck";
+      awaitHttp(node.vm(), "http://127.0.0.1:" + node.adminPort() + path);
+    }
+    for (Node node : nodes.values()) {
+      if (node.role().equals("ENTRY")) {
+        awaitUpstreams(node.vm(), plan.engines() + plan.services());
+      }
+    }
+  }
+
+  /** Waits until an entry serves and sees a number of available upstreams. */
+  public void awaitUpstreams(String entry, int count) throws IOException, InterruptedException {
+    long endNanos = System.nanoTime() + START_LIMIT.toNanos();
+    while (System.nanoTime() < endNanos) {
+      try {
+        Http.Answer status = operator(entry, "GET", "/status", null);
+        long available = 0;
+        for (JsonNode each : status.json().path("upstreams")) {
+          available += each.path("available").asBoolean() ? 1 : 0;
+        }
+        if (status.json().path("servesKeyedRoutes").asBoolean() && available >= count) {
+          return;
+        }
+      } catch (IOException e) {
+        // The entry does not listen yet.
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+    throw new IOException(entry + " sees too few upstreams; its log:\n" + proc(entry).output());
+  }
+
+  private void awaitHttp(String name, String url) throws IOException, InterruptedException {
+    long endNanos = System.nanoTime() + START_LIMIT.toNanos();
+    while (System.nanoTime() < endNanos) {
+      try {
+        if (Http.call("GET", url, Map.of(), null).status() == 200) {
+          return;
+        }
+      } catch (IOException e) {
+        if (!proc(name).isAlive()) {
+          throw new IOException(name + " has ended; its log:\n" + proc(name).output());
+        }
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+    throw new IOException(name + " does not answer; its log:\n" + proc(name).output());
+  }
+
+  // -- access
+
+  /** Returns a process by name. */
+  public Proc proc(String name) {
+    return Objects.requireNonNull(procs.get(name), "no process " + name);
+  }
+
+  /** Returns a VM by name. */
+  public Node node(String vm) {
+    return Objects.requireNonNull(nodes.get(vm), "no VM " + vm);
+  }
+
+  /** Returns the certificates of the fleet. */
+  public Certificates certificates() {
+    return Objects.requireNonNull(certificates, "the fleet speaks plain text");
+  }
+
+  /** Returns the folder of logs and settings. */
+  public Path folder() {
+    return folder;
+  }
+
+  /** Returns the address of an entry for callers. */
+  public String url(String entry) {
+    return "http://127.0.0.1:" + node(entry).httpPort();
+  }
+
+  /** Returns the address of the upstream itself. */
+  public String upstreamUrl(String vm) {
+    return "http://127.0.0.1:" + node(vm).httpPort();
+  }
+
+  /** Returns the address of the platform's stand-in. */
+  public String platformUrl() {
+    return "http://127.0.0.1:" + platformPort;
+  }
+
+  /** Makes an operator's call. */
+  public Http.Answer operator(String entry, String method, String path, String body)
+      throws IOException, InterruptedException {
+    return Http.call(
+        method,
+        url(entry) + "/v1/admin" + path,
+        Map.of("Authorization", "Bearer " + OPERATOR_KEY),
+        body);
+  }
+
+  /** Sets faults of the platform's stand-in. */
+  public void faults(String target, String json) throws IOException, InterruptedException {
+    String body = json.replaceFirst("\\{", "{\"target\":\"" + target + "\",");
+    Http.call("POST", platformUrl() + "/faults", Map.of(), body);
+  }
+
+  /** Sets faults of an upstream's stand-in. */
+  public void upstreamFaults(String vm, String json) throws IOException, InterruptedException {
+    Http.call("POST", upstreamUrl(vm) + "/faults", Map.of(), json);
+  }
+
+  /** Reads the metrics of a daemon. */
+  public String metrics(String vm) throws IOException, InterruptedException {
+    Node node = node(vm);
+    String path = node.role().equals("ENTRY") ? "/prometheus" : "/admin/prometheus";
+    return Http.call("GET", "http://127.0.0.1:" + node.adminPort() + path, Map.of(), null).body();
+  }
+
+  /** Shows a VM in the list as leaving or not. */
+  public void list(String vm, boolean leaving) throws IOException, InterruptedException {
+    Map<String, Object> listed = new LinkedHashMap<>(listed(node(vm)));
+    listed.put("leaving", leaving);
+    Http.call("PUT", platformUrl() + "/v1/vms", Map.of(), Http.MAPPER.writeValueAsString(listed));
+  }
+
+  /** Takes a VM off the list. */
+  public void unlist(String vm) throws IOException, InterruptedException {
+    Http.call("DELETE", platformUrl() + "/v1/vms/" + vm, Map.of(), null);
+  }
+
+  // -- set up
+
+  /** Puts a template and workspaces in force and grants each workspace a key. */
+  public Map<String, String> configure(String entry, String... workspaces)
+      throws IOException, InterruptedException {
+    expect(
+        operator(
+            entry,
+            "POST",
+            "/changes",
+            "{\"type\":\"put-template\",\"template\":" + Samples.template() + "}"));
+    Map<String, String> keys = new LinkedHashMap<>();
+    for (String workspace : workspaces) {
+      expect(
+          operator(
+              entry,
+              "POST",
+              "/changes",
+              "{\"type\":\"put-parameters\",\"parameters\":"
+                  + Samples.parameters(workspace)
+                  + "}"));
+      Http.Answer granted =
+          expect(
+              operator(
+                  entry,
+                  "POST",
+                  "/keys",
+                  "{\"keyId\":\"" + workspace + "-1\",\"workspace\":\"" + workspace + "\"}"));
+      keys.put(workspace, granted.json().path("key").asText());
+    }
+    awaitVersions();
+    return keys;
+  }
+
+  /** Waits until all entries have the same version in force. */
+  public void awaitVersions() throws IOException, InterruptedException {
+    long endNanos = System.nanoTime() + START_LIMIT.toNanos();
+    List<String> entries =
+        nodes.values().stream()
+            .filter(node -> node.role().equals("ENTRY"))
+            .map(Node::vm)
+            .filter(vm -> proc(vm).isAlive())
+            .toList();
+    while (System.nanoTime() < endNanos) {
+      List<Long> versions = new ArrayList<>();
+      for (String entry : entries) {
+        versions.add(operator(entry, "GET", "/status", null).json().path("configVersion").asLong());
+      }
+      if (versions.stream().distinct().count() == 1) {
+        return;
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+    throw new IOException("the entries do not agree on a version");
+  }
+
+  private static Http.Answer expect(Http.Answer answer) throws IOException {
+    if (answer.status() >= 300) {
+      throw new IOException("refused: " + answer.body());
+    }
+    return answer;
+  }
+
+  // -- stopping
+
+  /** Stops all daemons gracefully; returns the names of those that did not stop in time. */
+  public List<String> stopGracefully() {
+    List<String> late = new ArrayList<>();
+    List<String> entriesFirst =
+        nodes.keySet().stream().filter(vm -> procs.containsKey(vm)).toList().reversed();
+    for (String vm : entriesFirst) {
+      proc(vm).terminate();
+      if (!proc(vm).await(STOP_LIMIT)) {
+        late.add(vm);
+      }
+    }
+    return late;
+  }
+
+  @Override
+  public void close() {
+    procs.values().forEach(Proc::close);
+    if (Boolean.getBoolean("limpetvale.keep")) {
+      return;
+    }
+    try (Stream<Path> files = Files.walk(folder)) {
+      files.sorted(java.util.Comparator.reverseOrder()).forEach(Fleet::delete);
+    } catch (IOException e) {
+      System.err.println("cannot clean " + folder);
+    }
+  }
+
+  private static void delete(Path file) {
+    try {
+      Files.deleteIfExists(file);
+    } catch (IOException e) {
+      System.err.println("cannot delete " + file);
+    }
+  }
+}
--- /dev/null
+++ b/fakes/src/main/java/org/limpetvale/fakes/fleet/Http.java
@@ -0,0 +1,81 @@
+package org.limpetvale.fakes.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Map;
+
+/** A caller's HTTP client. */
+public final class Http {
+  /** JSON of the harness. */
+  public static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private static final Duration LIMIT = Duration.ofSeconds(60);
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(5))
+          .build();
+
+  private Http() {}
+
+  /**
+   * An answer.
+   *
+   * @param status HTTP status
+   * @param body body
+   * @param headers headers
+   */
+  public record Answer(int status, String body, java.net.http.HttpHeaders headers) {
+    /** Returns the body as JSON. */
+    public JsonNode json() {
+      try {
+        return MAPPER.readTree(body);
+      } catch (IOException e) {
+        throw new UncheckedIOException("not JSON: " + body, e);
+      }
+    }
+
+    /** Returns the code of a refusal. */
+    public String code() {
+      return json().path("code").asText();
+    }
+  }
+
+  /** Makes a call and waits for its whole answer. */
+  public static Answer call(String method, String url, Map<String, String> headers, String body)
+      throws IOException, InterruptedException {
+    HttpResponse<String> response =
+        CLIENT.send(request(method, url, headers, body), HttpResponse.BodyHandlers.ofString());
+    return new Answer(response.statusCode(), response.body(), response.headers());
+  }
+
+  /** Makes a call and returns its answer as it comes. */
+  public static HttpResponse<InputStream> stream(
+      String method, String url, Map<String, String> headers, String body)
+      throws IOException, InterruptedException {
+    return CLIENT.send(
+        request(method, url, headers, body), HttpResponse.BodyHandlers.ofInputStream());
+  }
+
+  private static HttpRequest request(
+      String method, String url, Map<String, String> headers, String body) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create(url))
+            .timeout(LIMIT)
+            .method(
+                method,
+                body == null
+                    ? HttpRequest.BodyPublishers.noBody()
+                    : HttpRequest.BodyPublishers.ofString(body));
+    headers.forEach(builder::header);
+    return builder.build();
+  }
+}
