Proof of the path with real processes, strict reading of operators' input

Cause: a wrong type in operators' input ended the reading at the first fault, as the parser's problem handler is not asked about coercions. Change: faults are taken out one by one and the input is read again.

--- a/core/src/main/java/org/limpetvale/core/config/StrictJson.java
+++ b/core/src/main/java/org/limpetvale/core/config/StrictJson.java
@@ -1,24 +1,28 @@
 package org.limpetvale.core.config;
 
-import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JavaType;
-import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.deser.DeserializationProblemHandler;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.BooleanNode;
+import com.fasterxml.jackson.databind.node.IntNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /** JSON of the configuration: strict for operators' input, tolerant for what is stored. */
 public final class StrictJson {
-  private static final String FAULTS = "faults";
+  private static final int MOST_FAULTS = 100;
+  private static final int LONGEST_VALUE = 120;
   private static final ObjectMapper STORED =
       JsonMapper.builder()
           .addModule(new Jdk8Module())
@@ -28,10 +32,11 @@
       JsonMapper.builder()
           .addModule(new Jdk8Module())
           .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
           .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
           .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
-          .addHandler(new Collector())
           .build();
 
   private StrictJson() {}
@@ -45,31 +50,125 @@
     record Faults<T>(List<Fault> faults) implements Read<T> {}
   }
 
+  // -- operators' input
+
   /**
    * Reads operators' input.
    *
+   * <p>Each fault is noted with its field, which is then made harmless, so that the next reading
+   * finds the next fault.
+   *
    * @param json the input
    * @param type the type to read
    * @return the value, or all unknown fields and wrong types at once
    */
   public static <T> Read<T> read(String json, Class<T> type) {
-    List<Fault> faults = new ArrayList<>();
+    JsonNode tree;
     try {
-      T value = INPUT.readerFor(type).withAttribute(FAULTS, faults).readValue(json);
-      if (value == null) {
-        faults.add(new Fault("(whole input)", "null", "an object"));
-      }
-      return faults.isEmpty() ? new Read.Value<>(value) : new Read.Faults<>(List.copyOf(faults));
+      tree = INPUT.readTree(json);
     } catch (JsonProcessingException e) {
-      faults.add(
-          new Fault(
-              "(line " + lineOf(e) + ")",
-              firstLine(e.getOriginalMessage()),
-              "JSON of a " + type.getSimpleName()));
-      return new Read.Faults<>(List.copyOf(faults));
+      long line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
+      return fault("(line " + line + ")", firstLine(e.getOriginalMessage()), "JSON");
+    }
+    if (!(tree instanceof ObjectNode)) {
+      return fault("(whole input)", String.valueOf(tree), "a JSON object");
+    }
+    List<Fault> faults = new ArrayList<>();
+    while (faults.size() < MOST_FAULTS) {
+      try {
+        T value = INPUT.treeToValue(tree, type);
+        return faults.isEmpty() ? new Read.Value<>(value) : new Read.Faults<>(List.copyOf(faults));
+      } catch (JsonMappingException e) {
+        faults.add(fault(tree, e));
+        if (!neutralize(tree, e)) {
+          break;
+        }
+      } catch (JsonProcessingException e) {
+        faults.add(new Fault("(whole input)", firstLine(e.getOriginalMessage()), "JSON"));
+        break;
+      }
+    }
+    return new Read.Faults<>(List.copyOf(faults));
+  }
+
+  private static <T> Read<T> fault(String field, String value, String allowed) {
+    return new Read.Faults<>(List.of(new Fault(field, value, allowed)));
+  }
+
+  private static Fault fault(JsonNode tree, JsonMappingException e) {
+    String path = e.getPath().stream().map(StrictJson::step).collect(Collectors.joining("."));
+    JsonNode found = find(tree, e.getPath());
+    String value = found.isMissingNode() ? "(absent)" : found.toString();
+    String shown = value.length() > LONGEST_VALUE ? value.substring(0, LONGEST_VALUE) : value;
+    return new Fault(path.isEmpty() ? "(whole input)" : path, shown, allowed(e));
+  }
+
+  private static String allowed(JsonMappingException e) {
+    return switch (e) {
+      case UnrecognizedPropertyException unknown ->
+          "one of the fields "
+              + unknown.getKnownPropertyIds().stream()
+                  .map(Object::toString)
+                  .sorted()
+                  .collect(Collectors.joining(", "));
+      case MismatchedInputException mismatch when mismatch.getTargetType() != null ->
+          "a value of type " + mismatch.getTargetType().getSimpleName();
+      default -> firstLine(e.getOriginalMessage());
+    };
+  }
+
+  private static String step(JsonMappingException.Reference reference) {
+    return reference.getFieldName() == null
+        ? String.valueOf(reference.getIndex())
+        : reference.getFieldName();
+  }
+
+  private static JsonNode find(JsonNode tree, List<JsonMappingException.Reference> path) {
+    JsonNode node = tree;
+    for (JsonMappingException.Reference reference : path) {
+      node =
+          reference.getFieldName() == null
+              ? node.path(reference.getIndex())
+              : node.path(reference.getFieldName());
     }
+    return node;
   }
 
+  /** Takes a faulty value out; a number or boolean gets a neutral value in its place. */
+  private static boolean neutralize(JsonNode tree, JsonMappingException e) {
+    List<JsonMappingException.Reference> path = e.getPath();
+    if (path.isEmpty()) {
+      return false;
+    }
+    JsonNode parent = find(tree, path.subList(0, path.size() - 1));
+    JsonMappingException.Reference last = path.getLast();
+    boolean primitive =
+        e instanceof MismatchedInputException mismatch
+            && mismatch.getTargetType() != null
+            && mismatch.getTargetType().isPrimitive();
+    return switch (parent) {
+      case ObjectNode object when primitive -> {
+        object.set(last.getFieldName(), neutral(e));
+        yield true;
+      }
+      case ObjectNode object -> object.remove(last.getFieldName()) != null;
+      case ArrayNode array -> array.remove(last.getIndex()) != null;
+      default -> false;
+    };
+  }
+
+  private static JsonNode neutral(JsonMappingException e) {
+    return ((MismatchedInputException) e).getTargetType() == boolean.class
+        ? BooleanNode.FALSE
+        : IntNode.valueOf(0);
+  }
+
+  private static String firstLine(String text) {
+    return text == null ? "malformed" : text.lines().findFirst().orElse("malformed");
+  }
+
+  // -- stored JSON
+
   /** Writes a value for the table or the wire. */
   public static String write(Object value) {
     try {
@@ -91,86 +190,4 @@
       throw new IllegalStateException("stored JSON is not a " + type.getSimpleName(), e);
     }
   }
-
-  private static long lineOf(JsonProcessingException e) {
-    return e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-  }
-
-  private static String firstLine(String text) {
-    return text == null ? "malformed" : text.lines().findFirst().orElse("malformed");
-  }
-
-  private static final class Collector extends DeserializationProblemHandler {
-    @Override
-    public boolean handleUnknownProperty(
-        DeserializationContext context,
-        JsonParser parser,
-        JsonDeserializer<?> reader,
-        Object bean,
-        String name)
-        throws IOException {
-      String known =
-          reader == null || reader.getKnownPropertyNames() == null
-              ? "a known field"
-              : String.join(
-                  ", ",
-                  reader.getKnownPropertyNames().stream().map(Object::toString).sorted().toList());
-      add(context, parser, name, known);
-      parser.skipChildren();
-      return true;
-    }
-
-    @Override
-    public Object handleUnexpectedToken(
-        DeserializationContext context,
-        JavaType type,
-        com.fasterxml.jackson.core.JsonToken token,
-        JsonParser parser,
-        String message)
-        throws IOException {
-      add(
-          context,
-          parser,
-          parser.getText(),
-          "a value of type " + type.getRawClass().getSimpleName());
-      parser.skipChildren();
-      return neutral(type.getRawClass());
-    }
-
-    @Override
-    public Object handleWeirdStringValue(
-        DeserializationContext context, Class<?> type, String value, String message) {
-      add(context, context.getParser(), value, "a value of type " + type.getSimpleName());
-      return neutral(type);
-    }
-
-    @SuppressWarnings("unchecked")
-    private static void add(
-        DeserializationContext context, JsonParser parser, String value, String allowed) {
-      String path =
-          parser
-              .getParsingContext()
-              .pathAsPointer()
-              .toString()
-              .replaceFirst("^/", "")
-              .replace('/', '.');
-      ((List<Fault>) context.getAttribute(FAULTS)).add(new Fault(path, value, allowed));
-    }
-
-    private static Object neutral(Class<?> type) {
-      if (type == int.class || type == Integer.class) {
-        return 0;
-      }
-      if (type == long.class || type == Long.class) {
-        return 0L;
-      }
-      if (type == double.class || type == Double.class) {
-        return 0.0;
-      }
-      if (type == boolean.class || type == Boolean.class) {
-        return false;
-      }
-      return null;
-    }
-  }
 }
--- /dev/null
+++ b/it/src/test/java/org/limpetvale/it/Chat.java
@@ -0,0 +1,144 @@
+package org.limpetvale.it;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.IntConsumer;
+import org.limpetvale.fakes.fleet.Fleet;
+import org.limpetvale.fakes.fleet.Http;
+
+/** A caller of the chat interface. */
+final class Chat {
+  private static final String DATA = "data: ";
+
+  private Chat() {}
+
+  /**
+   * What a caller got.
+   *
+   * @param status HTTP status
+   * @param text text of the answer
+   * @param tokens number of tokens
+   * @param done whether the stream had its last mark
+   * @param code code of the refusal or error event; empty when there was none
+   * @param ran what the refusal said of the request
+   * @param usageTokens answer tokens by the usage block
+   */
+  record Outcome(
+      int status,
+      String text,
+      int tokens,
+      boolean done,
+      String code,
+      String ran,
+      int usageTokens) {}
+
+  static Map<String, String> headers(String key, String requestClass) {
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Authorization", "Bearer " + key);
+    headers.put("Content-Type", "application/json");
+    headers.put("X-Request-Class", requestClass);
+    return headers;
+  }
+
+  static String body(String prompt, boolean stream) {
+    return Http.MAPPER
+        .createObjectNode()
+        .put("model", Fleet.MODEL)
+        .put("stream", stream)
+        .set(
+            "messages",
+            Http.MAPPER
+                .createArrayNode()
+                .add(Http.MAPPER.createObjectNode().put("role", "user").put("content", prompt)))
+        .toString();
+  }
+
+  static Http.Answer whole(Fleet fleet, String entry, String key, String prompt)
+      throws IOException, InterruptedException {
+    return Http.call(
+        "POST",
+        fleet.url(entry) + "/v1/chat/completions",
+        headers(key, "cab-question"),
+        body(prompt, false));
+  }
+
+  static Outcome stream(Fleet fleet, String entry, String key, String prompt)
+      throws IOException, InterruptedException {
+    return stream(fleet, entry, key, "cab-question", prompt, token -> {});
+  }
+
+  /** Streams an answer; the listener gets the number of each token as it comes. */
+  static Outcome stream(
+      Fleet fleet,
+      String entry,
+      String key,
+      String requestClass,
+      String prompt,
+      IntConsumer onToken)
+      throws IOException, InterruptedException {
+    HttpResponse<java.io.InputStream> response =
+        Http.stream(
+            "POST",
+            fleet.url(entry) + "/v1/chat/completions",
+            headers(key, requestClass),
+            body(prompt, true));
+    if (response.statusCode() != 200) {
+      var problem = Http.MAPPER.readTree(response.body());
+      return new Outcome(
+          response.statusCode(),
+          "",
+          0,
+          false,
+          problem.path("code").asText(),
+          problem.path("ran").asText(),
+          0);
+    }
+    return read(response, onToken);
+  }
+
+  private static Outcome read(HttpResponse<java.io.InputStream> response, IntConsumer onToken) {
+    StringBuilder text = new StringBuilder();
+    int tokens = 0;
+    int usageTokens = 0;
+    String code = "";
+    String ran = "";
+    boolean done = false;
+    try (BufferedReader lines =
+        new BufferedReader(new InputStreamReader(response.body(), StandardCharsets.UTF_8))) {
+      for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+        if (line.equals(DATA + "[DONE]")) {
+          done = true;
+        } else if (line.startsWith(DATA)) {
+          var event = Http.MAPPER.readTree(line.substring(DATA.length()));
+          String piece = event.path("choices").path(0).path("delta").path("content").asText();
+          if (!piece.isEmpty()) {
+            text.append(piece);
+            tokens++;
+            onToken.accept(tokens);
+          }
+          usageTokens = event.path("usage").path("completion_tokens").asInt(usageTokens);
+          code = event.path("code").asText(code);
+          ran = event.path("ran").asText(ran);
+        }
+      }
+    } catch (IOException e) {
+      code = "cut";
+    }
+    return new Outcome(200, text.toString(), tokens, done, code, ran, usageTokens);
+  }
+
+  /** Returns the text that the engine's script has for a prompt. */
+  static String script(String prompt, int length) {
+    StringBuilder text = new StringBuilder();
+    int seed = (prompt + "\n").hashCode();
+    for (int i = 0; i < length; i++) {
+      text.append(" w").append(Math.floorMod(seed * 31 + i * 7919, 9973));
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/it/src/test/java/org/limpetvale/it/PathTest.java
@@ -0,0 +1,222 @@
+package org.limpetvale.it;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.fakes.fleet.Fleet;
+import org.limpetvale.fakes.fleet.FleetPlan;
+import org.limpetvale.fakes.fleet.Http;
+
+/** The whole path with real processes: answers, services, refusals, hostile input. */
+final class PathTest {
+  private static Fleet fleet;
+  private static String key;
+
+  @BeforeAll
+  static void startFleet() throws Exception {
+    fleet = Fleet.start(FleetPlan.small().withEngineOptions("--record"));
+    key = fleet.configure("e1", "dispatch", "depot").get("dispatch");
+  }
+
+  @AfterAll
+  static void stopFleet() {
+    fleet.close();
+  }
+
+  // -- answers
+
+  @Test
+  void aWholeAnswerIsTheEnginesScriptWithItsUsage() throws Exception {
+    Http.Answer answer = Chat.whole(fleet, "e1", key, "plan the round [len=9]");
+    assertThat(answer.status()).isEqualTo(200);
+    assertThat(answer.json().path("choices").path(0).path("message").path("content").asText())
+        .isEqualTo(Chat.script("plan the round [len=9]", 9));
+    assertThat(answer.json().path("usage").path("completion_tokens").asInt()).isEqualTo(9);
+  }
+
+  @Test
+  void aStreamedAnswerIsTheEnginesScriptAndEndsWithItsLastMark() throws Exception {
+    Chat.Outcome outcome = Chat.stream(fleet, "e2", key, "stream it [len=12]");
+    assertThat(outcome.text()).isEqualTo(Chat.script("stream it [len=12]", 12));
+    assertThat(outcome.done()).isTrue();
+    assertThat(outcome.usageTokens()).isEqualTo(12);
+  }
+
+  @Test
+  void theModelsOfTheWorkspaceAreListed() throws Exception {
+    Http.Answer answer =
+        Http.call("GET", fleet.url("e1") + "/v1/models", Chat.headers(key, "summary"), null);
+    assertThat(answer.json().path("data").path(0).path("id").asText()).isEqualTo(Fleet.MODEL);
+  }
+
+  @Test
+  void explainShowsTheCandidatesOfARequest() throws Exception {
+    Http.Answer answer = Chat.whole(fleet, "e1", key, "explain me");
+    String requestId = answer.headers().firstValue("X-Request-Id").orElseThrow();
+    Http.Answer explained = fleet.operator("e1", "GET", "/requests/" + requestId, null);
+    assertThat(explained.json().path(0).path("candidates").toString()).contains("m1", "m2");
+  }
+
+  @Test
+  void metricsTellOfAttainmentAndControlBytes() throws Exception {
+    Chat.whole(fleet, "e1", key, "count me");
+    assertThat(fleet.metrics("e1"))
+        .contains("limpetvale_requests_total{class=\"cab-question\"")
+        .contains("limpetvale_control_bytes_total{with=\"sidecar\"}");
+  }
+
+  // -- services
+
+  @Test
+  void aPlainServiceGetsMethodPathAndBodyAndItsHeadersComeBack() throws Exception {
+    Http.Answer stock =
+        Http.call("GET", service("/stock?depot=1"), Chat.headers(key, "cab-question"), null);
+    assertThat(stock.status()).isEqualTo(200);
+    assertThat(stock.headers().firstValue("X-Stock-Depot")).hasValue("south");
+    assertThat(stock.json().path("drums").asInt()).isEqualTo(42);
+    assertThat(received()).contains("/stock?depot=1");
+  }
+
+  @Test
+  void anOpenRouteNeedsNoKeyAndOthersDo() throws Exception {
+    assertThat(Http.call("GET", service("/stock"), Map.of(), null).status()).isEqualTo(200);
+    Http.Answer refused = Http.call("POST", service("/bookings"), Map.of(), "{}");
+    assertThat(refused.status()).isEqualTo(401);
+    assertThat(refused.code()).isEqualTo("LV-1001");
+  }
+
+  // -- keys
+
+  @Test
+  void aWrongKeyIsRefusedAsNotRun() throws Exception {
+    Http.Answer refused = Chat.whole(fleet, "e1", "lv-0000", "no");
+    assertThat(refused.status()).isEqualTo(401);
+    assertThat(refused.code()).isEqualTo("LV-1002");
+    assertThat(refused.json().path("ran").asText()).isEqualTo("not_run");
+    assertThat(refused.json().path("error").path("message").asText()).isNotEmpty();
+  }
+
+  @Test
+  void noUpstreamReceivesTheKeyInAnyByte() throws Exception {
+    Map<String, String> headers = Chat.headers(key, "cab-question");
+    headers.put("X-Api-Key", key);
+    headers.put("X-Custom", "prefix " + key);
+    Http.call("POST", service("/bookings"), headers, "{\"a\":1}");
+    Http.call("POST", fleet.url("e1") + "/v1/chat/completions", headers, Chat.body("hello", false));
+    Http.Answer inBody =
+        Http.call("POST", service("/bookings"), headers, "{\"k\":\"" + key + "\"}");
+    assertThat(inBody.status()).isEqualTo(400);
+    String all = received();
+    for (String engine : new String[] {"m1", "m2"}) {
+      all += Http.call("GET", fleet.upstreamUrl(engine) + "/journal", Map.of(), null).body();
+    }
+    assertThat(all).contains("hello").doesNotContain(key);
+  }
+
+  @Test
+  void noLogHoldsAKeyOrAPrompt() throws Exception {
+    Chat.whole(fleet, "e1", key, "a-very-secret-prompt");
+    for (String vm : new String[] {"e1", "e2", "m1", "m2", "s1"}) {
+      assertThat(fleet.proc(vm).output())
+          .doesNotContain(key)
+          .doesNotContain("a-very-secret-prompt");
+    }
+  }
+
+  // -- hostile input
+
+  @Test
+  void malformedBodiesGetAClearError() throws Exception {
+    assertThat(post("{").code()).isEqualTo("LV-2001");
+    assertThat(post("[]").code()).isEqualTo("LV-2001");
+    assertThat(post("[".repeat(10_000)).code()).isEqualTo("LV-2001");
+    assertThat(post("{\"model\":1}").code()).isEqualTo("LV-2003");
+    assertThat(post("{\"model\":\"gully-7b\",\"messages\":[]}").code()).isEqualTo("LV-2003");
+  }
+
+  @Test
+  void tokenLimitsOutOfRangeAreRefused() throws Exception {
+    String start = "{\"model\":\"gully-7b\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],";
+    assertThat(post(start + "\"max_tokens\":-1}").code()).isEqualTo("LV-2003");
+    assertThat(post(start + "\"max_tokens\":99999999999}").code()).isEqualTo("LV-2003");
+    assertThat(post(start + "\"max_tokens\":\"many\"}").code()).isEqualTo("LV-2003");
+  }
+
+  @Test
+  void anUnknownModelOrClassIsRefused() throws Exception {
+    String unknown = "{\"model\":\"other\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+    assertThat(post(unknown).code()).isEqualTo("LV-1005");
+    Http.Answer answer =
+        Http.call(
+            "POST",
+            fleet.url("e1") + "/v1/chat/completions",
+            Chat.headers(key, "no-such-class"),
+            Chat.body("x", false));
+    assertThat(answer.code()).isEqualTo("LV-1004");
+  }
+
+  @Test
+  void aBodyBeyondTheLimitIsRefused() throws Exception {
+    assertThat(post("\"" + "x".repeat(5 << 20) + "\"").code()).isEqualTo("LV-2002");
+  }
+
+  @Test
+  void aFloodOfHeadersOrAnAbsurdKeyIsRefusedAndTheEntryGoesOn() throws Exception {
+    String flood = "X-Flood: " + "y".repeat(100_000) + "\r\n";
+    assertThat(raw("GET /v1/models HTTP/1.1\r\nHost: x\r\n" + flood + "\r\n")).contains(" 431 ");
+    String absurd = "Authorization: Bearer " + "k".repeat(4000) + "\r\n";
+    assertThat(raw("GET /v1/models HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + absurd + "\r\n"))
+        .contains(" 401 ");
+    assertThat(Chat.whole(fleet, "e1", key, "still there").status()).isEqualTo(200);
+  }
+
+  @Test
+  void unknownFieldsAndWrongTypesInOperatorsInputAreListedAtOnce() throws Exception {
+    String bad =
+        "{\"type\":\"put-parameters\",\"parameters\":{\"workspace\":\"w\",\"templat\":\"x\","
+            + "\"template\":\"field-work\",\"weight\":\"heavy\"}}";
+    Http.Answer refused = fleet.operator("e1", "POST", "/changes", bad);
+    assertThat(refused.status()).isEqualTo(422);
+    assertThat(refused.json().path("detail").asText()).contains("templat").contains("heavy");
+  }
+
+  @Test
+  void operatorsCallsNeedAnOperatorsKey() throws Exception {
+    Http.Answer refused =
+        Http.call(
+            "GET", fleet.url("e1") + "/v1/admin/keys", Chat.headers(key, "cab-question"), null);
+    assertThat(refused.code()).isEqualTo("LV-1007");
+  }
+
+  private static Http.Answer post(String body) throws IOException, InterruptedException {
+    return Http.call(
+        "POST", fleet.url("e1") + "/v1/chat/completions", Chat.headers(key, "cab-question"), body);
+  }
+
+  private static String service(String path) {
+    return fleet.url("e2") + "/v1/services/bookings" + path;
+  }
+
+  private static String received() throws IOException, InterruptedException {
+    return Http.call("GET", fleet.upstreamUrl("s1") + "/received", Map.of(), null).body();
+  }
+
+  private static String raw(String request) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", fleet.node("e1").httpPort())) {
+      socket.setSoTimeout(5000);
+      OutputStream out = socket.getOutputStream();
+      out.write(request.getBytes(StandardCharsets.US_ASCII));
+      out.flush();
+      InputStream in = socket.getInputStream();
+      return new String(in.readNBytes(64), StandardCharsets.US_ASCII);
+    }
+  }
+}
--- /dev/null
+++ b/it/src/test/java/org/limpetvale/it/package-info.java
@@ -0,0 +1,2 @@
+/** Proofs with real processes on loopback. */
+package org.limpetvale.it;
