--- /dev/null
+++ b/core/src/test/java/org/limpetvale/core/admission/AdmissionQueueTest.java
@@ -0,0 +1,216 @@
+package org.limpetvale.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class AdmissionQueueTest {
+  private static final long FAR_MILLIS = 1_000_000;
+
+  private static Waiting request(long ticket, String workspace, int tier) {
+    return new Waiting(
+        ticket, workspace, "class-" + tier, tier, 0, FAR_MILLIS, 100, 1, 0.05, false, false, 0);
+  }
+
+  private static AdmissionQueue queue(int capacity, int limit) {
+    return AdmissionQueue.of(new Limits(capacity, limit), 100);
+  }
+
+  private static AdmissionQueue queued(AdmissionQueue queue, Waiting request) {
+    return ((Offer.Queued) queue.offer(request, 0)).queue();
+  }
+
+  private static AdmissionQueue running(AdmissionQueue queue) {
+    return queue.next(0).orElseThrow().queue();
+  }
+
+  @Nested
+  class OfferTest {
+    @Test
+    void aFullQueueGivesTheLowestTiersNewestRequestBackForAHigherTier() {
+      AdmissionQueue full = queued(queued(queue(1, 2), request(1, "a", 3)), request(2, "b", 3));
+      Offer offer = full.offer(request(3, "c", 0), 0);
+      assertThat(((Offer.Queued) offer).displaced().orElseThrow().ticket()).isEqualTo(2);
+    }
+
+    @Test
+    void aLowerTierNeverDisplacesAHigherOne() {
+      AdmissionQueue full = queued(queued(queue(1, 2), request(1, "a", 0)), request(2, "b", 0));
+      assertThat(full.offer(request(3, "c", 3), 0)).isInstanceOf(Offer.Full.class);
+    }
+
+    @Test
+    void aWorkspaceThatFloodsGivesAPlaceToOneThatDoesNot() {
+      AdmissionQueue full = queue(1, 3);
+      for (int ticket = 1; ticket <= 3; ticket++) {
+        full = queued(full, request(ticket, "flood", 1));
+      }
+      Offer offer = full.offer(request(4, "small", 1), 0);
+      assertThat(((Offer.Queued) offer).displaced().orElseThrow().ticket()).isEqualTo(3);
+    }
+
+    @Test
+    void aRequestThatCannotStartInTimeIsRefusedAtOnceWithWhenToComeBack() {
+      AdmissionQueue busy = running(queued(queue(1, 100), request(1, "a", 0)));
+      for (int ticket = 2; ticket < 20; ticket++) {
+        busy = queued(busy, request(ticket, "a", 0));
+      }
+      Waiting urgent = new Waiting(50, "b", "class-0", 0, 0, 500, 100, 1, 0, false, false, 0);
+      assertThat(busy.offer(urgent, 0))
+          .isInstanceOfSatisfying(
+              Offer.TooLate.class,
+              late -> assertThat(late.retryAfterMillis()).isGreaterThanOrEqualTo(1000));
+    }
+
+    @Test
+    void lowerTiersInTheQueueDoNotMakeAHigherTierTooLate() {
+      AdmissionQueue busy = running(queued(queue(1, 100), request(1, "a", 3)));
+      for (int ticket = 2; ticket < 50; ticket++) {
+        busy = queued(busy, request(ticket, "a", 3));
+      }
+      Waiting urgent = new Waiting(50, "b", "class-0", 0, 0, 500, 100, 1, 0, false, false, 0);
+      assertThat(busy.offer(urgent, 0)).isInstanceOf(Offer.Queued.class);
+    }
+  }
+
+  @Nested
+  class NextTest {
+    @Test
+    void theHighestTierGoesFirst() {
+      AdmissionQueue both = queued(queued(queue(1, 10), request(1, "a", 2)), request(2, "a", 0));
+      assertThat(both.next(0).orElseThrow().request().ticket()).isEqualTo(2);
+    }
+
+    @Test
+    void workspacesTakeTurnsByTheirTokens() {
+      AdmissionQueue queue = queue(1, 100);
+      for (int ticket = 1; ticket <= 10; ticket++) {
+        queue = queued(queue, request(ticket, "large", 1));
+      }
+      queue = queued(queued(queue, request(11, "small", 1)), request(12, "small", 1));
+      List<String> order = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        AdmissionQueue.Dispatch dispatch = queue.next(0).orElseThrow();
+        order.add(dispatch.request().workspace());
+        queue = dispatch.queue().withFinished(dispatch.request().ticket(), 100, 100);
+      }
+      assertThat(order).containsExactlyInAnyOrder("large", "small", "large", "small");
+    }
+
+    @Test
+    void aWorkspaceOverItsBudgetGoesAfterTheOthersOfItsTier() {
+      Waiting over = new Waiting(1, "a", "class-1", 1, 0, FAR_MILLIS, 100, 1, 0, true, false, 0);
+      AdmissionQueue queue = queued(queued(queue(1, 10), over), request(2, "b", 1));
+      assertThat(queue.next(0).orElseThrow().request().ticket()).isEqualTo(2);
+    }
+
+    @Test
+    void onlyOneExclusiveRequestRunsAtATime() {
+      Waiting first = new Waiting(1, "a", "class-1", 1, 0, FAR_MILLIS, 1, 1, 0, false, true, 0);
+      Waiting second = new Waiting(2, "b", "class-1", 1, 0, FAR_MILLIS, 1, 1, 0, false, true, 0);
+      AdmissionQueue queue = running(queued(queued(queue(4, 10), first), second));
+      assertThat(queue.next(0)).isEmpty();
+      assertThat(queue.withFinished(1, 1, 1).next(0)).isPresent();
+    }
+
+    @Test
+    void everyClassGetsItsFloorDuringAStormOfTheTopTier() {
+      Map<String, Long> served = storm(4, 40);
+      long all = served.values().stream().mapToLong(Long::longValue).sum();
+      for (int tier = 1; tier <= 3; tier++) {
+        assertThat(served.getOrDefault("class-" + tier, 0L) / (double) all)
+            .as("share of tier %d", tier)
+            .isGreaterThanOrEqualTo(0.05 * 0.9);
+      }
+    }
+
+    @Test
+    void noQueuedTopTierRequestExpiresWhileFloorsAreServedWithinTheReserve() {
+      SplittableRandom random = new SplittableRandom(7);
+      AdmissionQueue queue = queue(4, 60);
+      long now = 0;
+      long ticket = 0;
+      int expiredTop = 0;
+      Map<Long, Long> ends = new HashMap<>();
+      while (now < 60_000) {
+        now += 10;
+        for (int tier = 0; tier < 4; tier++) {
+          if (random.nextDouble() < 0.3) {
+            Waiting arriving =
+                new Waiting(
+                    ++ticket,
+                    "w" + tier,
+                    "class-" + tier,
+                    tier,
+                    now,
+                    now + 1500,
+                    100,
+                    1,
+                    0.05,
+                    false,
+                    false,
+                    0);
+            if (queue.offer(arriving, now) instanceof Offer.Queued(AdmissionQueue next, var gone)) {
+              assertThat(gone.map(Waiting::tier).orElse(tier)).isGreaterThanOrEqualTo(tier);
+              queue = next;
+            }
+          }
+        }
+        for (Map.Entry<Long, Long> end : List.copyOf(ends.entrySet())) {
+          if (end.getValue() <= now) {
+            ends.remove(end.getKey());
+            queue = queue.withFinished(end.getKey(), 100, 100);
+          }
+        }
+        for (Waiting late : queue.expired(now)) {
+          expiredTop += late.tier() == 0 ? 1 : 0;
+          queue = queue.withoutWaiting(late.ticket());
+        }
+        Optional<AdmissionQueue.Dispatch> dispatch = queue.next(now);
+        while (dispatch.isPresent()) {
+          queue = dispatch.get().queue();
+          ends.put(dispatch.get().request().ticket(), now + 100);
+          dispatch = queue.next(now);
+        }
+      }
+      assertThat(expiredTop).isZero();
+    }
+
+    private Map<String, Long> storm(int tiers, int perTier) {
+      AdmissionQueue queue = queue(1, 400);
+      long ticket = 0;
+      Map<String, Long> served = new HashMap<>();
+      for (int round = 0; round < 2000; round++) {
+        for (int tier = 0; tier < tiers; tier++) {
+          long waiting = queue.waitingByTier(4).get(tier);
+          for (long i = waiting; i < perTier; i++) {
+            queue = queued(queue, request(++ticket, "w" + tier, tier));
+          }
+        }
+        AdmissionQueue.Dispatch dispatch = queue.next(0).orElseThrow();
+        served.merge(dispatch.request().requestClass(), 100L, Long::sum);
+        queue = dispatch.queue().withFinished(dispatch.request().ticket(), 100, 100);
+      }
+      return served;
+    }
+  }
+
+  @Nested
+  class WithFinishedTest {
+    @Test
+    void realTokensReplaceTheEstimate() {
+      AdmissionQueue queue = queue(1, 10);
+      queue = running(queued(queue, request(1, "short", 1))).withFinished(1, 10, 100);
+      queue = running(queued(queue, request(2, "long", 1))).withFinished(2, 1000, 100);
+      queue = queued(queued(queue, request(3, "long", 1)), request(4, "short", 1));
+      assertThat(queue.next(0).orElseThrow().request().workspace()).isEqualTo("short");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/limpetvale/core/lease/LeaseTest.java
@@ -0,0 +1,90 @@
+package org.limpetvale.core.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class LeaseTest {
+  private static final LeaseRow HELD = new LeaseRow("d", "a/1", 4, 1000, "t");
+
+  @Nested
+  class NextWriteTest {
+    @Test
+    void aContenderWaitsTheWholeDurationOnItsOwnClock() {
+      LeaseView view = LeaseView.empty().afterRead(Optional.of(HELD), 7, 50_000);
+      assertThat(view.nextWrite("b/1", "d", 1000, "t2", 50_999)).isEmpty();
+      assertThat(view.nextWrite("b/1", "d", 1000, "t2", 51_000).orElseThrow().epoch()).isEqualTo(5);
+    }
+
+    @Test
+    void aRenewalSeenStartsTheWaitAnew() {
+      LeaseView view = LeaseView.empty().afterRead(Optional.of(HELD), 7, 0);
+      assertThat(view.afterRead(Optional.of(HELD), 8, 900).nextWrite("b/1", "d", 1000, "t", 1500))
+          .isEmpty();
+    }
+
+    @Test
+    void aReleasedLeaseIsFreeAtOnceWithAHigherEpoch() {
+      LeaseRow free = new LeaseRow("d", "", 4, 1000, "t");
+      LeaseView view = LeaseView.empty().afterRead(Optional.of(free), 9, 0);
+      assertThat(view.nextWrite("b/1", "d", 1000, "t", 0).orElseThrow().epoch()).isEqualTo(5);
+    }
+
+    @Test
+    void nothingIsWrittenBeforeTheRowIsRead() {
+      assertThat(LeaseView.empty().nextWrite("a/1", "d", 1000, "t", 0)).isEmpty();
+    }
+  }
+
+  @Nested
+  class HeldTest {
+    @Test
+    void aHolderStopsBeforeAContenderMayBegin() {
+      LeaseView holder = LeaseView.empty().afterWrite(HELD, 7, 0);
+      assertThat(holder.held(699)).isTrue();
+      assertThat(holder.held(700)).isFalse();
+    }
+  }
+
+  @Nested
+  class OrderRowTest {
+    @Test
+    void anotherProcesssOrderInFlightBlocksUntilItsSenderIsGone() {
+      OrderRow order =
+          new OrderRow("d", 4, "o", "a/1", OrderRow.Action.STOP, "m1", OrderRow.State.SENDING);
+      assertThat(order.allowsNext("b/1", false)).isFalse();
+      assertThat(order.allowsNext("b/1", true)).isTrue();
+      assertThat(order.in(OrderRow.State.UNKNOWN).allowsNext("b/1", false)).isTrue();
+    }
+  }
+
+  @Nested
+  class ScalingTest {
+    private static final Scaling.Targets TARGETS = new Scaling.Targets(0.8, 0.4, 1);
+
+    private Scaling.Unit unit(String vm, boolean running, int load) {
+      return new Scaling.Unit(vm, "m", running, false, load, 10);
+    }
+
+    @Test
+    void highLoadStartsAnIdleUpstream() {
+      assertThat(Scaling.decide(List.of(unit("a", true, 9), unit("b", false, 0)), TARGETS, 0, 10))
+          .contains(new Scaling.Wish.Start("b"));
+    }
+
+    @Test
+    void lowLoadStopsTheEmptiestAfterAQuietTimeOnly() {
+      List<Scaling.Unit> units = List.of(unit("a", true, 2), unit("b", true, 0));
+      assertThat(Scaling.decide(units, TARGETS, 5, 10)).isEmpty();
+      assertThat(Scaling.decide(units, TARGETS, 10, 10)).contains(new Scaling.Wish.Stop("b"));
+    }
+
+    @Test
+    void theLastUpstreamIsNotStopped() {
+      assertThat(Scaling.decide(List.of(unit("a", true, 0)), TARGETS, 99, 10)).isEmpty();
+    }
+  }
+}
--- /dev/null
+++ b/it/src/test/java/org/limpetvale/it/RepeatsTest.java
@@ -0,0 +1,234 @@
+package org.limpetvale.it;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.fakes.fleet.Fleet;
+import org.limpetvale.fakes.fleet.FleetPlan;
+import org.limpetvale.fakes.fleet.Http;
+
+/** A booking runs at most once, and a refusal that says "not run" is true. */
+final class RepeatsTest {
+  private static Fleet fleet;
+  private static String key;
+  private static int number;
+
+  @BeforeAll
+  static void startFleet() throws Exception {
+    fleet = Fleet.start(FleetPlan.small().withSizes(2, 0, 2));
+    key = fleet.configure("e1", "dispatch").get("dispatch");
+  }
+
+  @AfterAll
+  static void stopFleet() {
+    fleet.close();
+  }
+
+  @AfterEach
+  void heal() throws Exception {
+    fleet.faults(
+        "table", "{\"down\":false,\"loseAnswers\":0,\"loseRequests\":0,\"latencyMillis\":0}");
+    for (String vm : new String[] {"s1", "s2"}) {
+      fleet.upstreamFaults(vm, "{\"cutBefore\":0,\"cutAfter\":0,\"workMillis\":5}");
+    }
+  }
+
+  @Test
+  void theSameKeyThroughSeveralEntriesAtOnceRunsOnce() throws Exception {
+    String order = nextOrder();
+    List<Http.Answer> answers =
+        Callers.all(24, i -> () -> book("e" + (i % 2 + 1), order, "{\"drums\":3}"));
+    assertThat(runs(order)).isEqualTo(1);
+    assertThat(answers).anyMatch(answer -> answer.status() == 201);
+    assertThat(answers)
+        .allMatch(answer -> answer.status() == 201 || answer.code().equals("LV-4005"));
+  }
+
+  @Test
+  void aRepeatGetsTheStoredAnswerAndAnotherBodyIsRefused() throws Exception {
+    String order = nextOrder();
+    Http.Answer first = book("e1", order, "{\"drums\":1}");
+    Http.Answer repeat = book("e2", order, "{\"drums\":1}");
+    assertThat(repeat.status()).isEqualTo(201);
+    assertThat(repeat.body()).isEqualTo(first.body());
+    assertThat(book("e1", order, "{\"drums\":9}").code()).isEqualTo("LV-2004");
+    assertThat(runs(order)).isEqualTo(1);
+  }
+
+  @Test
+  void aCrashAfterTheEffectIsAnsweredAsMayHaveRunAndNeverRunAgain() throws Exception {
+    String order = nextOrder();
+    cutBoth("cutAfter");
+    Http.Answer first = book("e1", order, "{}");
+    assertThat(first.json().path("ran").asText()).isEqualTo("may_have_run");
+    heal();
+    assertThat(book("e2", order, "{}").json().path("ran").asText()).isEqualTo("may_have_run");
+    assertThat(runs(order)).isEqualTo(1);
+  }
+
+  @Test
+  void aCrashBeforeTheEffectIsNotTakenForNotRunEither() throws Exception {
+    String order = nextOrder();
+    cutBoth("cutBefore");
+    Http.Answer first = book("e1", order, "{}");
+    assertThat(first.json().path("ran").asText()).isEqualTo("may_have_run");
+    heal();
+    book("e2", order, "{}");
+    assertThat(runs(order)).isZero();
+  }
+
+  @Test
+  void aLostAnswerOfTheClaimStillRunsTheCallOnce() throws Exception {
+    String order = nextOrder();
+    fleet.faults("table", "{\"loseAnswers\":1}");
+    Http.Answer first = book("e1", order, "{}");
+    assertThat(first.status()).isEqualTo(201);
+    assertThat(book("e2", order, "{}").status()).isEqualTo(201);
+    assertThat(runs(order)).isEqualTo(1);
+  }
+
+  @Test
+  void withTheTableDownTheCallIsRefusedAsNotRunAndItIsTrue() throws Exception {
+    String order = nextOrder();
+    fleet.faults("table", "{\"down\":true}");
+    Http.Answer refused = book("e1", order, "{}");
+    assertThat(refused.json().path("ran").asText()).isEqualTo("not_run");
+    assertThat(refused.headers().firstValue("Retry-After")).isPresent();
+    assertThat(runs(order)).isZero();
+    heal();
+    Thread.sleep(3000);
+    assertThat(book("e2", order, "{}").status()).isEqualTo(201);
+    assertThat(runs(order)).isEqualTo(1);
+  }
+
+  @Test
+  void aTableThatGoesDownWhileTheCallRunsDoesNotLoseTheAnswer() throws Exception {
+    String order = nextOrder();
+    fleet.upstreamFaults("s1", "{\"workMillis\":1500}");
+    fleet.upstreamFaults("s2", "{\"workMillis\":1500}");
+    Future<Http.Answer> call = Callers.start(() -> book("e1", order, "{}"));
+    Thread.sleep(600);
+    fleet.faults("table", "{\"down\":true}");
+    assertThat(Callers.get(call).status()).isEqualTo(201);
+    assertThat(book("e1", order, "{}").status()).isEqualTo(201);
+    heal();
+    awaitStored("e2", order);
+    assertThat(runs(order)).isEqualTo(1);
+  }
+
+  @Test
+  void anEntryKilledWhileTheCallRunsLeavesItAtMostOnce() throws Exception {
+    String order = nextOrder();
+    fleet.upstreamFaults("s1", "{\"workMillis\":1500}");
+    fleet.upstreamFaults("s2", "{\"workMillis\":1500}");
+    Future<Boolean> cut =
+        Callers.start(
+            () -> {
+              try {
+                return book("e2", order, "{}").status() != 201;
+              } catch (IOException e) {
+                return true;
+              }
+            });
+    Thread.sleep(600);
+    fleet.proc("e2").kill();
+    assertThat(Callers.get(cut)).isTrue();
+    Http.Answer repeat = book("e1", order, "{}");
+    assertThat(repeat.json().path("ran").asText()).isEqualTo("may_have_run");
+    Thread.sleep(1500);
+    book("e1", order, "{}");
+    assertThat(runs(order)).isEqualTo(1);
+    fleet.startDaemonAgain("e2");
+    fleet.awaitUpstreams("e2", 2);
+  }
+
+  @Test
+  void aRefusalThatSaysNotRunIsTrueUnderKillsOfSidecars() throws Exception {
+    Map<String, String> said = new HashMap<>();
+    Future<?> killer =
+        Callers.start(
+            () -> {
+              for (int i = 0; i < 3; i++) {
+                Thread.sleep(700);
+                fleet.proc("s1").kill();
+                fleet.startDaemonAgain("s1");
+              }
+              return null;
+            });
+    List<Map.Entry<String, String>> outcomes =
+        Callers.all(
+            150,
+            i ->
+                () -> {
+                  String order = "kill-" + i;
+                  Thread.sleep(i * 20L);
+                  Http.Answer answer = book("e1", order, "{}");
+                  String ran = answer.status() == 201 ? "ran" : answer.json().path("ran").asText();
+                  return Map.entry(order, ran);
+                });
+    Callers.get(killer);
+    fleet.awaitUpstreams("e1", 2);
+    outcomes.forEach(each -> said.put(each.getKey(), each.getValue()));
+    Map<String, Integer> runs = allRuns();
+    said.forEach(
+        (order, ran) -> {
+          int count = runs.getOrDefault(order, 0);
+          assertThat(count).as(order).isLessThanOrEqualTo(1);
+          if (ran.equals("not_run")) {
+            assertThat(count).as(order).isZero();
+          }
+          if (ran.equals("ran")) {
+            assertThat(count).as(order).isEqualTo(1);
+          }
+        });
+    assertThat(said.values()).contains("ran");
+  }
+
+  private static String nextOrder() {
+    number++;
+    return "order-" + number;
+  }
+
+  private static Http.Answer book(String entry, String order, String body)
+      throws IOException, InterruptedException {
+    Map<String, String> headers = Chat.headers(key, "cab-question");
+    headers.put("Idempotency-Key", order);
+    return Http.call("POST", fleet.url(entry) + "/v1/services/bookings/bookings", headers, body);
+  }
+
+  private static void cutBoth(String fault) throws IOException, InterruptedException {
+    fleet.upstreamFaults("s1", "{\"" + fault + "\":1}");
+    fleet.upstreamFaults("s2", "{\"" + fault + "\":1}");
+  }
+
+  private static void awaitStored(String entry, String order)
+      throws IOException, InterruptedException {
+    for (int i = 0; i < 100 && book(entry, order, "{}").status() != 201; i++) {
+      Thread.sleep(100);
+    }
+    assertThat(book(entry, order, "{}").status()).isEqualTo(201);
+  }
+
+  private static int runs(String order) throws IOException, InterruptedException {
+    return allRuns().getOrDefault(order, 0);
+  }
+
+  private static Map<String, Integer> allRuns() throws IOException, InterruptedException {
+    Map<String, Integer> runs = new HashMap<>();
+    for (String vm : new String[] {"s1", "s2"}) {
+      JsonNode journal =
+          Http.call("GET", fleet.upstreamUrl(vm) + "/journal", Map.of(), null).json();
+      journal.forEach(each -> runs.merge(each.path("idempotencyKey").asText(), 1, Integer::sum));
+    }
+    return runs;
+  }
+}
