Usage is billed after the answer is written; orders settle after a lost answer

Cause 1: a sidecar ended its call with the last event, so that the entry's word that the caller has the answer came too late and was dropped; an entry killed before its flush lost 14 of 352 tokens. Ruled out: the recovery's scan of the writer's batches. Change: the call stays open until the entry ends it; answers without that word are counted as not proved. Cause 2: whole answers and service calls were billed before their bytes were written. Change: billed after the flush. Cause 3: an order whose answer was lost may arrive late at a receiver that ignores fencing numbers. Change: the next order of the duty waits.

--- a/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
@@ -31,11 +31,16 @@
   private static final long RESOLVE_MILLIS = 2000;
   private static final long CONCLUDE_PERIOD_MILLIS = 1000;
 
+  /** Time that an order whose answer was lost has to arrive before the next, in milliseconds. */
+  private static final long SETTLE_MILLIS = 5000;
+
   private final String self;
   private final Table table;
   private final ResolvedCommit commits;
   private final Predicate<String> processGone;
+  private final TimerService timer;
   private final Map<String, OrderRow> unconcluded = new ConcurrentHashMap<>();
+  private final Map<String, UnknownSeen> unknownSeen = new ConcurrentHashMap<>();
 
   /**
    * Creates a sender.
@@ -53,9 +58,12 @@
     this.table = Objects.requireNonNull(table, "table is null");
     this.commits = Objects.requireNonNull(commits, "commits is null");
     this.processGone = Objects.requireNonNull(processGone, "processGone is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
     timer.every(CONCLUDE_PERIOD_MILLIS, this::concludeLate);
   }
 
+  private record UnknownSeen(long revision, long atMillis) {}
+
   /**
    * A claimed order.
    *
@@ -85,6 +93,9 @@
           lease.duty(), standing.get().sender(), standing.get().orderId());
       return Optional.empty();
     }
+    if (row.isPresent() && isSettling(lease.duty(), row.get(), standing.orElseThrow())) {
+      return Optional.empty();
+    }
     OrderRow order =
         new OrderRow(
             lease.duty(), lease.epoch(), Ids.next(), self, action, subject, OrderRow.State.SENDING);
@@ -129,6 +140,21 @@
     }
   }
 
+  /** An order whose answer was lost may yet arrive at a receiver that ignores fencing numbers. */
+  private boolean isSettling(String duty, Row row, OrderRow standing) {
+    if (standing.state() != OrderRow.State.UNKNOWN) {
+      return false;
+    }
+    UnknownSeen seen =
+        unknownSeen.compute(
+            duty,
+            (key, old) ->
+                old != null && old.revision() == row.revision()
+                    ? old
+                    : new UnknownSeen(row.revision(), timer.nowMillis()));
+    return timer.nowMillis() - seen.atMillis() < SETTLE_MILLIS;
+  }
+
   private void concludeLate() {
     unconcluded.forEach(
         (duty, concluded) -> {
--- a/entry/src/main/java/org/limpetvale/entry/http/ChatResource.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/ChatResource.java
@@ -18,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.Objects;
+import java.util.Optional;
 import org.limpetvale.core.repeat.ClaimRow;
 import org.limpetvale.core.result.Ran;
 import org.limpetvale.core.result.Refusal;
@@ -114,7 +115,7 @@
       }
       case Result.Ok<ModelRequest>(ModelRequest request) ->
           idempotencyKey == null || request.stream()
-              ? run(request)
+              ? run(request).response()
               : runOnce(request, idempotencyKey);
     };
   }
@@ -138,69 +139,56 @@
         yield Problems.response(refusal, request.requestId());
       }
       case Result.Ok<Claims.Grant>(Claims.Grant.Repeat(ClaimRow.StoredAnswer answer)) ->
-          stored(answer, request.requestId());
+          Problems.repeated(answer, request.requestId());
       case Result.Ok<Claims.Grant>(Claims.Grant.Run(Claims.Held held)) -> {
-        Response response = run(request);
-        if (response.getStatus() == Response.Status.OK.getStatusCode()) {
-          byte[] body = response.getEntity().toString().getBytes(StandardCharsets.UTF_8);
+        Answer answer = run(request);
+        if (answer.whole().isPresent()) {
           claims.finish(
               held,
               new ClaimRow.StoredAnswer(
-                  response.getStatus(),
+                  Response.Status.OK.getStatusCode(),
                   MediaType.APPLICATION_JSON,
-                  Base64.getEncoder().encodeToString(body)));
+                  Base64.getEncoder().encodeToString(answer.whole().get())));
         } else {
           // A model request has no lasting effect, so that it may run again.
           claims.release(held);
         }
-        yield response;
+        yield answer.response();
       }
     };
   }
 
-  private static Response stored(ClaimRow.StoredAnswer answer, String requestId) {
-    return Response.status(answer.status())
-        .type(answer.contentType())
-        .header("X-Request-Id", requestId)
-        .header("Idempotent-Replayed", "true")
-        .entity(Base64.getDecoder().decode(answer.bodyBase64()))
-        .build();
-  }
-
   // -- running
 
-  private Response run(ModelRequest request) {
+  /**
+   * An answer on its way to the caller.
+   *
+   * @param response the response
+   * @param whole body of a whole answer; empty for a refusal or a stream
+   */
+  private record Answer(Response response, Optional<byte[]> whole) {}
+
+  private Answer run(ModelRequest request) {
     ModelRun run = runs.start(request);
     OpenRequests.Registration registration = open.register(request.caller().keyDigest(), run::stop);
     Accounting.Watch watch = runs.accounting().watch(request);
-    boolean handedOver = false;
     try {
-      Step first = firstStep(run);
-      if (first instanceof Step.Refused(Refusal refusal)) {
-        watch.refused(refusal, run);
-        return Problems.response(refusal, request.requestId());
-      }
-      if (request.stream()) {
-        handedOver = true;
+      Step first = request.stream() ? firstStep(run) : new Step.Idle();
+      if (request.stream() && !(first instanceof Step.Refused)) {
         StreamingOutput output = out -> relay(request, run, registration, watch, first, out);
-        return Response.ok(output)
-            .type("text/event-stream")
-            .header("X-Request-Id", request.requestId())
-            .header("Cache-Control", "no-cache")
-            .build();
+        return new Answer(response(request, "text/event-stream", output), Optional.empty());
       }
-      return collect(request, run, watch, first);
+      StringBuilder text = new StringBuilder();
+      return switch (request.stream() ? first : collect(run, watch, text)) {
+        case Step.Done done -> whole(request, run, registration, watch, text.toString(), done);
+        case Step.Refused(Refusal refusal) -> refused(request, run, registration, watch, refusal);
+        case Step other -> throw new IllegalStateException("no end of a run: " + other);
+      };
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       run.cancel();
-      Refusal refusal = Refusal.of(ResultCode.INTERNAL, "interrupted");
-      watch.refused(refusal, run);
-      return Problems.response(refusal, request.requestId());
-    } finally {
-      if (!handedOver) {
-        registration.close();
-        run.close();
-      }
+      return refused(
+          request, run, registration, watch, Refusal.of(ResultCode.INTERNAL, "interrupted"));
     }
   }
 
@@ -212,35 +200,68 @@
     return step;
   }
 
-  private static Response collect(
-      ModelRequest request, ModelRun run, Accounting.Watch watch, Step first)
+  /** Collects the text of a whole answer; returns the end of the run. */
+  private static Step collect(ModelRun run, Accounting.Watch watch, StringBuilder text)
       throws InterruptedException {
-    StringBuilder text = new StringBuilder();
-    Step step = first;
     while (true) {
-      switch (step) {
+      switch (run.next(KEEP_ALIVE_MILLIS)) {
         case Step.Text(String piece) -> {
           watch.token();
           text.append(piece);
         }
         case Step.Idle() -> {}
-        case Step.Refused(Refusal refusal) -> {
-          watch.refused(refusal, run);
-          return Problems.response(refusal, request.requestId());
-        }
-        case Step.Done done -> {
-          watch.done(done, run);
-          return Response.ok(
-                  ChatAnswers.whole(request, text.toString(), done, nowSeconds()).toString())
-              .type(MediaType.APPLICATION_JSON)
-              .header("X-Request-Id", request.requestId())
-              .build();
+        case Step end -> {
+          return end;
         }
       }
-      step = run.next(KEEP_ALIVE_MILLIS);
     }
   }
 
+  /** Makes the response of a whole answer, which is billed once its bytes are written. */
+  private static Answer whole(
+      ModelRequest request,
+      ModelRun run,
+      OpenRequests.Registration registration,
+      Accounting.Watch watch,
+      String text,
+      Step.Done done) {
+    byte[] body =
+        ChatAnswers.whole(request, text, done, nowSeconds())
+            .toString()
+            .getBytes(StandardCharsets.UTF_8);
+    StreamingOutput output =
+        out -> {
+          try (registration;
+              run) {
+            out.write(body);
+            out.flush();
+            watch.done(done, run);
+          }
+        };
+    return new Answer(response(request, MediaType.APPLICATION_JSON, output), Optional.of(body));
+  }
+
+  private static Answer refused(
+      ModelRequest request,
+      ModelRun run,
+      OpenRequests.Registration registration,
+      Accounting.Watch watch,
+      Refusal refusal) {
+    try (registration;
+        run) {
+      watch.refused(refusal, run);
+      return new Answer(Problems.response(refusal, request.requestId()), Optional.empty());
+    }
+  }
+
+  private static Response response(ModelRequest request, String type, StreamingOutput output) {
+    return Response.ok(output)
+        .type(type)
+        .header("X-Request-Id", request.requestId())
+        .header("Cache-Control", "no-cache")
+        .build();
+  }
+
   private static void relay(
       ModelRequest request,
       ModelRun run,
--- a/entry/src/main/java/org/limpetvale/entry/http/Problems.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/Problems.java
@@ -3,9 +3,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import jakarta.ws.rs.core.Response;
+import java.util.Base64;
+import org.limpetvale.core.repeat.ClaimRow;
 import org.limpetvale.core.result.Refusal;
 
-/** Error answers: problem JSON that also carries the error object that OpenAI clients read. */
+/** Error answers, as problem JSON with the error object of OpenAI clients, and stored answers. */
 public final class Problems {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String MEDIA_TYPE = "application/problem+json";
@@ -26,6 +28,16 @@
     return builder.build();
   }
 
+  /** Returns the answer to a repeat of a call that has run before. */
+  public static Response repeated(ClaimRow.StoredAnswer answer, String requestId) {
+    return Response.status(answer.status())
+        .type(answer.contentType())
+        .header("X-Request-Id", requestId)
+        .header("Idempotent-Replayed", "true")
+        .entity(Base64.getDecoder().decode(answer.bodyBase64()))
+        .build();
+  }
+
   /** Returns the body for a refusal. */
   public static ObjectNode body(Refusal refusal, String requestId) {
     ObjectNode body = MAPPER.createObjectNode();
--- a/entry/src/main/java/org/limpetvale/entry/http/ServiceResource.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/ServiceResource.java
@@ -11,6 +11,7 @@
 import jakarta.ws.rs.core.Context;
 import jakarta.ws.rs.core.HttpHeaders;
 import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.core.StreamingOutput;
 import jakarta.ws.rs.core.UriInfo;
 import java.io.InputStream;
 import java.util.Base64;
@@ -222,7 +223,7 @@
   private Response answer(ServiceRequest request, HttpHeaders headers) {
     String idempotencyKey = headers.getHeaderString("Idempotency-Key");
     if (idempotencyKey == null || request.repeatable()) {
-      return conclude(request, run(request), Optional.empty());
+      return run(request, Optional.empty());
     }
     String description = request.method() + " " + request.service() + request.path();
     Result<Claims.Grant> grant =
@@ -234,51 +235,59 @@
         yield Problems.response(refusal, request.requestId());
       }
       case Result.Ok<Claims.Grant>(Claims.Grant.Repeat(ClaimRow.StoredAnswer stored)) ->
-          Response.status(stored.status())
-              .type(stored.contentType())
-              .header("X-Request-Id", request.requestId())
-              .header("Idempotent-Replayed", "true")
-              .entity(Base64.getDecoder().decode(stored.bodyBase64()))
-              .build();
+          Problems.repeated(stored, request.requestId());
       case Result.Ok<Claims.Grant>(Claims.Grant.Run(Claims.Held held)) ->
-          conclude(request, run(request), Optional.of(held));
+          run(request, Optional.of(held));
     };
   }
 
-  private Result<ServiceAnswer> run(ServiceRequest request) {
+  private Response run(ServiceRequest request, Optional<Claims.Held> held) {
     ServiceRun run = new ServiceRun(request, dispatcher);
+    Result<ServiceAnswer> result;
     try (OpenRequests.Registration ignored =
         open.register(request.caller().keyDigest(), run::stop)) {
-      return run.run();
+      result = run.run();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return Result.err(ResultCode.INTERNAL, "interrupted");
+      result = Result.err(ResultCode.INTERNAL, "interrupted");
     }
-  }
-
-  private Response conclude(
-      ServiceRequest request, Result<ServiceAnswer> result, Optional<Claims.Held> held) {
     return switch (result) {
       case Result.Ok<ServiceAnswer>(ServiceAnswer answer) -> {
         held.ifPresent(each -> claims.finish(each, stored(answer)));
-        accounting.serviceDone(request);
-        yield response(answer, request.requestId());
+        yield response(answer, request, run);
       }
       case Result.Err<ServiceAnswer>(Refusal refusal) -> {
-        held.ifPresent(
-            each -> {
-              if (refusal.ran() == Ran.NOT_RUN) {
-                claims.release(each);
-              } else {
-                claims.unknown(each);
-              }
-            });
+        run.close();
+        held.ifPresent(each -> conclude(each, refusal));
         accounting.serviceRefused(request, refusal);
         yield Problems.response(refusal, request.requestId());
       }
     };
   }
 
+  private void conclude(Claims.Held held, Refusal refusal) {
+    if (refusal.ran() == Ran.NOT_RUN) {
+      claims.release(held);
+    } else {
+      claims.unknown(held);
+    }
+  }
+
+  /** Makes the response; the call is billed once its bytes are written. */
+  private Response response(ServiceAnswer answer, ServiceRequest request, ServiceRun run) {
+    StreamingOutput output =
+        out -> {
+          try (run) {
+            answer.getBody().writeTo(out);
+            out.flush();
+            accounting.serviceDone(request, run);
+          }
+        };
+    Response.ResponseBuilder builder = Response.status(answer.getStatus());
+    answer.getHeadersList().forEach(each -> builder.header(each.getName(), each.getValue()));
+    return builder.header("X-Request-Id", request.requestId()).entity(output).build();
+  }
+
   private static ClaimRow.StoredAnswer stored(ServiceAnswer answer) {
     String type =
         answer.getHeadersList().stream()
@@ -291,10 +300,4 @@
         type,
         Base64.getEncoder().encodeToString(answer.getBody().toByteArray()));
   }
-
-  private static Response response(ServiceAnswer answer, String requestId) {
-    Response.ResponseBuilder builder = Response.status(answer.getStatus());
-    answer.getHeadersList().forEach(each -> builder.header(each.getName(), each.getValue()));
-    return builder.header("X-Request-Id", requestId).entity(answer.getBody().toByteArray()).build();
-  }
 }
--- a/entry/src/main/java/org/limpetvale/entry/request/Accounting.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/Accounting.java
@@ -50,12 +50,13 @@
   }
 
   /** Bills a call of a plain service whose answer the caller has. */
-  public void serviceDone(ServiceRequest request) {
+  public void serviceDone(ServiceRequest request, ServiceRun run) {
     count(request.className(), "attained", "");
-    ledger.add(
+    UsageRecord record =
         new UsageRecord(
-            request.requestId(), request.caller().workspace(), new UsageFigures(0, 0, 1)),
-        "");
+            request.requestId(), request.caller().workspace(), new UsageFigures(0, 0, 1));
+    ledger.add(record, run.vm());
+    run.delivered(ledger.writerId(), wire(record));
   }
 
   /** Counts a call of a plain service that was refused or has failed. */
--- a/entry/src/main/java/org/limpetvale/entry/request/ServiceRun.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/ServiceRun.java
@@ -12,11 +12,13 @@
 import org.limpetvale.core.result.ResultCode;
 import org.limpetvale.entry.upstream.Next;
 import org.limpetvale.entry.upstream.RemoteAttempt;
+import org.limpetvale.wire.Delivered;
 import org.limpetvale.wire.Failed;
 import org.limpetvale.wire.Open;
 import org.limpetvale.wire.RunEvent;
 import org.limpetvale.wire.ServiceAnswer;
 import org.limpetvale.wire.ServiceCall;
+import org.limpetvale.wire.UsageRecord;
 
 /**
  * A running call of a plain service.
@@ -24,7 +26,7 @@
  * <p>A call that may not be repeated is offered again only while every sidecar so far has proved
  * that it did not run.
  */
-public final class ServiceRun {
+public final class ServiceRun implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long POLL_MILLIS = 1000;
   private static final long RETRY_AFTER_MILLIS = 1000;
@@ -67,13 +69,11 @@
       }
       attempt = opened.get();
       attemptNumber++;
-      Ending ending;
-      try {
-        ending = await(attempt);
-      } finally {
+      Ending ending = await(attempt);
+      if (!(ending instanceof Ending.Answered)) {
         attempt.close();
       }
-      excluded.add(attempt.link().vm().name());
+      excluded.add(vm());
       switch (ending) {
         case Ending.Answered(ServiceAnswer answer) -> {
           dispatcher.success();
@@ -105,6 +105,25 @@
     }
   }
 
+  /** Returns the VM that the last attempt ran on. */
+  public String vm() {
+    RemoteAttempt current = attempt;
+    return current == null ? "" : current.link().vm().name();
+  }
+
+  /** Tells the sidecar that the caller has the whole answer. */
+  public void delivered(String writerId, UsageRecord record) {
+    attempt.delivered(Delivered.newBuilder().setWriterId(writerId).setRecord(record).build());
+  }
+
+  @Override
+  public void close() {
+    RemoteAttempt current = attempt;
+    if (current != null) {
+      current.close();
+    }
+  }
+
   private Ending await(RemoteAttempt current) throws InterruptedException {
     if (stopped != null) {
       current.stop(stopped);
--- a/fakes/src/main/java/org/limpetvale/fakes/FakePower.java
+++ b/fakes/src/main/java/org/limpetvale/fakes/FakePower.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Stand-in of the start and stop interface; keeps a journal of the orders it got. */
 final class FakePower {
@@ -14,6 +15,7 @@
   private final Map<String, Unit> units = new LinkedHashMap<>();
   private final Map<String, Long> epochs = new LinkedHashMap<>();
   private final List<Order> journal = new ArrayList<>();
+  private final AtomicInteger arrivals = new AtomicInteger();
 
   FakePower(boolean checksEpochs) {
     this.checksEpochs = checksEpochs;
@@ -42,12 +44,16 @@
             unit.path("running").asBoolean()));
   }
 
-  void handle(HttpExchange exchange, Faults faults) throws IOException {
+  void handle(HttpExchange exchange, Faults faults) throws IOException, InterruptedException {
     String[] path = exchange.getRequestURI().getPath().split("/", -1);
     if (path[2].equals("power-journal")) {
       FakeServer.reply(exchange, 200, journal());
       return;
     }
+    if (path[2].equals("power-arrivals")) {
+      FakeServer.reply(exchange, 200, Map.of("arrivals", arrivals.get()));
+      return;
+    }
     if (path[2].equals("power-units")) {
       add(FakeServer.json(exchange));
       FakeServer.reply(exchange, 200, Map.of());
@@ -59,6 +65,8 @@
       return;
     }
     JsonNode order = FakeServer.json(exchange);
+    arrivals.incrementAndGet();
+    Thread.sleep(faults.writeLatencyMillis());
     if (faults.losesRequest()) {
       exchange.close();
       return;
--- a/fakes/src/main/java/org/limpetvale/fakes/Faults.java
+++ b/fakes/src/main/java/org/limpetvale/fakes/Faults.java
@@ -9,6 +9,7 @@
 final class Faults {
   private volatile boolean down;
   private volatile long latencyMillis;
+  private volatile long writeLatencyMillis;
   private volatile Set<String> cutClients = Set.of();
   private final AtomicInteger loseAnswers = new AtomicInteger();
   private final AtomicInteger loseRequests = new AtomicInteger();
@@ -18,6 +19,7 @@
   void set(JsonNode json) {
     down = json.path("down").asBoolean(down);
     latencyMillis = json.path("latencyMillis").asLong(latencyMillis);
+    writeLatencyMillis = json.path("writeLatencyMillis").asLong(writeLatencyMillis);
     if (json.has("cutClients")) {
       Set<String> cut = new HashSet<>();
       json.path("cutClients").forEach(each -> cut.add(each.asText()));
@@ -42,6 +44,11 @@
     return latencyMillis;
   }
 
+  /** Returns the time before a write takes effect, in milliseconds. */
+  long writeLatencyMillis() {
+    return writeLatencyMillis;
+  }
+
   /** Tells whether a write is lost before it takes effect. */
   boolean losesRequest() {
     return !skips() && take(loseRequests);
--- /dev/null
+++ b/it/src/test/java/org/limpetvale/it/OrdersTest.java
@@ -0,0 +1,172 @@
+package org.limpetvale.it;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.limpetvale.fakes.fleet.Fleet;
+import org.limpetvale.fakes.fleet.FleetPlan;
+import org.limpetvale.fakes.fleet.Http;
+
+/** The platform never gets orders from two processes that both believe they are in charge. */
+final class OrdersTest {
+  private Fleet fleet;
+
+  @AfterEach
+  void stopFleet() {
+    fleet.close();
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void ordersOfAHolderFrozenWhileItSendsAreNeverFollowedByItsSuccessorsFirst(
+      boolean receiverIgnoresEpochs) throws Exception {
+    start(receiverIgnoresEpochs);
+    String holder = awaitHolder();
+    fleet.faults("power", "{\"writeLatencyMillis\":3000}");
+    wish(other(holder), "stop");
+    awaitArrivals(1);
+    fleet.proc(holder).pause();
+    Thread.sleep(5000);
+    fleet.faults("power", "{\"writeLatencyMillis\":0}");
+    wish(other(holder), "start");
+    Thread.sleep(3000);
+    assertThat(senders()).hasSize(1);
+    fleet.proc(holder).resume();
+    awaitRunning(true);
+    assertOneSenderAtATime();
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void anOrderWhoseAnswerIsLostIsSentAgainByWhoeverIsInChargeOnly(boolean receiverIgnoresEpochs)
+      throws Exception {
+    start(receiverIgnoresEpochs);
+    String holder = awaitHolder();
+    fleet.faults("power", "{\"loseAnswers\":2}");
+    wish(holder, "stop");
+    awaitRunning(false);
+    wish(other(holder), "start");
+    awaitRunning(true);
+    assertOneSenderAtATime();
+  }
+
+  @Test
+  void aHolderCutOffFromTheTableStopsAndItsSuccessorTakesOver() throws Exception {
+    start(true);
+    String holder = awaitHolder();
+    fleet.faults("table", "{\"cutClients\":[\"" + holder + "\"]}");
+    wish(other(holder), "stop");
+    awaitRunning(false);
+    assertThat(senders()).allMatch(sender -> sender.startsWith(other(holder) + "/"));
+    fleet.faults("table", "{\"cutClients\":[]}");
+    wish(holder, "start");
+    awaitRunning(true);
+    assertOneSenderAtATime();
+  }
+
+  @Test
+  void aHolderKilledWithAnOrderInFlightBlocksTheZoneUntilItIsKnownToBeGone() throws Exception {
+    start(true);
+    String holder = awaitHolder();
+    fleet.faults("power", "{\"writeLatencyMillis\":3000}");
+    wish(other(holder), "stop");
+    awaitArrivals(1);
+    fleet.proc(holder).kill();
+    fleet.faults("power", "{\"writeLatencyMillis\":0}");
+    Thread.sleep(5000);
+    wish(other(holder), "start");
+    Thread.sleep(3000);
+    assertThat(senders()).hasSize(1);
+    fleet.unlist(holder);
+    awaitRunning(true);
+    assertOneSenderAtATime();
+  }
+
+  private void start(boolean receiverIgnoresEpochs) throws Exception {
+    FleetPlan plan = FleetPlan.small().withSizes(2, 2, 0);
+    fleet = Fleet.start(receiverIgnoresEpochs ? plan.withPlatformOptions("--ignore-epochs") : plan);
+  }
+
+  /** Wishes something for the upstream m1, of the zone z1. */
+  private void wish(String entry, String action) throws IOException, InterruptedException {
+    for (int i = 0; i < 20; i++) {
+      if (fleet.operator(entry, "POST", "/upstreams/m1/" + action, "").status() == 200) {
+        return;
+      }
+      Thread.sleep(200);
+    }
+    throw new IOException("the wish was not taken");
+  }
+
+  private static String other(String entry) {
+    return entry.equals("e1") ? "e2" : "e1";
+  }
+
+  private String awaitHolder() throws IOException, InterruptedException {
+    for (int i = 0; i < 200; i++) {
+      for (String entry : new String[] {"e1", "e2"}) {
+        String leases =
+            fleet.operator(entry, "GET", "/status", null).json().path("leases").toString();
+        if (leases.contains("power.z1")) {
+          return entry;
+        }
+      }
+      Thread.sleep(50);
+    }
+    throw new IOException("no entry holds the lease of zone z1");
+  }
+
+  private void awaitArrivals(int count) throws IOException, InterruptedException {
+    for (int i = 0; i < 400; i++) {
+      int arrived =
+          Http.call("GET", fleet.platformUrl() + "/v1/power-arrivals", Map.of(), null)
+              .json()
+              .path("arrivals")
+              .asInt();
+      if (arrived >= count) {
+        return;
+      }
+      Thread.sleep(25);
+    }
+    throw new IOException("no order arrives");
+  }
+
+  private void awaitRunning(boolean running) throws IOException, InterruptedException {
+    for (int i = 0; i < 300; i++) {
+      JsonNode units =
+          Http.call("GET", fleet.platformUrl() + "/v1/zones/z1/upstreams", Map.of(), null)
+              .json()
+              .path("upstreams");
+      if (units.path(0).path("running").asBoolean() == running) {
+        return;
+      }
+      Thread.sleep(100);
+    }
+    throw new IOException("m1 does not become running=" + running);
+  }
+
+  /** Epochs never fall in the order in which the receiver got the orders of a zone. */
+  private void assertOneSenderAtATime() throws IOException, InterruptedException {
+    List<Long> epochs = new ArrayList<>();
+    journal().forEach(order -> epochs.add(order.path("epoch").asLong()));
+    assertThat(epochs).isNotEmpty().isSorted();
+  }
+
+  private List<String> senders() throws IOException, InterruptedException {
+    List<String> senders = new ArrayList<>();
+    journal().forEach(order -> senders.add(order.path("sender").asText()));
+    return senders.stream().distinct().toList();
+  }
+
+  private JsonNode journal() throws IOException, InterruptedException {
+    return Http.call("GET", fleet.platformUrl() + "/v1/power-journal", Map.of(), null).json();
+  }
+}
--- a/sidecar/src/main/java/org/limpetvale/sidecar/Attempt.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/Attempt.java
@@ -42,6 +42,7 @@
   private long detachedSinceMillis;
   private Runnable abort = () -> {};
   private boolean cancelled;
+  private boolean settled;
   private long endedMillis;
 
   Attempt(Open open, long ticket, TimerService timer, Supplier<SidecarLoad> load) {
@@ -86,9 +87,6 @@
     for (int i = (int) Math.min(nextSequence, events.size()); i < events.size(); i++) {
       send(events.get(i));
     }
-    if (phase == Phase.ENDED) {
-      complete();
-    }
   }
 
   /** Notes that the connection of an entry was lost. */
@@ -161,6 +159,23 @@
                     .setRequestsAtCrash(requestsAtCrash)));
   }
 
+  // -- usage
+
+  /** Notes that the entry has accounted for the answer or ended the attempt itself. */
+  synchronized void settle() {
+    settled = true;
+  }
+
+  /**
+   * Returns the tokens of a whole answer that no entry has accounted for; 0 when there are none.
+   */
+  synchronized int unsettledTokens() {
+    if (settled || events.isEmpty() || !events.getLast().hasFinished()) {
+      return 0;
+    }
+    return events.getLast().getFinished().getCompletionTokens();
+  }
+
   // -- cancelling
 
   /** Sets what stops the work at the upstream; runs it at once when the attempt is cancelled. */
@@ -208,7 +223,6 @@
     append(event.setLoad(load.get()));
     phase = Phase.ENDED;
     endedMillis = timer.nowMillis();
-    complete();
   }
 
   private void send(RunEvent event) {
@@ -222,15 +236,4 @@
       observer = null;
     }
   }
-
-  private void complete() {
-    if (observer == null) {
-      return;
-    }
-    try {
-      observer.onCompleted();
-    } catch (RuntimeException e) {
-      observer = null;
-    }
-  }
 }
--- a/sidecar/src/main/java/org/limpetvale/sidecar/AttemptRegistry.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/AttemptRegistry.java
@@ -1,5 +1,7 @@
 package org.limpetvale.sidecar;
 
+import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Objects;
@@ -10,6 +12,8 @@
 
 /** The attempts at this sidecar, kept for a while after their end for entries that attach again. */
 final class AttemptRegistry {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** Time that an attempt waits for its entry to attach again, in milliseconds. */
   private static final long ABANDONED_AFTER_MILLIS = 8000;
 
@@ -17,11 +21,13 @@
   private static final long SWEEP_PERIOD_MILLIS = 1000;
 
   private final TimerService timer;
+  private final MeterRegistry metrics;
   private final Map<AttemptKey, Slot> slots = new ConcurrentHashMap<>();
   private final AtomicLong tickets = new AtomicLong();
 
-  AttemptRegistry(TimerService timer) {
+  AttemptRegistry(TimerService timer, MeterRegistry metrics) {
     this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
     timer.every(SWEEP_PERIOD_MILLIS, this::sweep);
   }
 
@@ -59,13 +65,33 @@
 
   private void sweep() {
     long nowMillis = timer.nowMillis();
-    slots.values().removeIf(slot -> isStale(slot, nowMillis));
+    slots
+        .values()
+        .removeIf(
+            slot -> {
+              boolean stale = isStale(slot, nowMillis);
+              if (stale) {
+                slot.attempt().ifPresent(this::countUnproved);
+              }
+              return stale;
+            });
     live().stream()
         .filter(each -> each.detachedSinceMillis() > 0)
         .filter(each -> nowMillis - each.detachedSinceMillis() > ABANDONED_AFTER_MILLIS)
         .forEach(Attempt::cancel);
   }
 
+  /** Counts the answer of an entry that was lost before it could say whether the caller has it. */
+  private void countUnproved(Attempt attempt) {
+    int tokens = attempt.unsettledTokens();
+    if (tokens > 0) {
+      metrics.counter("limpetvale.usage.unproved.tokens").increment(tokens);
+      logger.atWarning().log(
+          "usage not proved workspace=%s request=%s tokens=%d",
+          attempt.open().getWorkspace(), attempt.open().getRequestId(), tokens);
+    }
+  }
+
   private static boolean isStale(Slot slot, long nowMillis) {
     boolean ended = slot.attempt().map(each -> each.phase() == Attempt.Phase.ENDED).orElse(true);
     long since = slot.attempt().map(Attempt::endedMillis).orElse(slot.createdMillis());
--- a/sidecar/src/main/java/org/limpetvale/sidecar/SidecarGrpc.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/SidecarGrpc.java
@@ -69,7 +69,10 @@
         case OPEN -> open(command.getOpen());
         case RESUME -> resume(command.getResume());
         case CANCEL -> Optional.ofNullable(attempt).ifPresent(Attempt::cancel);
-        case DELIVERED -> usage.keep(command.getDelivered());
+        case DELIVERED -> {
+          usage.keep(command.getDelivered());
+          Optional.ofNullable(attempt).ifPresent(Attempt::settle);
+        }
         case COMMAND_NOT_SET -> out.onError(Status.INVALID_ARGUMENT.asRuntimeException());
       }
     }
@@ -79,8 +82,12 @@
       lost();
     }
 
+    /** The entry ends the call once it has accounted for the answer. */
     @Override
-    public void onCompleted() {}
+    public void onCompleted() {
+      Optional.ofNullable(attempt).ifPresent(Attempt::settle);
+      out.onCompleted();
+    }
 
     private void open(Open open) {
       state.sawConfigVersion(open.getConfigVersion());
@@ -127,7 +134,6 @@
               .setFailed(
                   Failed.newBuilder().setCode(code.number()).setDetail(detail).setNotRun(notRun))
               .build());
-      out.onCompleted();
     }
 
     private void lost() {
--- a/sidecar/src/main/java/org/limpetvale/sidecar/SidecarModule.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/SidecarModule.java
@@ -64,7 +64,7 @@
   @Provides
   @Singleton
   AttemptRegistry attempts(TimerService timer) {
-    return new AttemptRegistry(timer);
+    return new AttemptRegistry(timer, metrics);
   }
 
   @Provides
