--- a/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
@@ -140,9 +140,12 @@
     }
   }
 
-  /** An order whose answer was lost may yet arrive at a receiver that ignores fencing numbers. */
+  /**
+   * An order whose answer was lost may yet arrive at a receiver that ignores fencing numbers. A
+   * report may arrive at any time, as its figures never change.
+   */
   private boolean isSettling(String duty, Row row, OrderRow standing) {
-    if (standing.state() != OrderRow.State.UNKNOWN) {
+    if (standing.state() != OrderRow.State.UNKNOWN || standing.action() == OrderRow.Action.REPORT) {
       return false;
     }
     UnknownSeen seen =
--- a/entry/src/main/java/org/limpetvale/entry/usage/UsageLedger.java
+++ b/entry/src/main/java/org/limpetvale/entry/usage/UsageLedger.java
@@ -49,6 +49,9 @@
   private final Map<String, Set<String>> orphans = new ConcurrentHashMap<>();
   private UsageBatchPlan inDoubt;
 
+  /** First window that is not known to be closed; the clock here may be behind the reporter's. */
+  private long firstOpenWindow;
+
   /** A writer's row: its name and the revision that its batches check; 0 before it is written. */
   private record Writer(String id, long revision) {}
 
@@ -153,7 +156,7 @@
     synchronized (pending) {
       records = pending.values().stream().limit(MOST_RECORDS).toList();
     }
-    long window = timer.wallMillis() / windowMillis;
+    long window = Math.max(firstOpenWindow, timer.wallMillis() / windowMillis);
     UsageBatch batch =
         UsageBatch.of(Ids.next(), window, records.stream().map(Pending::record).toList());
     return new UsageBatchPlan(batch, records, writer.get());
@@ -188,6 +191,15 @@
         case Read.Found<Optional<Row>> ignored -> inDoubt = null;
       }
     }
+    boolean windowClosed =
+        commits
+            .read(UsageRows.window(plan.batch().window()))
+            .toOptional()
+            .flatMap(row -> row)
+            .isPresent();
+    if (windowClosed) {
+      firstOpenWindow = plan.batch().window() + 1;
+    }
     UsageRows.WriterRow row = readWriter(plan.writer().id());
     if (row == null || !row.closed()) {
       return;
--- /dev/null
+++ b/entry/src/test/java/org/limpetvale/entry/control/OrdersExplorationTest.java
@@ -0,0 +1,147 @@
+package org.limpetvale.entry.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.lease.OrderRow;
+import org.limpetvale.entry.testing.ManualTimer;
+import org.limpetvale.entry.testing.MemoryTable;
+import org.limpetvale.platform.ResolvedCommit;
+
+/**
+ * Explores interleavings of three processes that contend for one duty: freezes at any step, lost
+ * answers, outages, deaths. The receiver ignores fencing numbers.
+ */
+final class OrdersExplorationTest {
+  private static final int SCHEDULES = 3000;
+  private static final int STEPS = 150;
+  private static final long LEASE_MILLIS = 1000;
+  private static final String DUTY = "power.z1";
+
+  /** How an order is sent, so that the proof can be seen to fail without its mechanism. */
+  private enum Mode {
+    CLAIMED,
+    LEASE_ONLY
+  }
+
+  private static final class Process {
+    private final String name;
+    private final ManualTimer timer;
+    private final LeaseKeeper lease;
+    private final FencedSender sender;
+    private Optional<FencedSender.Claimed> inHand = Optional.empty();
+    private long inHandEpoch;
+    private boolean dead;
+
+    Process(String name, MemoryTable table, Set<String> gone, long clockMillis) {
+      this.name = name;
+      this.timer = new ManualTimer(clockMillis);
+      ResolvedCommit commits = ResolvedCommit.of(table, timer);
+      this.lease = new LeaseKeeper(name, DUTY, LEASE_MILLIS, () -> true, table, commits, timer);
+      this.sender = new FencedSender(name, table, commits, gone::contains, timer);
+    }
+  }
+
+  @Test
+  void noScheduleLetsAnOrderOfAnEarlierEpochFollowALaterOne() {
+    int sent = 0;
+    for (long seed = 1; seed <= SCHEDULES; seed++) {
+      List<Long> epochs = run(seed, Mode.CLAIMED);
+      assertThat(epochs).as("seed %d", seed).isSorted();
+      sent += epochs.size();
+    }
+    assertThat(sent).as("orders sent in all schedules").isGreaterThan(SCHEDULES);
+  }
+
+  @Test
+  void withoutTheClaimSomeScheduleLetsAnOldOrderFollowALaterOne() {
+    int violations = 0;
+    for (long seed = 1; seed <= SCHEDULES; seed++) {
+      List<Long> epochs = run(seed, Mode.LEASE_ONLY);
+      violations += epochs.stream().sorted().toList().equals(epochs) ? 0 : 1;
+    }
+    assertThat(violations).isPositive();
+  }
+
+  /** Runs one schedule; returns the epochs of the orders in the order they reach the receiver. */
+  private static List<Long> run(long seed, Mode mode) {
+    SplittableRandom random = new SplittableRandom(seed);
+    MemoryTable table = new MemoryTable(seed, 0.05);
+    Set<String> gone = new HashSet<>();
+    List<Process> processes = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      processes.add(new Process("e" + i + "/1", table, gone, random.nextInt(100_000)));
+    }
+    List<Long> received = new ArrayList<>();
+    for (int step = 0; step < STEPS; step++) {
+      if (random.nextDouble() < 0.02) {
+        table.setDown(random.nextBoolean());
+      }
+      long millis = random.nextInt(300);
+      int frozen = random.nextInt(6);
+      for (int i = 0; i < processes.size(); i++) {
+        Process each = processes.get(i);
+        if (each.dead) {
+          continue;
+        }
+        if (i == frozen) {
+          each.timer.freeze(millis);
+        } else {
+          each.timer.advance(millis);
+          act(each, random, received, mode);
+        }
+      }
+      if (random.nextDouble() < 0.005) {
+        Process victim = processes.get(random.nextInt(processes.size()));
+        victim.dead = true;
+        gone.add(victim.name);
+      }
+    }
+    return received;
+  }
+
+  /** Takes one step of the sending: claim, then send what is in hand, at random times. */
+  private static void act(
+      Process process, SplittableRandom random, List<Long> received, Mode mode) {
+    if (random.nextInt(3) > 0) {
+      return;
+    }
+    if (process.inHand.isEmpty()) {
+      Optional<LeaseKeeper.Held> held = process.lease.held();
+      if (held.isPresent()) {
+        process.inHandEpoch = held.get().epoch();
+        process.inHand = claim(process, held.get(), mode);
+      }
+      return;
+    }
+    // The check of the lease was before: a freeze may lie between it and this send.
+    received.add(process.inHandEpoch);
+    if (mode == Mode.CLAIMED) {
+      process.sender.conclude(process.inHand.get(), OrderRow.State.DONE);
+    }
+    process.inHand = Optional.empty();
+  }
+
+  private static Optional<FencedSender.Claimed> claim(
+      Process process, LeaseKeeper.Held held, Mode mode) {
+    if (mode == Mode.CLAIMED) {
+      return process.sender.claim(held, OrderRow.Action.STOP, "m1");
+    }
+    OrderRow order =
+        new OrderRow(
+            DUTY,
+            held.epoch(),
+            "o",
+            process.name,
+            OrderRow.Action.STOP,
+            "m1",
+            OrderRow.State.SENDING);
+    return Optional.of(new FencedSender.Claimed(order, 0));
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/limpetvale/entry/testing/MemoryTable.java
@@ -0,0 +1,89 @@
+package org.limpetvale.entry.testing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.limpetvale.platform.Commit;
+import org.limpetvale.platform.Read;
+import org.limpetvale.platform.Row;
+import org.limpetvale.platform.Table;
+import org.limpetvale.platform.Transaction;
+
+/** A table in memory that loses answers and is out now and then, by a seed. */
+public final class MemoryTable implements Table {
+  private final TreeMap<String, Row> rows = new TreeMap<>();
+  private final SplittableRandom random;
+  private final double faultShare;
+  private long revision;
+  private boolean down;
+
+  /** Creates an empty table. */
+  public MemoryTable(long seed, double faultShare) {
+    this.random = new SplittableRandom(seed);
+    this.faultShare = faultShare;
+  }
+
+  /** Takes the table out or brings it back. */
+  public void setDown(boolean isDown) {
+    down = isDown;
+  }
+
+  @Override
+  public Read<Optional<Row>> get(String key) {
+    return isFaulty()
+        ? new Read.Unavailable<>("out")
+        : new Read.Found<>(Optional.ofNullable(rows.get(key)));
+  }
+
+  @Override
+  public Read<List<Row>> scan(String prefix, String after, int limit) {
+    if (isFaulty()) {
+      return new Read.Unavailable<>("out");
+    }
+    List<Row> found = new ArrayList<>();
+    for (Row row : rows.tailMap(prefix, true).values()) {
+      if (!row.key().startsWith(prefix) || found.size() >= limit) {
+        break;
+      }
+      if (after.isEmpty() || row.key().compareTo(after) > 0) {
+        found.add(row);
+      }
+    }
+    return new Read.Found<>(List.copyOf(found));
+  }
+
+  @Override
+  public Commit commit(Transaction transaction) {
+    if (down) {
+      return new Commit.Unavailable("out");
+    }
+    if (isFaulty()) {
+      return random.nextBoolean()
+          ? new Commit.Unavailable("refused")
+          : new Commit.Unknown("lost before");
+    }
+    Commit result = apply(transaction);
+    return isFaulty() ? new Commit.Unknown("lost after") : result;
+  }
+
+  private Commit apply(Transaction transaction) {
+    for (Transaction.Check check : transaction.checks()) {
+      Row row = rows.get(check.key());
+      if ((row == null ? 0 : row.revision()) != check.revision()) {
+        return new Commit.Conflict();
+      }
+    }
+    revision++;
+    transaction
+        .puts()
+        .forEach(put -> rows.put(put.key(), new Row(put.key(), revision, put.value())));
+    transaction.deletes().forEach(rows::remove);
+    return new Commit.Committed(revision);
+  }
+
+  private boolean isFaulty() {
+    return down || random.nextDouble() < faultShare;
+  }
+}
