--- a/fakes/src/main/java/org/limpetvale/fakes/FakesMain.java
+++ b/fakes/src/main/java/org/limpetvale/fakes/FakesMain.java
@@ -12,7 +12,10 @@
       PlatformCommand.class,
       EngineCommand.class,
       ServiceCommand.class,
-      DemoCommand.class
+      DemoCommand.class,
+      MeasurePathCommand.class,
+      MeasurePolicyCommand.class,
+      SlopesCommand.class
     })
 public final class FakesMain {
   private FakesMain() {}
--- /dev/null
+++ b/fakes/src/main/java/org/limpetvale/fakes/MeasurePathCommand.java
@@ -0,0 +1,101 @@
+package org.limpetvale.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.limpetvale.fakes.fleet.Fleet;
+import org.limpetvale.fakes.fleet.FleetPlan;
+import org.limpetvale.fakes.fleet.LoadTool;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Measures what the path through entry and sidecar adds to talking to the engine directly. */
+@Command(
+    name = "measure-path",
+    description = "Added latency and throughput of the path against the engine directly.",
+    mixinStandardHelpOptions = true)
+final class MeasurePathCommand implements Callable<Integer> {
+  private static final int ROUNDS = 2;
+  private static final int CAPACITY = 400;
+
+  @Option(names = "--seed", defaultValue = "1", description = "Seed of the arrivals.")
+  private long seed;
+
+  @Option(names = "--millis", defaultValue = "10000", description = "Time of each run.")
+  private long millis;
+
+  @Override
+  public Integer call() throws Exception {
+    FleetPlan plan =
+        FleetPlan.small()
+            .withSizes(1, 1, 0)
+            .withLimits(CAPACITY, CAPACITY)
+            .withEngineOptions("--capacity", "500", "--tokens-per-second", "50")
+            .withJvmOptions("-Xmx512m", "-XX:+UseSerialGC");
+    try (Fleet fleet = Fleet.start(plan)) {
+      String key = fleet.configure("e1", "dispatch").get("dispatch");
+      LoadTool tool = new LoadTool(Fleet.findRoot(), fleet.folder());
+      List<LoadTool.Flow> requests = List.of(flow(key, 200, 2));
+      List<LoadTool.Flow> streams = List.of(flow(key, 20, 200));
+      List<String> direct = List.of(fleet.upstreamUrl("m1"));
+      List<String> routed = List.of(fleet.url("e1"));
+      tool.run(seed, millis, requests, routed);
+      System.out.println(
+          "| run | path | requests/s | first token p50 ms | p95 | p99 | gap p50 ms | gap p95 | tokens/s | processor ms a request, entry | sidecar |");
+      System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+      for (int round = 1; round <= ROUNDS; round++) {
+        print("requests " + round, "direct", fleet, tool, requests, direct);
+        print("requests " + round, "routed", fleet, tool, requests, routed);
+        print("streams " + round, "direct", fleet, tool, streams, direct);
+        print("streams " + round, "routed", fleet, tool, streams, routed);
+      }
+    }
+    return 0;
+  }
+
+  private static LoadTool.Flow flow(String key, double perSecond, int tokens) {
+    return new LoadTool.Flow("dispatch", key, "cab-question", perSecond, tokens, 0, 1200, 60);
+  }
+
+  private void print(
+      String run,
+      String path,
+      Fleet fleet,
+      LoadTool tool,
+      List<LoadTool.Flow> flows,
+      List<String> targets)
+      throws Exception {
+    long entryBefore = fleet.proc("e1").processorMillis();
+    long sidecarBefore = fleet.proc("m1").processorMillis();
+    long startNanos = System.nanoTime();
+    JsonNode figures = tool.run(seed, millis, flows, targets).getFirst().path("figures");
+    double seconds = Math.max(millis / 1000.0, (System.nanoTime() - startNanos) / 1e9);
+    double whole = Math.max(1, figures.path("whole").asDouble());
+    System.out.printf(
+        Locale.ROOT,
+        "| %s | %s | %.0f | %.2f | %.2f | %.2f | %.2f | %.2f | %.0f | %.2f | %.2f |%n",
+        run,
+        path,
+        figures.path("whole").asDouble() / (millis / 1000.0),
+        figures.path("firstTokenP50Millis").asDouble(),
+        figures.path("firstTokenP95Millis").asDouble(),
+        figures.path("firstTokenP99Millis").asDouble(),
+        figures.path("gapP50Millis").asDouble(),
+        figures.path("gapP95Millis").asDouble(),
+        figures.path("deliveredTokens").asDouble() / seconds,
+        (fleet.proc("e1").processorMillis() - entryBefore) / whole,
+        (fleet.proc("m1").processorMillis() - sidecarBefore) / whole);
+    Map<String, Object> others = notWhole(figures);
+    if (!others.isEmpty()) {
+      System.out.println("not whole: " + others);
+    }
+  }
+
+  private static Map<String, Object> notWhole(JsonNode figures) {
+    return figures.path("failures").isEmpty() && figures.path("refusals").isEmpty()
+        ? Map.of()
+        : Map.of("failures", figures.path("failures"), "refusals", figures.path("refusals"));
+  }
+}
--- /dev/null
+++ b/fakes/src/main/java/org/limpetvale/fakes/SlopesCommand.java
@@ -0,0 +1,380 @@
+package org.limpetvale.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.limpetvale.fakes.fleet.Fleet;
+import org.limpetvale.fakes.fleet.FleetPlan;
+import org.limpetvale.fakes.fleet.Http;
+import org.limpetvale.fakes.fleet.LoadTool;
+import org.limpetvale.fakes.fleet.Samples;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Measures how state, messages and processor time grow; docs/CAPACITY.md is worked out from it. */
+@Command(
+    name = "slopes",
+    description = "Measures slopes of state, messages and processor time.",
+    mixinStandardHelpOptions = true)
+final class SlopesCommand implements Callable<Integer> {
+  private static final int[] WORKSPACES = {100, 1000, 4000, 13_000};
+  private static final int[] SIDECARS = {4, 64, 256, 512};
+  private static final int[] ENTRIES = {1, 2, 4, 8};
+  private static final int[] STREAMS = {10, 100, 200, 400};
+  private static final int[] REQUESTS = {50, 100, 200, 300};
+  private static final int[] CHANGES = {1, 5, 10, 20};
+  private static final long FIRST_VERSION = 1_000_000;
+  private static final double BYTES_PER_KIB = 1024;
+
+  @Option(names = "--seed", defaultValue = "1", description = "Seed of the arrivals.")
+  private long seed;
+
+  @Option(names = "--millis", defaultValue = "8000", description = "Time of each point.")
+  private long millis;
+
+  @Override
+  public Integer call() throws Exception {
+    System.out.println("| row | unit | slope | at 0 | largest residual | points |");
+    System.out.println("| --- | --- | --- | --- | --- | --- |");
+    workspaces();
+    sidecars();
+    entries();
+    traffic();
+    changes();
+    return 0;
+  }
+
+  // -- state
+
+  private void workspaces() throws Exception {
+    Fit heap = new Fit("W1 entry heap by workspace", "KiB a workspace");
+    Fit processor = new Fit("W2 entry processor by workspace, one snapshot", "ms a workspace");
+    Fit snapshot = new Fit("W3 snapshot size by workspace", "KiB a workspace");
+    try (Fleet fleet = Fleet.start(FleetPlan.small().withSizes(1, 1, 0))) {
+      heapKib(fleet, "e1");
+      for (int i = 0; i < WORKSPACES.length; i++) {
+        long version = FIRST_VERSION * (i + 1);
+        String state = state(version, WORKSPACES[i]);
+        long before = fleet.proc("e1").processorMillis();
+        putSnapshot(fleet, version, state);
+        awaitVersion(fleet, "e1", version);
+        processor.add(WORKSPACES[i], fleet.proc("e1").processorMillis() - before);
+        heap.add(WORKSPACES[i], heapKib(fleet, "e1"));
+        snapshot.add(WORKSPACES[i], state.length() / BYTES_PER_KIB);
+      }
+    }
+    heap.print();
+    processor.print();
+    snapshot.print();
+  }
+
+  private static String state(long version, int workspaces) throws IOException {
+    ObjectNode state = Http.MAPPER.createObjectNode();
+    state.put("version", version);
+    state.putObject("templates").set("field-work", Http.MAPPER.readTree(Samples.template()));
+    ObjectNode all = state.putObject("workspaces");
+    ObjectNode keys = state.putObject("keys");
+    for (int i = 0; i < workspaces; i++) {
+      String name = "workspace-" + i;
+      all.set(name, Http.MAPPER.readTree(Samples.parameters(name)));
+      String digest = String.format(java.util.Locale.ROOT, "%064x", i);
+      keys.putObject(digest).put("keyId", name + "-1").put("workspace", name).put("digest", digest);
+    }
+    return state.toString();
+  }
+
+  private static void putSnapshot(Fleet fleet, long version, String state)
+      throws IOException, InterruptedException {
+    String object = "config-snapshot-" + version;
+    Http.call(
+        "PUT",
+        fleet.platformUrl() + "/v1/objects/" + object,
+        Map.of(),
+        Http.MAPPER.writeValueAsString(Map.of("content", state)));
+    String pointer = Http.MAPPER.writeValueAsString(Map.of("version", version, "object", object));
+    String head = Http.MAPPER.writeValueAsString(Map.of("version", version));
+    Map<String, Object> transaction =
+        Map.of(
+            "checks", List.of(),
+            "puts",
+                List.of(
+                    Map.of("key", "config/snapshot", "value", pointer),
+                    Map.of("key", "config/head", "value", head)),
+            "deletes", List.of());
+    Http.call(
+        "POST",
+        fleet.platformUrl() + "/v1/transactions",
+        Map.of(),
+        Http.MAPPER.writeValueAsString(transaction));
+  }
+
+  // -- control
+
+  private void sidecars() throws Exception {
+    Fit bytes =
+        new Fit("S1 control bytes of an idle entry by sidecar connected", "bytes/s a sidecar");
+    Fit processor = new Fit("S2 entry processor by sidecar connected, idle", "ms/s a sidecar");
+    Fit heap = new Fit("S3 entry heap by sidecar connected", "KiB a sidecar");
+    Fit sidecar = new Fit("S4 sidecar processor by entry connected, idle", "ms/s an entry");
+    FleetPlan plan =
+        FleetPlan.small()
+            .withSizes(1, 1, 0)
+            .withRouting(
+                Map.of(
+                    "policy",
+                    "PREDICTED",
+                    "tiers",
+                    true,
+                    "sidecarsPerPool",
+                    4096,
+                    "mostOffers",
+                    4));
+    try (Fleet fleet = Fleet.start(plan)) {
+      int listed = 1;
+      for (int count : SIDECARS) {
+        for (; listed < count; listed++) {
+          listAlias(fleet, "x" + listed);
+        }
+        fleet.awaitUpstreams("e1", count);
+        Thread.sleep(millis / 4);
+        heap.add(count, heapKib(fleet, "e1"));
+        double bytesBefore = controlBytes(fleet, "e1");
+        long entryBefore = fleet.proc("e1").processorMillis();
+        long sidecarBefore = fleet.proc("m1").processorMillis();
+        Thread.sleep(millis);
+        double seconds = millis / 1000.0;
+        bytes.add(count, (controlBytes(fleet, "e1") - bytesBefore) / seconds);
+        processor.add(count, (fleet.proc("e1").processorMillis() - entryBefore) / seconds);
+        sidecar.add(count, (fleet.proc("m1").processorMillis() - sidecarBefore) / seconds);
+      }
+    }
+    bytes.print();
+    processor.print();
+    heap.print();
+    sidecar.print();
+  }
+
+  /** Lists a further VM whose address is the one sidecar's, so that an entry connects once more. */
+  private static void listAlias(Fleet fleet, String name) throws IOException, InterruptedException {
+    Map<String, Object> vm =
+        Map.of(
+            "name",
+            name,
+            "zone",
+            "z1",
+            "role",
+            "MODEL",
+            "pool",
+            Fleet.MODEL,
+            "address",
+            "127.0.0.1:" + fleet.node("m1").grpcPort(),
+            "leaving",
+            false);
+    Http.call("PUT", fleet.platformUrl() + "/v1/vms", Map.of(), Http.MAPPER.writeValueAsString(vm));
+  }
+
+  private void entries() throws Exception {
+    Fit reads = new Fit("E1 table reads by entry, idle", "reads/s an entry");
+    Fit writes = new Fit("E2 table writes by entry, idle", "writes/s an entry");
+    Fit bytes = new Fit("E3 bytes with peers of all entries by entry", "bytes/s an entry");
+    for (int count : ENTRIES) {
+      try (Fleet fleet =
+          Fleet.start(FleetPlan.small().withSizes(count, 1, 0).withControl(slowControl()))) {
+        fleet.configure("e1", "dispatch");
+        Thread.sleep(millis);
+        JsonNode before = used(fleet);
+        double bytesBefore = peerBytes(fleet, count);
+        Thread.sleep(millis);
+        JsonNode after = used(fleet);
+        double seconds = millis / 1000.0;
+        reads.add(count, (after.path("reads").asLong() - before.path("reads").asLong()) / seconds);
+        writes.add(
+            count, (after.path("writes").asLong() - before.path("writes").asLong()) / seconds);
+        bytes.add(count, (peerBytes(fleet, count) - bytesBefore) / seconds);
+      }
+    }
+    reads.print();
+    writes.print();
+    bytes.print();
+  }
+
+  /** The settings of control that an entry has by itself. */
+  private static Map<String, Object> slowControl() {
+    return Map.of(
+        "leaseMillis", 6000,
+        "usageWindowMillis", 60_000,
+        "usageFlushMillis", 2000,
+        "scaling", false,
+        "startAboveLoad", 0.8,
+        "stopBelowLoad", 0.4,
+        "stopAfterMillis", 120_000,
+        "leastPerZone", 1);
+  }
+
+  // -- traffic
+
+  private void traffic() throws Exception {
+    FleetPlan plan =
+        FleetPlan.small()
+            .withSizes(1, 1, 0)
+            .withLimits(500, 500)
+            .withControl(slowControl())
+            .withEngineOptions("--capacity", "600", "--tokens-per-second", "40")
+            .withJvmOptions("-Xmx512m", "-XX:+UseSerialGC");
+    try (Fleet fleet = Fleet.start(plan)) {
+      String key = fleet.configure("e1", "dispatch").get("dispatch");
+      LoadTool tool = new LoadTool(Fleet.findRoot(), fleet.folder());
+      tool.run(seed, millis, List.of(flow(key, 100, 5)), List.of(fleet.url("e1")));
+      requests(fleet, tool, key);
+      streams(fleet, tool, key);
+    }
+  }
+
+  private void requests(Fleet fleet, LoadTool tool, String key) throws Exception {
+    Fit entry =
+        new Fit("R1 entry processor by requests/s, answers of 2 tokens", "ms/s a request/s");
+    Fit sidecar =
+        new Fit("R2 sidecar processor by requests/s, answers of 2 tokens", "ms/s a request/s");
+    for (int perSecond : REQUESTS) {
+      long entryBefore = fleet.proc("e1").processorMillis();
+      long sidecarBefore = fleet.proc("m1").processorMillis();
+      long startNanos = System.nanoTime();
+      tool.run(seed, millis, List.of(flow(key, perSecond, 2)), List.of(fleet.url("e1")));
+      double seconds = (System.nanoTime() - startNanos) / 1e9;
+      entry.add(perSecond, (fleet.proc("e1").processorMillis() - entryBefore) / seconds);
+      sidecar.add(perSecond, (fleet.proc("m1").processorMillis() - sidecarBefore) / seconds);
+    }
+    entry.print();
+    sidecar.print();
+  }
+
+  private void streams(Fleet fleet, LoadTool tool, String key) throws Exception {
+    Fit entry = new Fit("T1 entry processor by tokens/s", "ms/s a token/s");
+    Fit sidecar = new Fit("T2 sidecar processor by tokens/s", "ms/s a token/s");
+    Fit heap = new Fit("T3 entry heap by open stream", "KiB a stream");
+    int tokens = 200;
+    for (int open : STREAMS) {
+      double streamSeconds = tokens / 40.0 * 1.2;
+      double perSecond = open / streamSeconds;
+      long entryBefore = fleet.proc("e1").processorMillis();
+      long sidecarBefore = fleet.proc("m1").processorMillis();
+      long startNanos = System.nanoTime();
+      double[] heapSeen = new double[1];
+      Thread sampler = Thread.ofVirtual().start(() -> heapSeen[0] = heapLater(fleet));
+      JsonNode figures =
+          tool.run(seed, millis, List.of(flow(key, perSecond, tokens)), List.of(fleet.url("e1")))
+              .getFirst()
+              .path("figures");
+      double seconds = (System.nanoTime() - startNanos) / 1e9;
+      sampler.join();
+      double tokensPerSecond = figures.path("deliveredTokens").asDouble() / seconds;
+      entry.add(tokensPerSecond, (fleet.proc("e1").processorMillis() - entryBefore) / seconds);
+      sidecar.add(tokensPerSecond, (fleet.proc("m1").processorMillis() - sidecarBefore) / seconds);
+      heap.add(open, heapSeen[0]);
+    }
+    entry.print();
+    sidecar.print();
+    heap.print();
+  }
+
+  private double heapLater(Fleet fleet) {
+    try {
+      Thread.sleep(millis * 4 / 5);
+      return heapKib(fleet, "e1");
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
+  }
+
+  private static LoadTool.Flow flow(String key, double perSecond, int tokens) {
+    return new LoadTool.Flow("dispatch", key, "cab-question", perSecond, tokens, 0, 1200, 60);
+  }
+
+  // -- changes
+
+  private void changes() throws Exception {
+    Fit processor = new Fit("C1 entry processor by change/s", "ms/s a change/s");
+    Fit inForce = new Fit("C2 time until a change is in force at another entry, largest", "ms");
+    try (Fleet fleet =
+        Fleet.start(FleetPlan.small().withSizes(2, 1, 0).withControl(slowControl()))) {
+      fleet.configure("e1", "dispatch");
+      for (int perSecond : CHANGES) {
+        long before = fleet.proc("e2").processorMillis();
+        List<Long> seen = new ArrayList<>();
+        long startNanos = System.nanoTime();
+        int count = (int) (perSecond * millis / 1000);
+        for (int i = 0; i < count; i++) {
+          long due = i * 1000L / perSecond;
+          long elapsed = (System.nanoTime() - startNanos) / 1_000_000;
+          Thread.sleep(Math.max(0, due - elapsed));
+          String parameters = Samples.parameters("w" + perSecond + "-" + i);
+          Http.Answer answer =
+              fleet.operator(
+                  "e1",
+                  "POST",
+                  "/changes",
+                  "{\"type\":\"put-parameters\",\"parameters\":" + parameters + "}");
+          if (i % perSecond == 0) {
+            seen.add(awaitVersion(fleet, "e2", answer.json().path("version").asLong()));
+          }
+        }
+        double seconds = (System.nanoTime() - startNanos) / 1e9;
+        processor.add(perSecond, (fleet.proc("e2").processorMillis() - before) / seconds);
+        inForce.add(perSecond, seen.stream().mapToLong(Long::longValue).max().orElse(0));
+      }
+    }
+    processor.print();
+    inForce.print();
+  }
+
+  // -- readings
+
+  /** Waits until an entry has a version in force; returns the time it took, in milliseconds. */
+  private static long awaitVersion(Fleet fleet, String entry, long version)
+      throws IOException, InterruptedException {
+    long startNanos = System.nanoTime();
+    while (fleet.operator(entry, "GET", "/status", null).json().path("configVersion").asLong()
+        < version) {
+      Thread.sleep(10);
+    }
+    return (System.nanoTime() - startNanos) / 1_000_000;
+  }
+
+  private static double heapKib(Fleet fleet, String vm) throws IOException, InterruptedException {
+    String admin = "http://127.0.0.1:" + fleet.node(vm).adminPort();
+    Http.call("POST", admin + "/tasks/gc", Map.of(), "");
+    return metric(fleet.metrics(vm), "jvm_memory_used_bytes{area=\"heap\"") / BYTES_PER_KIB;
+  }
+
+  private static double controlBytes(Fleet fleet, String vm)
+      throws IOException, InterruptedException {
+    return metric(fleet.metrics(vm), "limpetvale_control_bytes_total{with=\"sidecar\"");
+  }
+
+  private static double peerBytes(Fleet fleet, int entries)
+      throws IOException, InterruptedException {
+    double all = 0;
+    for (int i = 1; i <= entries; i++) {
+      all += metric(fleet.metrics("e" + i), "limpetvale_control_bytes_total{with=\"peer\"");
+    }
+    return all;
+  }
+
+  private static JsonNode used(Fleet fleet) throws IOException, InterruptedException {
+    return Http.call("GET", fleet.platformUrl() + "/used", Map.of(), null).json();
+  }
+
+  private static double metric(String text, String prefix) {
+    return text.lines()
+        .filter(line -> line.startsWith(prefix))
+        .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+        .sum();
+  }
+}
--- a/fakes/src/main/java/org/limpetvale/fakes/fleet/Fleet.java
+++ b/fakes/src/main/java/org/limpetvale/fakes/fleet/Fleet.java
@@ -80,7 +80,8 @@
     return fleet;
   }
 
-  private static Path findRoot() {
+  /** Finds the root of the source tree. */
+  public static Path findRoot() {
     Path path = Path.of(System.getProperty("limpetvale.root", "")).toAbsolutePath();
     while (path != null && !Files.exists(path.resolve("bin/find-jdk"))) {
       path = path.getParent();
--- a/fakes/src/main/java/org/limpetvale/fakes/fleet/Proc.java
+++ b/fakes/src/main/java/org/limpetvale/fakes/fleet/Proc.java
@@ -60,6 +60,11 @@
     return process.isAlive();
   }
 
+  /** Returns the processor time that the process has used, in milliseconds. */
+  public long processorMillis() {
+    return process.toHandle().info().totalCpuDuration().orElse(Duration.ZERO).toMillis();
+  }
+
   /** Returns all that the process has printed. */
   public String output() {
     try {
