A crash is blamed only on what ran before it, and peers know before the caller

Cause 1: after a crash the sidecar went on dispatching to the dead engine; those requests were taken for a second cause and refused for good, their callers got 13 of 60 tokens. Ruled out: the wait of continued answers (mended too: they wait up to 20 s for an upstream). Change: a broken connection marks the upstream as down at once, what waits is given back, and what began after the break is no suspect. Cause 2: a resend through another entry ran before the next exchange of news: 3 crashes against the bound of 2. Change: news of suspects is pushed to all peers before the crash is answered or tried again.

--- a/entry/src/main/java/org/limpetvale/entry/EntryModule.java
+++ b/entry/src/main/java/org/limpetvale/entry/EntryModule.java
@@ -182,16 +182,19 @@
       SuspectBook suspects,
       TransportSecurity security,
       TimerService timer) {
-    return new Peers(
-        entryId,
-        settings.identity().vm(),
-        directory,
-        holder,
-        freshness,
-        suspects,
-        security,
-        timer,
-        metrics);
+    Peers peers =
+        new Peers(
+            entryId,
+            settings.identity().vm(),
+            directory,
+            holder,
+            freshness,
+            suspects,
+            security,
+            timer,
+            metrics);
+    suspects.passNewsOnBy(peers::pushNews);
+    return peers;
   }
 
   @Provides
--- a/entry/src/main/java/org/limpetvale/entry/config/Peers.java
+++ b/entry/src/main/java/org/limpetvale/entry/config/Peers.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.limpetvale.core.config.ChangeRecord;
 import org.limpetvale.core.config.ConfigState;
 import org.limpetvale.core.config.StrictJson;
@@ -36,6 +37,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int WIDE_ROUND = 8;
   private static final long DEADLINE_MILLIS = 800;
+  private static final long PUSH_DEADLINE_MILLIS = 300;
 
   private final String self;
   private final String selfVm;
@@ -48,6 +50,9 @@
   private final MeterRegistry metrics;
   private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
   private final Map<String, String> instances = new ConcurrentHashMap<>();
+  private final AtomicLong wantedPushes = new AtomicLong();
+  private final Object pushLock = new Object();
+  private long donePushes;
 
   /** Creates the exchange of one entry. */
   public Peers(
@@ -75,21 +80,40 @@
   public void round(boolean tableAnswers) {
     List<Vm> peers = new ArrayList<>(directory.peers(selfVm));
     Collections.shuffle(peers);
-    int most = tableAnswers && !newsbox.hasNews() ? 1 : WIDE_ROUND;
+    int most = tableAnswers ? 1 : WIDE_ROUND;
+    exchangeAll(peers.stream().limit(most).toList(), DEADLINE_MILLIS);
+  }
+
+  private void exchangeAll(List<Vm> peers, long deadlineMillis) {
     List<Thread> calls =
         peers.stream()
-            .limit(most)
-            .map(peer -> Thread.ofVirtual().start(() -> exchange(peer)))
+            .map(peer -> Thread.ofVirtual().start(() -> exchange(peer, deadlineMillis)))
             .toList();
     calls.forEach(Peers::join);
   }
 
+  /**
+   * Passes news on to all listed peers and waits for them, so that a caller's next request finds
+   * them informed whichever entry it comes through. Calls at the same time share one round.
+   */
+  public void pushNews() {
+    long mine = wantedPushes.incrementAndGet();
+    synchronized (pushLock) {
+      if (donePushes >= mine) {
+        return;
+      }
+      long covered = wantedPushes.get();
+      exchangeAll(directory.peers(selfVm), PUSH_DEADLINE_MILLIS);
+      donePushes = covered;
+    }
+  }
+
   /** Returns the process that answered last at a VM's address, as {@code vm/instance}. */
   public Optional<String> processAt(String vm) {
     return Optional.ofNullable(instances.get(vm));
   }
 
-  private void exchange(Vm peer) {
+  private void exchange(Vm peer, long deadlineMillis) {
     long startMillis = timer.nowMillis();
     ExchangeRequest request =
         ExchangeRequest.newBuilder()
@@ -101,7 +125,7 @@
     try {
       ExchangeReply reply =
           PeerServiceGrpc.newBlockingStub(channel(peer))
-              .withDeadlineAfter(DEADLINE_MILLIS, TimeUnit.MILLISECONDS)
+              .withDeadlineAfter(deadlineMillis, TimeUnit.MILLISECONDS)
               .exchange(request);
       metrics
           .counter("limpetvale.control.bytes", "with", "peer")
--- a/entry/src/main/java/org/limpetvale/entry/config/SuspectNewsbox.java
+++ b/entry/src/main/java/org/limpetvale/entry/config/SuspectNewsbox.java
@@ -9,9 +9,6 @@
   /** Returns the news to pass on. */
   List<SuspectNews> news();
 
-  /** Tells whether there is news that peers lack. */
-  boolean hasNews();
-
   /** Takes news from a peer. */
   void take(Collection<SuspectNews> news);
 }
--- a/entry/src/main/java/org/limpetvale/entry/request/ModelRun.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/ModelRun.java
@@ -31,6 +31,11 @@
   private static final long NO_UPSTREAM_RETRY_AFTER_MILLIS = 1000;
   private static final long BUSY_RETRY_AFTER_MILLIS = 2000;
 
+  /** Time that an answer that has begun may stand still after a failure, in milliseconds. */
+  private static final long RECOVERY_LIMIT_MILLIS = 20_000;
+
+  private static final long RECOVERY_PAUSE_MILLIS = 250;
+
   private final ModelRequest request;
   private final Dispatcher dispatcher;
   private final SuspectBook suspects;
@@ -44,6 +49,7 @@
   private int attemptNumber;
   private int offers;
   private int failures;
+  private long lastFailureMillis;
   private boolean mayHaveRun;
   private boolean trial;
   private Optional<Refusal> lastRefusal = Optional.empty();
@@ -83,6 +89,9 @@
         if (ended.isPresent()) {
           return ended.get();
         }
+        if (attempt == null) {
+          continue;
+        }
       }
       switch (attempt.next(timeoutMillis)) {
         case Next.Idle() -> {
@@ -152,7 +161,7 @@
 
   /** Opens the next attempt; returns the end of the request when there can be none. */
   private Optional<Step> openAttempt() {
-    if (offers >= dispatcher.mostOffers() + failures) {
+    if (offers >= dispatcher.mostOffers() + failures && !mayWaitForUpstream()) {
       return Optional.of(refused(lastRefusal.orElseGet(ModelRun::noUpstream)));
     }
     Optional<Step> judged = judge();
@@ -161,6 +170,11 @@
     }
     Optional<RemoteAttempt> opened = dispatcher.open(request.model(), offer(), excluded);
     if (opened.isEmpty()) {
+      if (mayWaitForUpstream()) {
+        excluded.clear();
+        dispatcher.timer().pause(RECOVERY_PAUSE_MILLIS);
+        return Optional.empty();
+      }
       return Optional.of(refused(lastRefusal.orElseGet(ModelRun::noUpstream)));
     }
     attempt = opened.get();
@@ -172,6 +186,12 @@
     return Optional.empty();
   }
 
+  /** An answer that has begun waits a while for an upstream that can go on with it. */
+  private boolean mayWaitForUpstream() {
+    return relayedTokens > 0
+        && dispatcher.timer().nowMillis() - lastFailureMillis < RECOVERY_LIMIT_MILLIS;
+  }
+
   private Optional<Step> judge() {
     String holder = request.requestId();
     return switch (suspects.judge(request.digest(), holder)) {
@@ -203,7 +223,9 @@
     long elapsedMillis = dispatcher.timer().nowMillis() - startedMillis;
     long maxWaitMillis = request.level().maxWaitMillis();
     long waitMillis =
-        relayedTokens > 0 ? maxWaitMillis : Math.max(1, maxWaitMillis - elapsedMillis);
+        relayedTokens > 0
+            ? Math.max(maxWaitMillis, RECOVERY_LIMIT_MILLIS)
+            : Math.max(1, maxWaitMillis - elapsedMillis);
     return Open.newBuilder()
         .setRequestId(request.requestId())
         .setAttempt(attemptNumber)
@@ -289,6 +311,7 @@
   private Optional<Step> retryAfterFailure(ResultCode code, String detail, boolean notRun) {
     mayHaveRun |= !notRun;
     failures++;
+    lastFailureMillis = dispatcher.timer().nowMillis();
     lastRefusal =
         Optional.of(
             new Refusal(
--- a/entry/src/main/java/org/limpetvale/entry/request/SuspectBook.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/SuspectBook.java
@@ -27,13 +27,13 @@
   private static final String PREFIX = "suspects/";
   private static final long KEPT_MILLIS = 600_000;
   private static final long NEWS_MILLIS = 10_000;
-  private static final long URGENT_MILLIS = 2000;
   private static final long SWEEP_MILLIS = 10_000;
   private static final int MOST_RACES = 5;
 
   private final Table table;
   private final TimerService timer;
   private final Map<String, Entry> entries = new ConcurrentHashMap<>();
+  private volatile Runnable push = () -> {};
 
   private record Entry(int crashes, long changedMillis) {}
 
@@ -59,6 +59,11 @@
     timer.every(SWEEP_MILLIS, this::sweep);
   }
 
+  /** Sets what passes news on to the peers at once. */
+  public void passNewsOnBy(Runnable pushNow) {
+    push = Objects.requireNonNull(pushNow, "pushNow is null");
+  }
+
   // -- the request path
 
   /** Judges a request; looks into the table only for known suspects. */
@@ -73,8 +78,16 @@
     return claimTrial(digest, holder);
   }
 
-  /** Notes that an upstream crashed while it ran a request. */
+  /**
+   * Notes that an upstream crashed while it ran a request; returns when the table and the reachable
+   * peers know.
+   */
   public void crashed(String digest) {
+    count(digest);
+    push.run();
+  }
+
+  private void count(String digest) {
     Entry entry =
         entries.compute(
             digest,
@@ -125,13 +138,6 @@
         .toList();
   }
 
-  @Override
-  public boolean hasNews() {
-    long nowMillis = timer.nowMillis();
-    return entries.values().stream()
-        .anyMatch(each -> nowMillis - each.changedMillis() < URGENT_MILLIS);
-  }
-
   @Override
   public void take(Collection<SuspectNews> news) {
     news.forEach(each -> note(each.getDigest(), each.getCrashes()));
--- a/it/src/test/java/org/limpetvale/it/CrashTest.java
+++ b/it/src/test/java/org/limpetvale/it/CrashTest.java
@@ -41,6 +41,7 @@
 
   @BeforeEach
   void awaitUpstreams() throws Exception {
+    crashes();
     fleet.awaitUpstreams("e1", 3);
     fleet.awaitUpstreams("e2", 3);
   }
@@ -159,6 +160,7 @@
     }
   }
 
+  /** Waits until each engine answers; returns the number of their crashes. */
   private static int crashes() throws IOException, InterruptedException {
     int all = 0;
     for (String vm : new String[] {"m1", "m2", "m3"}) {
--- a/sidecar/src/main/java/org/limpetvale/sidecar/Admission.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/Admission.java
@@ -21,9 +21,10 @@
 final class Admission {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long EXPIRY_PERIOD_MILLIS = 100;
-  private static final long DRAIN_RETRY_AFTER_MILLIS = 1000;
+  private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 1000;
 
   private final UpstreamRunner runner;
+  private final UpstreamState upstream;
   private final TimerService timer;
   private final MeterRegistry metrics;
   private final Map<Long, Attempt> waitingAttempts = new ConcurrentHashMap<>();
@@ -32,12 +33,18 @@
   private volatile boolean draining;
 
   Admission(
-      AdmissionQueue queue, UpstreamRunner runner, TimerService timer, MeterRegistry metrics) {
+      AdmissionQueue queue,
+      UpstreamRunner runner,
+      UpstreamState upstream,
+      TimerService timer,
+      MeterRegistry metrics) {
     this.queue = Objects.requireNonNull(queue, "queue is null");
     this.runner = Objects.requireNonNull(runner, "runner is null");
+    this.upstream = Objects.requireNonNull(upstream, "upstream is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.metrics = Objects.requireNonNull(metrics, "metrics is null");
     timer.every(EXPIRY_PERIOD_MILLIS, this::expire);
+    upstream.subscribe(this::upstreamDown, this::pump);
   }
 
   // -- offers
@@ -49,7 +56,7 @@
     Optional<Waiting> displaced = Optional.empty();
     Offer offer;
     synchronized (lock) {
-      offer = draining ? null : queue.offer(waiting, nowMillis);
+      offer = draining || !upstream.isUp() ? null : queue.offer(waiting, nowMillis);
       if (offer instanceof Offer.Queued(AdmissionQueue next, Optional<Waiting> victim)) {
         queue = next;
         waitingAttempts.put(attempt.ticket(), attempt);
@@ -58,8 +65,7 @@
       }
     }
     switch (offer) {
-      case null ->
-          refuse(attempt, ResultCode.DRAINING, "the upstream is leaving", DRAIN_RETRY_AFTER_MILLIS);
+      case null -> refuseUnavailable(attempt);
       case Offer.Queued ignored -> {
         displaced.ifPresent(this::refuseDisplaced);
         attempt.onAbort(() -> cancelWaiting(attempt));
@@ -80,17 +86,36 @@
 
   /** Refuses all new work; what waits is given back, what runs goes on. */
   void drain() {
-    List<Attempt> givenBack = new ArrayList<>();
     synchronized (lock) {
       draining = true;
+    }
+    giveBack();
+  }
+
+  private void upstreamDown() {
+    logger.atWarning().log("the upstream is down; what waits is given back");
+    giveBack();
+  }
+
+  private void giveBack() {
+    List<Attempt> givenBack = new ArrayList<>();
+    synchronized (lock) {
       for (Waiting each : queue.waiting()) {
         queue = queue.withoutWaiting(each.ticket());
         Optional.ofNullable(waitingAttempts.remove(each.ticket())).ifPresent(givenBack::add);
       }
     }
-    givenBack.forEach(
-        each ->
-            refuse(each, ResultCode.DRAINING, "the upstream is leaving", DRAIN_RETRY_AFTER_MILLIS));
+    givenBack.forEach(this::refuseUnavailable);
+  }
+
+  private void refuseUnavailable(Attempt attempt) {
+    if (draining) {
+      refuse(
+          attempt, ResultCode.DRAINING, "the upstream is leaving", UNAVAILABLE_RETRY_AFTER_MILLIS);
+    } else {
+      refuse(
+          attempt, ResultCode.NO_UPSTREAM, "the upstream is down", UNAVAILABLE_RETRY_AFTER_MILLIS);
+    }
   }
 
   /** Takes new work again. */
@@ -117,7 +142,8 @@
       Attempt attempt;
       Waiting request;
       synchronized (lock) {
-        Optional<AdmissionQueue.Dispatch> dispatch = queue.next(timer.nowMillis());
+        Optional<AdmissionQueue.Dispatch> dispatch =
+            upstream.isUp() ? queue.next(timer.nowMillis()) : Optional.empty();
         if (dispatch.isEmpty()) {
           return;
         }
--- a/sidecar/src/main/java/org/limpetvale/sidecar/ModelRunner.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/ModelRunner.java
@@ -35,10 +35,13 @@
   private final EngineHttp http;
   private final TimerService timer;
   private final AtomicReference<Rates> rates;
+  private final UpstreamState upstream;
   private final AtomicInteger running = new AtomicInteger();
 
-  ModelRunner(EngineHttp http, TimerService timer, AtomicReference<Rates> rates) {
+  ModelRunner(
+      EngineHttp http, UpstreamState upstream, TimerService timer, AtomicReference<Rates> rates) {
     this.http = Objects.requireNonNull(http, "http is null");
+    this.upstream = Objects.requireNonNull(upstream, "upstream is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.rates = Objects.requireNonNull(rates, "rates is null");
   }
@@ -57,11 +60,6 @@
     record NotReached(String detail) implements Ending {}
   }
 
-  @Override
-  public boolean probe() {
-    return http.healthy();
-  }
-
   @Override
   public Usage run(Attempt attempt) {
     int atSameTime = running.incrementAndGet();
@@ -80,7 +78,7 @@
         attempt.failed(ResultCode.CANCELLED, "cancelled", false);
         return new Usage(progress.tokens);
       }
-      if (ending instanceof Ending.Silent && retry < MOST_SILENT_RETRIES && http.healthy()) {
+      if (ending instanceof Ending.Silent && retry < MOST_SILENT_RETRIES && upstream.check()) {
         logger.atWarning().log(
             "engine connection went silent; continuing on a new one: request=%s tokens=%d",
             attempt.open().getRequestId(), progress.tokens);
@@ -105,10 +103,11 @@
       case Ending.NotReached(String detail) ->
           attempt.failed(ResultCode.UPSTREAM_CRASHED, detail, progress.tokens == 0);
       case Ending.Broken(String detail) -> {
-        if (http.healthy()) {
-          attempt.failed(ResultCode.CONNECTION_LOST, detail, false);
-        } else {
+        boolean mayBeCause = upstream.mayHaveCaused(progress.startedMillis);
+        if (!upstream.check() && mayBeCause) {
           attempt.crashed(detail, Math.max(atSameTime, running.get()));
+        } else {
+          attempt.failed(ResultCode.CONNECTION_LOST, detail, false);
         }
       }
     }
@@ -127,10 +126,14 @@
     try {
       return http.pooled().execute(request, response -> read(response, attempt, progress));
     } catch (ConnectException e) {
+      upstream.broke();
       return new Ending.NotReached(String.valueOf(e.getMessage()));
     } catch (SocketTimeoutException e) {
       return new Ending.Silent();
     } catch (IOException e) {
+      if (!attempt.isCancelled()) {
+        upstream.broke();
+      }
       return new Ending.Broken(e.getClass().getSimpleName() + ": " + e.getMessage());
     }
   }
@@ -168,6 +171,7 @@
     while (true) {
       String line = lines.readLine();
       if (line == null) {
+        upstream.broke();
         return new Ending.Broken("the stream ended without its last mark");
       }
       if (!line.startsWith(DATA)) {
--- a/sidecar/src/main/java/org/limpetvale/sidecar/ServiceRunner.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/ServiceRunner.java
@@ -24,14 +24,11 @@
       Set.of("connection", "transfer-encoding", "content-length", "keep-alive", "date");
 
   private final EngineHttp http;
+  private final UpstreamState upstream;
 
-  ServiceRunner(EngineHttp http) {
+  ServiceRunner(EngineHttp http, UpstreamState upstream) {
     this.http = Objects.requireNonNull(http, "http is null");
-  }
-
-  @Override
-  public boolean probe() {
-    return http.healthy();
+    this.upstream = Objects.requireNonNull(upstream, "upstream is null");
   }
 
   @Override
@@ -53,12 +50,14 @@
       attempt.serviceAnswer(answer);
       attempt.finished(0, 0, 0, "answered");
     } catch (ConnectException e) {
+      upstream.broke();
       attempt.failed(ResultCode.UPSTREAM_CRASHED, "the service refused the connection", true);
     } catch (SocketTimeoutException e) {
       attempt.failed(ResultCode.UPSTREAM_SILENT, "no answer within the limit", false);
     } catch (IOException e) {
       String detail = e.getClass().getSimpleName() + ": " + e.getMessage();
-      if (http.healthy()) {
+      upstream.broke();
+      if (upstream.check()) {
         attempt.failed(ResultCode.CONNECTION_LOST, detail, false);
       } else {
         attempt.crashed(detail, 1);
--- a/sidecar/src/main/java/org/limpetvale/sidecar/SidecarModule.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/SidecarModule.java
@@ -45,20 +45,31 @@
 
   @Provides
   @Singleton
-  UpstreamRunner runner(EngineHttp http, TimerService timer, AtomicReference<Rates> rates) {
+  UpstreamState upstreamState(EngineHttp http, TimerService timer) {
+    return new UpstreamState(http::healthy, timer);
+  }
+
+  @Provides
+  @Singleton
+  UpstreamRunner runner(
+      EngineHttp http, UpstreamState upstream, TimerService timer, AtomicReference<Rates> rates) {
     return switch (settings.upstream().kind()) {
-      case MODEL -> new ModelRunner(http, timer, rates);
-      case SERVICE -> new ServiceRunner(http);
+      case MODEL -> new ModelRunner(http, upstream, timer, rates);
+      case SERVICE -> new ServiceRunner(http, upstream);
     };
   }
 
   @Provides
   @Singleton
-  Admission admission(UpstreamRunner runner, TimerService timer) {
+  Admission admission(UpstreamRunner runner, UpstreamState upstreamState, TimerService timer) {
     UpstreamSettings upstream = settings.upstream();
     Limits limits = new Limits(upstream.capacity(), upstream.queueLimit());
     return new Admission(
-        AdmissionQueue.of(limits, upstream.expectedServiceMillis()), runner, timer, metrics);
+        AdmissionQueue.of(limits, upstream.expectedServiceMillis()),
+        runner,
+        upstreamState,
+        timer,
+        metrics);
   }
 
   @Provides
@@ -76,12 +87,9 @@
   @Provides
   @Singleton
   SidecarState state(
-      Admission admission,
-      UpstreamRunner runner,
-      AtomicReference<Rates> rates,
-      TimerService timer) {
+      Admission admission, UpstreamState upstreamState, AtomicReference<Rates> rates) {
     return new SidecarState(
-        settings.identity(), settings.upstream(), admission, runner, rates, timer);
+        settings.identity(), settings.upstream(), admission, upstreamState, rates);
   }
 
   @Provides
--- a/sidecar/src/main/java/org/limpetvale/sidecar/SidecarState.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/SidecarState.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.limpetvale.core.admission.AdmissionQueue;
 import org.limpetvale.core.config.RequestClass;
-import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.Identity;
 import org.limpetvale.daemon.Ids;
 import org.limpetvale.wire.SidecarIdentity;
@@ -15,30 +14,27 @@
 
 /** What a sidecar tells entries about itself. */
 final class SidecarState {
-  private static final long PROBE_PERIOD_MILLIS = 1000;
-
   private final Identity identity;
   private final UpstreamSettings upstream;
   private final Admission admission;
+  private final UpstreamState upstreamState;
   private final AtomicReference<Rates> rates;
   private final String instance = Ids.next();
   private final AtomicLong configVersion = new AtomicLong();
   private final AtomicReference<List<String>> models;
-  private volatile boolean upstreamUp = true;
 
   SidecarState(
       Identity identity,
       UpstreamSettings upstream,
       Admission admission,
-      UpstreamRunner runner,
-      AtomicReference<Rates> rates,
-      TimerService timer) {
+      UpstreamState upstreamState,
+      AtomicReference<Rates> rates) {
     this.identity = Objects.requireNonNull(identity, "identity is null");
     this.upstream = Objects.requireNonNull(upstream, "upstream is null");
     this.admission = Objects.requireNonNull(admission, "admission is null");
+    this.upstreamState = Objects.requireNonNull(upstreamState, "upstreamState is null");
     this.rates = Objects.requireNonNull(rates, "rates is null");
     this.models = new AtomicReference<>(List.copyOf(upstream.models()));
-    timer.every(PROBE_PERIOD_MILLIS, () -> upstreamUp = runner.probe());
   }
 
   String instance() {
@@ -82,7 +78,7 @@
         .setFirstTokenMillis(observed.firstTokenMillis())
         .setMeanServiceMillis(queue.meanServiceMillis())
         .setDraining(admission.isDraining())
-        .setUpstreamUp(upstreamUp)
+        .setUpstreamUp(upstreamState.isUp())
         .setConfigVersion(configVersion.get())
         .addAllQueuedByTier(queue.waitingByTier(RequestClass.TIERS))
         .build();
--- a/sidecar/src/main/java/org/limpetvale/sidecar/UpstreamRunner.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/UpstreamRunner.java
@@ -6,9 +6,6 @@
   /** Runs one attempt to its end; the attempt has its last event when this returns. */
   Usage run(Attempt attempt);
 
-  /** Tells whether the upstream answers. */
-  boolean probe();
-
   /**
    * What an attempt took.
    *
