--- a/cli/src/main/java/org/limpetvale/cli/LoadRun.java
+++ b/cli/src/main/java/org/limpetvale/cli/LoadRun.java
@@ -29,6 +29,8 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String DATA = "data: ";
   private static final String DONE = "[DONE]";
+  private static final String CONTENT = "\"content\":\"";
+  private static final String EMPTY_CONTENT = "\"content\":\"\"";
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final double MILLIS_PER_SECOND = 1000;
   private static final int LONGEST_ANSWER = 2000;
@@ -172,7 +174,7 @@
         if (data.contains("\"error\"")) {
           error = MAPPER.readTree(data).path("code").asText();
         }
-        if (data.contains("\"content\"")) {
+        if (data.contains(CONTENT) && !data.contains(EMPTY_CONTENT)) {
           lastNanos = System.nanoTime();
           firstNanos = firstNanos == 0 ? lastNanos : firstNanos;
           tokens++;
--- a/entry/src/main/java/org/limpetvale/entry/EntryApplication.java
+++ b/entry/src/main/java/org/limpetvale/entry/EntryApplication.java
@@ -12,6 +12,7 @@
 import java.util.EnumSet;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import org.glassfish.jersey.CommonProperties;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.DaemonApplication;
 import org.limpetvale.daemon.GrpcFactory;
@@ -46,6 +47,8 @@
         .servlets()
         .addFilter("drain", drain)
         .addMappingForUrlPatterns(EnumSet.of(DispatcherType.REQUEST), false, "/*");
+    // Without this a flush of the first 8 KiB of a stream reaches no caller.
+    environment.jersey().property(CommonProperties.OUTBOUND_CONTENT_LENGTH_BUFFER_SERVER, 0);
     environment.jersey().register(injector.getInstance(ChatResource.class));
     environment.jersey().register(injector.getInstance(ServiceResource.class));
     environment.jersey().register(injector.getInstance(AdminResource.class));
--- a/it/src/test/java/org/limpetvale/it/PathTest.java
+++ b/it/src/test/java/org/limpetvale/it/PathTest.java
@@ -50,6 +50,24 @@
     assertThat(outcome.usageTokens()).isEqualTo(12);
   }
 
+  @Test
+  void theFirstTokenReachesTheCallerBeforeTheAnswerIsWhole() throws Exception {
+    long[] firstMillis = new long[1];
+    long startMillis = System.currentTimeMillis();
+    Chat.stream(
+        fleet,
+        "e1",
+        key,
+        "cab-question",
+        "first soon [len=60]",
+        token -> {
+          if (token == 1) {
+            firstMillis[0] = System.currentTimeMillis() - startMillis;
+          }
+        });
+    assertThat(firstMillis[0]).isLessThan((System.currentTimeMillis() - startMillis) / 2);
+  }
+
   @Test
   void theModelsOfTheWorkspaceAreListed() throws Exception {
     Http.Answer answer =
