--- a/entry/src/main/java/org/limpetvale/entry/EntryModule.java
+++ b/entry/src/main/java/org/limpetvale/entry/EntryModule.java
@@ -205,8 +205,8 @@
 
   @Provides
   @Singleton
-  ConfigSync configSync(ConfigReader reader, Peers peers, TimerService timer) {
-    return new ConfigSync(reader, peers, timer);
+  ConfigSync configSync(ConfigReader reader, Peers peers, ConfigHolder holder, TimerService timer) {
+    return new ConfigSync(reader, peers, holder, timer);
   }
 
   // -- upstreams
@@ -220,7 +220,7 @@
   @Provides
   @Singleton
   SidecarPool pool(
-      TransportSecurity security, TimerService timer, UsageLedger ledger, ConfigHolder config) {
+      TransportSecurity security, TimerService timer, UsageLedger ledger, ConfigSync sync) {
     return new SidecarPool(
         settings.identity(),
         entryId,
@@ -228,7 +228,7 @@
         security,
         timer,
         ledger,
-        config,
+        sync,
         metrics);
   }
 
--- a/entry/src/main/java/org/limpetvale/entry/config/ConfigSync.java
+++ b/entry/src/main/java/org/limpetvale/entry/config/ConfigSync.java
@@ -1,22 +1,31 @@
 package org.limpetvale.entry.config;
 
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicLong;
 import org.limpetvale.core.time.TimerService;
+import org.limpetvale.entry.upstream.ConfigNews;
 
 /** Keeps the configuration in force up to date, from the table and from peers. */
-public final class ConfigSync {
+public final class ConfigSync implements ConfigNews {
   private static final long PERIOD_MILLIS = 1000;
 
+  /** Shortest time between two reads for news heard from sidecars, in milliseconds. */
+  private static final long HURRY_MILLIS = 300;
+
   private final ConfigReader reader;
   private final Peers peers;
+  private final ConfigHolder holder;
   private final TimerService timer;
+  private final AtomicLong hurriedMillis;
   private volatile boolean tableAnswers;
 
   /** Creates the synchronisation of one entry. */
-  public ConfigSync(ConfigReader reader, Peers peers, TimerService timer) {
+  public ConfigSync(ConfigReader reader, Peers peers, ConfigHolder holder, TimerService timer) {
     this.reader = Objects.requireNonNull(reader, "reader is null");
     this.peers = Objects.requireNonNull(peers, "peers is null");
+    this.holder = Objects.requireNonNull(holder, "holder is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.hurriedMillis = new AtomicLong(timer.nowMillis());
   }
 
   /** Reads once, then goes on in the background. */
@@ -27,6 +36,24 @@
     timer.every(PERIOD_MILLIS, this::exchange);
   }
 
+  @Override
+  public long current() {
+    return holder.current().version();
+  }
+
+  /** Reads at once when a sidecar has heard of a newer version from another entry. */
+  @Override
+  public void heard(long version) {
+    long last = hurriedMillis.get();
+    long nowMillis = timer.nowMillis();
+    if (version > current()
+        && nowMillis - last > HURRY_MILLIS
+        && hurriedMillis.compareAndSet(last, nowMillis)) {
+      timer.after(0, this::pollTable);
+      timer.after(0, this::exchange);
+    }
+  }
+
   private void pollTable() {
     tableAnswers = reader.refresh();
   }
--- a/entry/src/main/java/org/limpetvale/entry/request/Claims.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/Claims.java
@@ -183,7 +183,7 @@
     if (known != null && known.bodyDigest().equals(bodyDigest)) {
       return Result.ok(new Grant.Repeat(known.answer().orElseThrow()));
     }
-    return notRun("the table does not answer");
+    return notRun("the table does not answer; send it again with the same Idempotency-Key");
   }
 
   private static Result<Grant> notRun(String detail) {
--- a/entry/src/main/java/org/limpetvale/entry/request/SuspectBook.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/SuspectBook.java
@@ -28,6 +28,10 @@
   private static final long KEPT_MILLIS = 600_000;
   private static final long NEWS_MILLIS = 10_000;
   private static final long SWEEP_MILLIS = 10_000;
+
+  /** Time that a trial may take, in milliseconds. */
+  private static final long TRIAL_LIMIT_MILLIS = 120_000;
+
   private static final int MOST_RACES = 5;
 
   private final Table table;
@@ -35,8 +39,12 @@
   private final Map<String, Entry> entries = new ConcurrentHashMap<>();
   private volatile Runnable push = () -> {};
 
+  private final Map<String, TrialSeen> trialsSeen = new ConcurrentHashMap<>();
+
   private record Entry(int crashes, long changedMillis) {}
 
+  private record TrialSeen(long revision, long atMillis) {}
+
   /** Whether a request may run. */
   public sealed interface Verdict {
     /** It may run like any other. */
@@ -158,7 +166,9 @@
       note(digest, standing.crashes());
       return new Verdict.Condemned();
     }
-    if (!standing.trialHolder().isEmpty() && !standing.trialHolder().equals(holder)) {
+    boolean triedElsewhere =
+        !standing.trialHolder().isEmpty() && !standing.trialHolder().equals(holder);
+    if (triedElsewhere && !isAbandoned(row.orElseThrow())) {
       return new Verdict.Busy();
     }
     return write(standing.triedBy(holder), row) instanceof Commit.Conflict
@@ -166,6 +176,18 @@
         : new Verdict.Trial();
   }
 
+  /** Tells whether a trial has stood unchanged for so long that its process must be gone. */
+  private boolean isAbandoned(Row row) {
+    TrialSeen seen =
+        trialsSeen.compute(
+            row.key(),
+            (key, old) ->
+                old != null && old.revision() == row.revision()
+                    ? old
+                    : new TrialSeen(row.revision(), timer.nowMillis()));
+    return timer.nowMillis() - seen.atMillis() > TRIAL_LIMIT_MILLIS;
+  }
+
   private Commit write(Suspect suspect, Optional<Row> standing) {
     return table.commit(
         Transaction.put(
@@ -183,6 +205,7 @@
 
   private void sweep() {
     long nowMillis = timer.nowMillis();
+    trialsSeen.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
     entries.values().removeIf(each -> nowMillis - each.changedMillis() > KEPT_MILLIS);
   }
 }
--- a/entry/src/main/java/org/limpetvale/entry/upstream/SidecarLink.java
+++ b/entry/src/main/java/org/limpetvale/entry/upstream/SidecarLink.java
@@ -45,7 +45,7 @@
   /** Time without an answer after which the connection counts as silent, in milliseconds. */
   private static final long SILENCE_MILLIS = 1500;
 
-  private static final long TICK_MILLIS = 100;
+  private static final long RECONNECT_PAUSE_MILLIS = 200;
   private static final long ORDER_DEADLINE_MILLIS = 2000;
 
   private final Vm vm;
@@ -53,9 +53,8 @@
   private final TransportSecurity security;
   private final TimerService timer;
   private final FlushedRecords usage;
-  private final ConfigVersion configVersion;
+  private final ConfigNews configNews;
   private final Counter controlBytes;
-  private final TimerService.Subscription ticks;
   private final AtomicInteger open = new AtomicInteger();
   private final AtomicInteger sentUnseen = new AtomicInteger();
   private volatile Connection connection;
@@ -65,33 +64,23 @@
   private volatile boolean closed;
   private volatile long nextConnectMillis;
 
-  /** The newest version of the configuration in force here. */
-  interface ConfigVersion {
-    /** Returns the version. */
-    long current();
-
-    /** Notes that a sidecar has heard of a version. */
-    void heard(long version);
-  }
-
   SidecarLink(
       Vm vm,
       String entryId,
       TransportSecurity security,
       TimerService timer,
       FlushedRecords usage,
-      ConfigVersion configVersion,
+      ConfigNews configNews,
       MeterRegistry metrics) {
     this.vm = Objects.requireNonNull(vm, "vm is null");
     this.entryId = Objects.requireNonNull(entryId, "entryId is null");
     this.security = Objects.requireNonNull(security, "security is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.usage = Objects.requireNonNull(usage, "usage is null");
-    this.configVersion = Objects.requireNonNull(configVersion, "configVersion is null");
+    this.configNews = Objects.requireNonNull(configNews, "configNews is null");
     this.controlBytes = metrics.counter("limpetvale.control.bytes", "with", "sidecar");
     this.leaving = vm.leaving();
     connect();
-    this.ticks = timer.every(TICK_MILLIS, this::tick);
   }
 
   /** One connection with its stream of heartbeats. */
@@ -114,7 +103,7 @@
       WatchPing message =
           WatchPing.newBuilder()
               .setEntryId(entryId)
-              .setConfigVersion(configVersion.current())
+              .setConfigVersion(configNews.current())
               .setLeaving(leaving)
               .setSequence(sequence)
               .setWriterId(usage.writerId())
@@ -131,7 +120,7 @@
       sentUnseen.set(0);
       load = report.getLoad();
       identity = report.getIdentity();
-      configVersion.heard(report.getLoad().getConfigVersion());
+      configNews.heard(report.getLoad().getConfigVersion());
       report.getOrphanedWritersList().forEach(each -> usage.orphanSeen(vm.name(), each));
     }
 
@@ -269,14 +258,14 @@
 
   void close() {
     closed = true;
-    ticks.cancel();
     Connection now = connection;
     if (now != null) {
       now.channel.shutdown();
     }
   }
 
-  private void tick() {
+  /** Sends a heartbeat that is due, or replaces a connection that is broken or silent. */
+  void tick() {
     long nowMillis = timer.nowMillis();
     Connection now = connection;
     if (closed) {
@@ -295,7 +284,7 @@
   }
 
   private void connect() {
-    nextConnectMillis = timer.nowMillis() + TICK_MILLIS * 2;
+    nextConnectMillis = timer.nowMillis() + RECONNECT_PAUSE_MILLIS;
     Connection next = new Connection();
     next.begin();
     connection = next;
--- a/entry/src/main/java/org/limpetvale/entry/upstream/SidecarPool.java
+++ b/entry/src/main/java/org/limpetvale/entry/upstream/SidecarPool.java
@@ -14,18 +14,20 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.Identity;
 import org.limpetvale.daemon.TransportSecurity;
-import org.limpetvale.entry.config.ConfigHolder;
 import org.limpetvale.platform.Vm;
 
 /** The links of this entry: for each model and service a subset of its sidecars. */
 public final class SidecarPool {
+  /** Period in which all links look whether a heartbeat is due, in milliseconds. */
+  private static final long TICK_MILLIS = 100;
+
   private final Identity identity;
   private final String entryId;
   private final int sidecarsPerPool;
   private final TransportSecurity security;
   private final TimerService timer;
   private final FlushedRecords usage;
-  private final ConfigHolder config;
+  private final ConfigNews configNews;
   private final MeterRegistry metrics;
   private final Map<String, SidecarLink> links = new ConcurrentHashMap<>();
 
@@ -37,7 +39,7 @@
       TransportSecurity security,
       TimerService timer,
       FlushedRecords usage,
-      ConfigHolder config,
+      ConfigNews configNews,
       MeterRegistry metrics) {
     this.identity = Objects.requireNonNull(identity, "identity is null");
     this.entryId = Objects.requireNonNull(entryId, "entryId is null");
@@ -45,8 +47,9 @@
     this.security = Objects.requireNonNull(security, "security is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.usage = Objects.requireNonNull(usage, "usage is null");
-    this.config = Objects.requireNonNull(config, "config is null");
+    this.configNews = Objects.requireNonNull(configNews, "configNews is null");
     this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+    timer.every(TICK_MILLIS, () -> links.values().forEach(SidecarLink::tick));
   }
 
   /** Opens and closes links so that they follow the VM list. */
@@ -93,9 +96,7 @@
     if (old != null) {
       old.close();
     }
-    links.put(
-        vm.name(),
-        new SidecarLink(vm, entryId, security, timer, usage, new InForce(config), metrics));
+    links.put(vm.name(), new SidecarLink(vm, entryId, security, timer, usage, configNews, metrics));
     return vm.name();
   }
 
@@ -110,16 +111,4 @@
     link.close();
     return true;
   }
-
-  private record InForce(ConfigHolder config) implements SidecarLink.ConfigVersion {
-    @Override
-    public long current() {
-      return config.current().version();
-    }
-
-    @Override
-    public void heard(long version) {
-      // A newer version is fetched by the next poll of the table or a peer.
-    }
-  }
 }
