--- a/core/src/main/java/org/limpetvale/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/limpetvale/core/admission/AdmissionQueue.java
@@ -1,7 +1,6 @@
 package org.limpetvale.core.admission;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,17 +9,15 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import org.limpetvale.core.config.RequestClass;
 
 /**
  * The queue of one upstream: an immutable value whose operations return the next value.
  *
  * <p>Dispatch goes by tier, then budget, then fair share among workspaces by start tag; within a
  * workspace the earliest deadline goes first. A class below its floor share goes before that order
- * as long as no waiting request of a higher tier would miss its deadline through it. As nothing
- * that runs is preempted, a lower tier leaves the places free that higher tiers usually take.
- * Displacement takes the lowest tier first, then workspaces over budget, then the largest start
- * tag, then the newest request; it never takes a higher tier than the arriving request's.
+ * as long as no waiting request of a higher tier would miss its deadline through it. Displacement
+ * takes the lowest tier first, then workspaces over budget, then the largest start tag, then the
+ * newest request; it never takes a higher tier than the arriving request's.
  */
 public final class AdmissionQueue {
   /** Share of the served tokens that is forgotten with each dispatch. */
@@ -29,10 +26,6 @@
   private static final long MIN_RETRY_AFTER_MILLIS = 1000;
   private static final long MAX_RETRY_AFTER_MILLIS = 60_000;
   private static final double SERVICE_SMOOTHING = 0.2;
-  private static final double USUAL_SMOOTHING = 0.1;
-
-  /** Most places, as a share of the capacity, that are left free for higher tiers. */
-  private static final double MOST_HELD_FREE = 0.5;
 
   private static final Comparator<Waiting> VICTIM_ORDER =
       Comparator.comparingInt(Waiting::tier)
@@ -48,9 +41,6 @@
   private final double virtualTime;
   private final double meanServiceMillis;
 
-  /** Smoothed number of running requests of each tier and above. */
-  private final List<Double> usualRunning;
-
   private AdmissionQueue(
       Limits limits,
       List<Waiting> waiting,
@@ -58,8 +48,7 @@
       Map<String, Double> finishTags,
       Map<String, Double> servedByClass,
       double virtualTime,
-      double meanServiceMillis,
-      List<Double> usualRunning) {
+      double meanServiceMillis) {
     this.limits = limits;
     this.waiting = waiting;
     this.running = running;
@@ -67,7 +56,6 @@
     this.servedByClass = servedByClass;
     this.virtualTime = virtualTime;
     this.meanServiceMillis = meanServiceMillis;
-    this.usualRunning = usualRunning;
   }
 
   // -- static factories
@@ -82,14 +70,7 @@
   public static AdmissionQueue of(Limits limits, double expectedServiceMillis) {
     Objects.requireNonNull(limits, "limits is null");
     return new AdmissionQueue(
-        limits,
-        List.of(),
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        0,
-        expectedServiceMillis,
-        Collections.nCopies(RequestClass.TIERS, 0.0));
+        limits, List.of(), Map.of(), Map.of(), Map.of(), 0, expectedServiceMillis);
   }
 
   // -- operations
@@ -132,8 +113,8 @@
     if (eligible.isEmpty()) {
       return Optional.empty();
     }
-    Optional<Waiting> chosen = floorChoice(eligible, nowMillis).or(() -> ordinaryChoice(eligible));
-    return chosen.map(request -> new Dispatch(withDispatched(request), request));
+    Waiting chosen = floorChoice(eligible, nowMillis).orElseGet(() -> ordinaryChoice(eligible));
+    return Optional.of(new Dispatch(withDispatched(chosen), chosen));
   }
 
   /**
@@ -226,12 +207,9 @@
     return !request.exclusive() || running.values().stream().noneMatch(Waiting::exclusive);
   }
 
-  private Optional<Waiting> ordinaryChoice(List<Waiting> eligible) {
+  private Waiting ordinaryChoice(List<Waiting> eligible) {
     Map<String, Waiting> heads = new HashMap<>();
     int tier = eligible.stream().mapToInt(Waiting::tier).min().orElseThrow();
-    if (limits.capacity() - running.size() <= heldFree(tier)) {
-      return Optional.empty();
-    }
     eligible.stream()
         .filter(each -> each.tier() == tier)
         .forEach(each -> heads.merge(each.workspace(), each, AdmissionQueue::earlier));
@@ -240,29 +218,8 @@
             Comparator.comparing(Waiting::overBudget)
                 .thenComparingDouble(Waiting::startTag)
                 .thenComparingLong(Waiting::deadlineMillis)
-                .thenComparingLong(Waiting::ticket));
-  }
-
-  /** Returns the places that a request of a tier leaves free for higher tiers. */
-  private long heldFree(int tier) {
-    if (tier == 0 || running.isEmpty()) {
-      return 0;
-    }
-    double missing = usualRunning.get(tier - 1) - runningUpTo(running, tier - 1);
-    return Math.clamp(Math.round(missing), 0, (int) (MOST_HELD_FREE * limits.capacity()));
-  }
-
-  private static long runningUpTo(Map<Long, Waiting> requests, int tier) {
-    return requests.values().stream().filter(each -> each.tier() <= tier).count();
-  }
-
-  private List<Double> usualAfter(Map<Long, Waiting> nowRunning) {
-    List<Double> usual = new ArrayList<>(usualRunning.size());
-    for (int tier = 0; tier < usualRunning.size(); tier++) {
-      double old = usualRunning.get(tier);
-      usual.add(old + USUAL_SMOOTHING * (runningUpTo(nowRunning, tier) - old));
-    }
-    return List.copyOf(usual);
+                .thenComparingLong(Waiting::ticket))
+        .orElseThrow();
   }
 
   private static Waiting earlier(Waiting a, Waiting b) {
@@ -397,13 +354,6 @@
       double newVirtualTime,
       double newMeanServiceMillis) {
     return new AdmissionQueue(
-        limits,
-        newWaiting,
-        newRunning,
-        newTags,
-        newServed,
-        newVirtualTime,
-        newMeanServiceMillis,
-        newRunning.equals(running) ? usualRunning : usualAfter(newRunning));
+        limits, newWaiting, newRunning, newTags, newServed, newVirtualTime, newMeanServiceMillis);
   }
 }
