--- a/sidecar/src/main/java/org/limpetvale/sidecar/Admission.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/Admission.java
@@ -1,6 +1,7 @@
 package org.limpetvale.sidecar;
 
 import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.ArrayList;
 import java.util.List;
@@ -45,6 +46,12 @@
     this.metrics = Objects.requireNonNull(metrics, "metrics is null");
     timer.every(EXPIRY_PERIOD_MILLIS, this::expire);
     upstream.subscribe(this::upstreamDown, this::pump);
+    for (int tier = 0; tier < RequestClass.TIERS; tier++) {
+      int each = tier;
+      Gauge.builder("limpetvale.sidecar.queue.depth", this, admission -> admission.depth(each))
+          .tag("tier", String.valueOf(each))
+          .register(metrics);
+    }
   }
 
   // -- offers
@@ -135,6 +142,10 @@
     }
   }
 
+  private int depth(int tier) {
+    return snapshot().waitingByTier(RequestClass.TIERS).get(tier);
+  }
+
   // -- dispatch
 
   private void pump() {
