An unknown field in the settings ends a daemon before it listens

Cause: the JSON settings factory was made without the strictness that Dropwizard's own factory sets, so that a misspelt field was passed over.

--- a/daemon/src/main/java/org/limpetvale/daemon/DaemonApplication.java
+++ b/daemon/src/main/java/org/limpetvale/daemon/DaemonApplication.java
@@ -1,5 +1,6 @@
 package org.limpetvale.daemon;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import io.dropwizard.configuration.JsonConfigurationFactory;
 import io.dropwizard.core.Application;
 import io.dropwizard.core.Configuration;
@@ -13,6 +14,12 @@
 public abstract class DaemonApplication<T extends Configuration> extends Application<T> {
   @Override
   public void initialize(Bootstrap<T> bootstrap) {
-    bootstrap.setConfigurationFactoryFactory(JsonConfigurationFactory::new);
+    bootstrap.setConfigurationFactoryFactory(
+        (type, validator, mapper, prefix) ->
+            new JsonConfigurationFactory<>(
+                type,
+                validator,
+                mapper.copy().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES),
+                prefix));
   }
 }
