One piece of code for how long a row has stood unchanged

Claims, suspects and orders each kept their own map of first sightings with the same computation; RowAges serves all three. The fault proxy loses a delay that no test used. Behaviour and bounds are as before.

--- a/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
@@ -14,6 +14,7 @@
 import org.limpetvale.platform.Read;
 import org.limpetvale.platform.ResolvedCommit;
 import org.limpetvale.platform.Row;
+import org.limpetvale.platform.RowAges;
 import org.limpetvale.platform.Table;
 import org.limpetvale.platform.Transaction;
 
@@ -38,9 +39,8 @@
   private final Table table;
   private final ResolvedCommit commits;
   private final Predicate<String> processGone;
-  private final TimerService timer;
   private final Map<String, OrderRow> unconcluded = new ConcurrentHashMap<>();
-  private final Map<String, UnknownSeen> unknownSeen = new ConcurrentHashMap<>();
+  private final RowAges ages;
 
   /**
    * Creates a sender.
@@ -58,12 +58,10 @@
     this.table = Objects.requireNonNull(table, "table is null");
     this.commits = Objects.requireNonNull(commits, "commits is null");
     this.processGone = Objects.requireNonNull(processGone, "processGone is null");
-    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.ages = RowAges.of(timer);
     timer.every(CONCLUDE_PERIOD_MILLIS, this::concludeLate);
   }
 
-  private record UnknownSeen(long revision, long atMillis) {}
-
   /**
    * A claimed order.
    *
@@ -93,7 +91,7 @@
           lease.duty(), standing.get().sender(), standing.get().orderId());
       return Optional.empty();
     }
-    if (row.isPresent() && isSettling(lease.duty(), row.get(), standing.orElseThrow())) {
+    if (row.isPresent() && isSettling(row.get(), standing.orElseThrow())) {
       return Optional.empty();
     }
     OrderRow order =
@@ -144,18 +142,11 @@
    * An order whose answer was lost may yet arrive at a receiver that ignores fencing numbers. A
    * report may arrive at any time, as its figures never change.
    */
-  private boolean isSettling(String duty, Row row, OrderRow standing) {
+  private boolean isSettling(Row row, OrderRow standing) {
     if (standing.state() != OrderRow.State.UNKNOWN || standing.action() == OrderRow.Action.REPORT) {
       return false;
     }
-    UnknownSeen seen =
-        unknownSeen.compute(
-            duty,
-            (key, old) ->
-                old != null && old.revision() == row.revision()
-                    ? old
-                    : new UnknownSeen(row.revision(), timer.nowMillis()));
-    return timer.nowMillis() - seen.atMillis() < SETTLE_MILLIS;
+    return ages.unchangedMillis(row) < SETTLE_MILLIS;
   }
 
   private void concludeLate() {
--- a/entry/src/main/java/org/limpetvale/entry/request/Claims.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/Claims.java
@@ -17,6 +17,7 @@
 import org.limpetvale.platform.Read;
 import org.limpetvale.platform.ResolvedCommit;
 import org.limpetvale.platform.Row;
+import org.limpetvale.platform.RowAges;
 import org.limpetvale.platform.Table;
 import org.limpetvale.platform.Transaction;
 
@@ -43,17 +44,16 @@
   private final ResolvedCommit commits;
   private final Digests digests;
   private final TimerService timer;
-  private final Map<String, Seen> firstSeen = new ConcurrentHashMap<>();
+  private final RowAges ages;
   private final Map<String, ClaimRow> finished = new ConcurrentHashMap<>();
 
-  private record Seen(long revision, long atMillis) {}
-
   /** Creates the claims of one entry. */
   public Claims(Table table, ResolvedCommit commits, Digests digests, TimerService timer) {
     this.table = Objects.requireNonNull(table, "table is null");
     this.commits = Objects.requireNonNull(commits, "commits is null");
     this.digests = Objects.requireNonNull(digests, "digests is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.ages = RowAges.of(timer);
   }
 
   /** What came of asking for a claim. */
@@ -161,14 +161,7 @@
   }
 
   private Result<Grant> running(Row row, ClaimRow claim) {
-    Seen seen =
-        firstSeen.compute(
-            row.key(),
-            (key, old) ->
-                old != null && old.revision() == row.revision()
-                    ? old
-                    : new Seen(row.revision(), timer.nowMillis()));
-    if (timer.nowMillis() - seen.atMillis() > ABANDONED_MILLIS) {
+    if (ages.unchangedMillis(row) > ABANDONED_MILLIS) {
       table.commit(
           Transaction.put(
               row.key(), row.revision(), StrictJson.write(claim.in(ClaimRow.State.UNKNOWN))));
@@ -199,7 +192,7 @@
             value -> StrictJson.stored(value, ClaimRow.class).equals(row),
             CONCLUDE_MILLIS);
     switch (outcome) {
-      case ResolvedCommit.Outcome.Applied ignored -> firstSeen.remove(held.key());
+      case ResolvedCommit.Outcome.Applied ignored -> ages.forget(held.key());
       case ResolvedCommit.Outcome.Conflict() -> afterConflict(held, row, tries);
       default -> {
         if (tries >= MOST_CONCLUDE_TRIES) {
--- a/entry/src/main/java/org/limpetvale/entry/request/SuspectBook.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/SuspectBook.java
@@ -14,6 +14,7 @@
 import org.limpetvale.platform.Commit;
 import org.limpetvale.platform.Read;
 import org.limpetvale.platform.Row;
+import org.limpetvale.platform.RowAges;
 import org.limpetvale.platform.Table;
 import org.limpetvale.platform.Transaction;
 import org.limpetvale.wire.SuspectNews;
@@ -39,12 +40,10 @@
   private final Map<String, Entry> entries = new ConcurrentHashMap<>();
   private volatile Runnable push = () -> {};
 
-  private final Map<String, TrialSeen> trialsSeen = new ConcurrentHashMap<>();
+  private final RowAges ages;
 
   private record Entry(int crashes, long changedMillis) {}
 
-  private record TrialSeen(long revision, long atMillis) {}
-
   /** Whether a request may run. */
   public sealed interface Verdict {
     /** It may run like any other. */
@@ -64,6 +63,7 @@
   public SuspectBook(Table table, TimerService timer) {
     this.table = Objects.requireNonNull(table, "table is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.ages = RowAges.of(timer);
     timer.every(SWEEP_MILLIS, this::sweep);
   }
 
@@ -168,7 +168,7 @@
     }
     boolean triedElsewhere =
         !standing.trialHolder().isEmpty() && !standing.trialHolder().equals(holder);
-    if (triedElsewhere && !isAbandoned(row.orElseThrow())) {
+    if (triedElsewhere && ages.unchangedMillis(row.orElseThrow()) <= TRIAL_LIMIT_MILLIS) {
       return new Verdict.Busy();
     }
     return write(standing.triedBy(holder), row) instanceof Commit.Conflict
@@ -176,18 +176,6 @@
         : new Verdict.Trial();
   }
 
-  /** Tells whether a trial has stood unchanged for so long that its process must be gone. */
-  private boolean isAbandoned(Row row) {
-    TrialSeen seen =
-        trialsSeen.compute(
-            row.key(),
-            (key, old) ->
-                old != null && old.revision() == row.revision()
-                    ? old
-                    : new TrialSeen(row.revision(), timer.nowMillis()));
-    return timer.nowMillis() - seen.atMillis() > TRIAL_LIMIT_MILLIS;
-  }
-
   private Commit write(Suspect suspect, Optional<Row> standing) {
     return table.commit(
         Transaction.put(
@@ -205,7 +193,7 @@
 
   private void sweep() {
     long nowMillis = timer.nowMillis();
-    trialsSeen.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
+    ages.forgetOlderThan(KEPT_MILLIS);
     entries.values().removeIf(each -> nowMillis - each.changedMillis() > KEPT_MILLIS);
   }
 }
--- a/it/src/test/java/org/limpetvale/it/FaultProxy.java
+++ b/it/src/test/java/org/limpetvale/it/FaultProxy.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A TCP proxy on loopback that cuts, delays and silently swallows connections. */
+/** A TCP proxy on loopback that cuts and silently swallows connections. */
 final class FaultProxy implements AutoCloseable {
   private static final int BUFFER_BYTES = 16_384;
   private static final int CONNECT_MILLIS = 1000;
@@ -19,7 +19,6 @@
   private final int targetPort;
   private final Set<Link> links = ConcurrentHashMap.newKeySet();
   private volatile boolean swallowsAll;
-  private volatile long delayMillis;
 
   private FaultProxy(ServerSocket server, int targetPort) {
     this.server = server;
@@ -67,11 +66,6 @@
     links.forEach(FaultProxy::close);
   }
 
-  /** Delays each piece of data one way, in milliseconds. */
-  void delay(long millis) {
-    delayMillis = millis;
-  }
-
   @Override
   public void close() {
     try {
@@ -116,17 +110,12 @@
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
       for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-        if (delayMillis > 0) {
-          Thread.sleep(delayMillis);
-        }
         if (!link.silent && !swallowsAll) {
           out.write(buffer, 0, count);
         }
       }
     } catch (IOException e) {
       // One side is gone.
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
     if (!link.silent) {
       links.remove(link);
