--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/fleet/RouteTable.java
@@ -0,0 +1,60 @@
+package org.limpetvale.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds the route of a request by its host and the longest prefix of its path. */
+public final class RouteTable {
+  private static final RouteTable EMPTY = new RouteTable(Map.of());
+
+  private final Map<String, List<Route>> byHost;
+
+  private RouteTable(Map<String, List<Route>> byHost) {
+    this.byHost = byHost;
+  }
+
+  /** Returns a table without routes. */
+  public static RouteTable empty() {
+    return EMPTY;
+  }
+
+  /** Returns a table of some routes. */
+  public static RouteTable of(Collection<Route> routes) {
+    Map<String, List<Route>> byHost = new HashMap<>();
+    for (Route route : routes) {
+      byHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst =
+        Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+    byHost.values().forEach(list -> list.sort(longestFirst));
+    return new RouteTable(Map.copyOf(byHost));
+  }
+
+  /**
+   * Finds the route of a request.
+   *
+   * @param hostHeader the Host header; a port in it is ignored
+   * @param path the path, without its query
+   */
+  public Optional<Route> find(String hostHeader, String path) {
+    List<Route> routes = byHost.getOrDefault(hostName(hostHeader), List.of());
+    return routes.stream().filter(route -> path.startsWith(route.prefix())).findFirst();
+  }
+
+  /** Returns the number of routes. */
+  public int size() {
+    return byHost.values().stream().mapToInt(List::size).sum();
+  }
+
+  private static String hostName(String hostHeader) {
+    int colon = hostHeader.lastIndexOf(':');
+    String name = colon > 0 ? hostHeader.substring(0, colon) : hostHeader;
+    return name.toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -0,0 +1,126 @@
+package org.limpetvale.core.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.limpetvale.core.fleet.Route;
+
+/**
+ * Places model requests by predicted time to the first event and by the harm to streams beside.
+ *
+ * <p>The load that it answers: prompts of very different lengths that share long prefixes. An
+ * engine that has a prefix in its cache is preferred as long as the queue before it costs less than
+ * reading the prefix again.
+ */
+public final class EnginePlacement {
+  /** Prompt tokens that an engine of the usual speed reads in a millisecond. */
+  private static final double PREFILL_TOKENS_PER_MILLI = 40;
+
+  /** Milliseconds of attention for a million pairs of a new token and a token before it. */
+  private static final double MILLIS_PER_MILLION_PAIRS = 1.0;
+
+  private static final double PAIRS_PER_MILLION = 1_000_000;
+
+  /** Time that a request beyond the slots waits for each request before it. */
+  private static final double SLOT_WAIT_MILLIS = 40;
+
+  /** Time that each running request adds to the first event. */
+  private static final double RUNNING_MILLIS = 1.0;
+
+  private static final double BASE_MILLIS = 10;
+
+  /** Reading time above which a prompt breaks short gap targets beside it. */
+  private static final double HARMFUL_PREFILL_MILLIS = 90;
+
+  private static final double HARM_MILLIS_PER_STREAM = 120;
+
+  /** Cost of a request on engines that are set apart for others. */
+  private static final double LONG_IN_TIGHT_POOL_MILLIS = 900;
+
+  private static final double MEDIUM_IN_TIGHT_POOL_MILLIS = 150;
+  private static final double TIGHT_OUTSIDE_POOL_MILLIS = 250;
+  private static final double SILENT_MILLIS = 5_000;
+  private static final double FAILURE_MILLIS = 2_000;
+
+  /** Cost of another zone, for the bytes between zones. */
+  private static final double OTHER_ZONE_MILLIS = 6;
+
+  private EnginePlacement() {}
+
+  /**
+   * Places a request.
+   *
+   * @param route its route
+   * @param shape its size
+   * @param zone availability zone of the entry
+   * @param pools the split of the engines
+   * @param candidates engines that may take it
+   * @return the choice; empty without candidates
+   */
+  public static Optional<Choice> choose(
+      Route route,
+      PromptShape shape,
+      String zone,
+      EnginePools pools,
+      List<UpstreamLoad> candidates) {
+    Objects.requireNonNull(route, "route is null");
+    Objects.requireNonNull(shape, "shape is null");
+    return candidates.stream()
+        .map(load -> rate(route, shape, zone, pools, load))
+        .min(Comparator.comparingDouble(Choice::costMillis));
+  }
+
+  /** Returns the time to read the rest of a prompt, in milliseconds, at the usual speed. */
+  public static double prefillMillis(int promptTokens, int cachedTokens) {
+    double fresh = Math.max(0, promptTokens - cachedTokens);
+    double pairs = fresh * (cachedTokens + fresh / 2) / PAIRS_PER_MILLION;
+    return fresh / PREFILL_TOKENS_PER_MILLI + pairs * MILLIS_PER_MILLION_PAIRS;
+  }
+
+  private static Choice rate(
+      Route route, PromptShape shape, String zone, EnginePools pools, UpstreamLoad load) {
+    double ownMillis = prefillMillis(shape.promptTokens(), load.cachedTokens()) / load.speed();
+    double predicted = BASE_MILLIS + queueMillis(load) + ownMillis;
+    double cost = predicted + riskMillis(load) + poolMillis(route, pools, load, ownMillis);
+    if (ownMillis > HARMFUL_PREFILL_MILLIS) {
+      cost += HARM_MILLIS_PER_STREAM * load.tightStreams();
+    }
+    if (!load.upstream().zone().equals(zone)) {
+      cost += OTHER_ZONE_MILLIS;
+    }
+    return new Choice(load.upstream(), predicted, cost, load.cachedTokens());
+  }
+
+  private static double queueMillis(UpstreamLoad load) {
+    double reading = load.pendingPromptTokens() / PREFILL_TOKENS_PER_MILLI / load.speed();
+    int over = Math.max(0, load.requests() - load.upstream().slots());
+    return reading + load.requests() * RUNNING_MILLIS + over * SLOT_WAIT_MILLIS;
+  }
+
+  private static double riskMillis(UpstreamLoad load) {
+    return load.failureShare() * FAILURE_MILLIS + (load.silent() ? SILENT_MILLIS : 0);
+  }
+
+  private static double poolMillis(
+      Route route, EnginePools pools, UpstreamLoad load, double ownMillis) {
+    if (pools.tight().isEmpty()) {
+      return 0;
+    }
+    boolean inTightPool = pools.tight().contains(load.upstream().id());
+    if (isTight(route)) {
+      return inTightPool ? 0 : TIGHT_OUTSIDE_POOL_MILLIS;
+    }
+    if (!inTightPool) {
+      return 0;
+    }
+    return ownMillis > HARMFUL_PREFILL_MILLIS
+        ? LONG_IN_TIGHT_POOL_MILLIS
+        : MEDIUM_IN_TIGHT_POOL_MILLIS;
+  }
+
+  /** Tells whether the streams of a route have a short gap target. */
+  public static boolean isTight(Route route) {
+    return route.targetGapMillis() > 0 && route.targetGapMillis() < EnginePools.TIGHT_GAP_MILLIS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
@@ -0,0 +1,54 @@
+package org.limpetvale.core.placement;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.limpetvale.core.fleet.Upstream;
+
+/**
+ * Keeps streams with short gap targets on engines of their own.
+ *
+ * <p>The load that it answers: long prompts are read in chunks between the tokens of the streams
+ * beside them, and a few chunks in a row break a short gap target. The split is by rendezvous order
+ * of the engines, so that all entries agree on it up to its size.
+ *
+ * @param tight ids of the engines for streams with short gap targets
+ */
+public record EnginePools(Set<String> tight) {
+  /** Gap target below which a stream does not bear long prompts beside it, in milliseconds. */
+  public static final long TIGHT_GAP_MILLIS = 200;
+
+  /** Streams with short gap targets that one engine carries with room for a burst. */
+  private static final double STREAMS_PER_ENGINE = 24;
+
+  /** Largest share of the engines that are set apart. */
+  private static final double LARGEST_SHARE = 0.4;
+
+  private static final int FEWEST_ENGINES_TO_SPLIT = 4;
+  private static final int FEWEST_TIGHT_ENGINES = 2;
+  private static final String POOL_KEY = "tight-pool";
+
+  public EnginePools {
+    tight = Set.copyOf(tight);
+  }
+
+  /**
+   * Splits the engines of a service.
+   *
+   * @param engines the engines that take new requests
+   * @param tightStreams streams with short gap targets in the whole fleet, estimated
+   */
+  public static EnginePools split(List<Upstream> engines, double tightStreams) {
+    if (tightStreams <= 0 || engines.size() < FEWEST_ENGINES_TO_SPLIT) {
+      return new EnginePools(Set.of());
+    }
+    int wanted = (int) Math.ceil(tightStreams / STREAMS_PER_ENGINE);
+    int most = (int) Math.max(1, Math.floor(engines.size() * LARGEST_SHARE));
+    int count = Math.min(most, Math.max(FEWEST_TIGHT_ENGINES, wanted));
+    return new EnginePools(
+        Rendezvous.order(POOL_KEY, engines).stream()
+            .limit(count)
+            .map(Upstream::id)
+            .collect(Collectors.toSet()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/placement/Rendezvous.java
@@ -0,0 +1,39 @@
+package org.limpetvale.core.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import org.limpetvale.core.fleet.Upstream;
+
+/** Orders upstreams by rendezvous hashing, so that all entries agree without talking. */
+public final class Rendezvous {
+  private static final long MIX_A = 0xbf58476d1ce4e5b9L;
+  private static final long MIX_B = 0x94d049bb133111ebL;
+
+  private Rendezvous() {}
+
+  /**
+   * Orders upstreams for a key.
+   *
+   * @param key the key; equal keys give equal orders
+   * @param upstreams the upstreams
+   */
+  public static List<Upstream> order(String key, List<Upstream> upstreams) {
+    long seed = mix(key.hashCode());
+    return upstreams.stream()
+        .sorted(
+            Comparator.comparingLong((Upstream each) -> weight(seed, each))
+                .thenComparing(Upstream::id))
+        .toList();
+  }
+
+  private static long weight(long seed, Upstream upstream) {
+    return mix(seed ^ mix(upstream.id().hashCode()));
+  }
+
+  private static long mix(long value) {
+    long x = value + 0x9e3779b97f4a7c15L;
+    x = (x ^ (x >>> 30)) * MIX_A;
+    x = (x ^ (x >>> 27)) * MIX_B;
+    return x ^ (x >>> 31);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/placement/UpstreamLoad.java
@@ -0,0 +1,37 @@
+package org.limpetvale.core.placement;
+
+import java.util.Objects;
+import org.limpetvale.core.fleet.Upstream;
+
+/**
+ * What an entry knows of an upstream when it places a request.
+ *
+ * @param upstream the upstream
+ * @param ownRequests requests of this entry that it has not answered in full
+ * @param otherRequests requests of other entries there, as last told by the upstream
+ * @param pendingPromptTokens prompt tokens of this entry's requests without a first event
+ * @param tightStreams streams of this entry there with a short gap target
+ * @param cachedTokens tokens of the request's prompt that are expected in its cache
+ * @param speed its speed against its peers; 1 for the usual one
+ * @param failureShare share of recent requests that it failed
+ * @param silent whether it has left requests unanswered for longer than its peers ever do
+ */
+public record UpstreamLoad(
+    Upstream upstream,
+    int ownRequests,
+    int otherRequests,
+    int pendingPromptTokens,
+    int tightStreams,
+    int cachedTokens,
+    double speed,
+    double failureShare,
+    boolean silent) {
+  public UpstreamLoad {
+    Objects.requireNonNull(upstream, "upstream is null");
+  }
+
+  /** Returns the requests there, of this entry and of others. */
+  public int requests() {
+    return ownRequests + otherRequests;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** How many repeats the entries of a fleet may send together. */
+package org.limpetvale.core.retry;
--- a/entry/src/main/java/org/limpetvale/entry/EntryModule.java
+++ b/entry/src/main/java/org/limpetvale/entry/EntryModule.java
@@ -37,20 +37,20 @@
 import org.limpetvale.entry.upstream.VmDirectory;
 import org.limpetvale.entry.usage.UsageLedger;
 import org.limpetvale.entry.usage.UsageRecovery;
-import org.limpetvale.platform.ObjectStore;
-import org.limpetvale.platform.PowerInterface;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.UsageSink;
-import org.limpetvale.platform.Vm;
-import org.limpetvale.platform.VmList;
-import org.limpetvale.platform.http.HttpObjectStore;
-import org.limpetvale.platform.http.HttpPower;
-import org.limpetvale.platform.http.HttpTable;
-import org.limpetvale.platform.http.HttpUsageSink;
-import org.limpetvale.platform.http.HttpVmList;
-import org.limpetvale.platform.http.JsonHttp;
-import org.limpetvale.platform.time.ThreadTimerService;
+import org.limpetvale.ports.ObjectStore;
+import org.limpetvale.ports.PowerInterface;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.UsageSink;
+import org.limpetvale.ports.Vm;
+import org.limpetvale.ports.VmList;
+import org.limpetvale.ports.http.HttpObjectStore;
+import org.limpetvale.ports.http.HttpPower;
+import org.limpetvale.ports.http.HttpTable;
+import org.limpetvale.ports.http.HttpUsageSink;
+import org.limpetvale.ports.http.HttpVmList;
+import org.limpetvale.ports.http.JsonHttp;
+import org.limpetvale.ports.time.ThreadTimerService;
 
 /** Puts the parts of an entry together. */
 final class EntryModule extends AbstractModule {
--- a/entry/src/main/java/org/limpetvale/entry/config/ConfigHistory.java
+++ b/entry/src/main/java/org/limpetvale/entry/config/ConfigHistory.java
@@ -6,9 +6,9 @@
 import org.limpetvale.core.config.StrictJson;
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Table;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Table;
 
 /** The accepted changes, read from the table. */
 public final class ConfigHistory {
--- a/entry/src/main/java/org/limpetvale/entry/config/ConfigReader.java
+++ b/entry/src/main/java/org/limpetvale/entry/config/ConfigReader.java
@@ -9,10 +9,10 @@
 import org.limpetvale.core.config.ConfigState;
 import org.limpetvale.core.config.StrictJson;
 import org.limpetvale.core.time.TimerService;
-import org.limpetvale.platform.ObjectStore;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Table;
+import org.limpetvale.ports.ObjectStore;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Table;
 
 /** Reads the configuration from the platform: the newest snapshot and the changes after it. */
 public final class ConfigReader {
--- a/entry/src/main/java/org/limpetvale/entry/config/ConfigWriter.java
+++ b/entry/src/main/java/org/limpetvale/entry/config/ConfigWriter.java
@@ -16,11 +16,11 @@
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
 import org.limpetvale.daemon.Ids;
-import org.limpetvale.platform.ObjectStore;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
+import org.limpetvale.ports.ObjectStore;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
 
 /**
  * Accepts changes of the configuration: each accepted change is one transaction and one version.
--- a/entry/src/main/java/org/limpetvale/entry/config/Peers.java
+++ b/entry/src/main/java/org/limpetvale/entry/config/Peers.java
@@ -22,7 +22,7 @@
 import org.limpetvale.daemon.GrpcFactory;
 import org.limpetvale.daemon.TransportSecurity;
 import org.limpetvale.entry.upstream.VmDirectory;
-import org.limpetvale.platform.Vm;
+import org.limpetvale.ports.Vm;
 import org.limpetvale.wire.ExchangeReply;
 import org.limpetvale.wire.ExchangeRequest;
 import org.limpetvale.wire.PeerServiceGrpc;
--- a/entry/src/main/java/org/limpetvale/entry/control/Duties.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/Duties.java
@@ -14,11 +14,11 @@
 import org.limpetvale.entry.upstream.SidecarPool;
 import org.limpetvale.entry.upstream.VmDirectory;
 import org.limpetvale.entry.usage.UsageReporter;
-import org.limpetvale.platform.PowerInterface;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.UsageSink;
-import org.limpetvale.platform.Vm;
+import org.limpetvale.ports.PowerInterface;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.UsageSink;
+import org.limpetvale.ports.Vm;
 
 /**
  * The control duties that this entry contends for: one for each availability zone, and the usage
--- a/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/FencedSender.java
@@ -11,12 +11,12 @@
 import org.limpetvale.core.lease.OrderRow;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.Ids;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.RowAges;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.RowAges;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
 
 /**
  * Claims orders in the table before they are sent, so that at most one process sends for a duty,
--- a/entry/src/main/java/org/limpetvale/entry/control/LeaseKeeper.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/LeaseKeeper.java
@@ -9,11 +9,11 @@
 import org.limpetvale.core.lease.LeaseView;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.Ids;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
 
 /** Holds or contends for the lease of one duty. */
 public final class LeaseKeeper {
--- a/entry/src/main/java/org/limpetvale/entry/control/Wishes.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/Wishes.java
@@ -8,13 +8,13 @@
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
 import org.limpetvale.entry.upstream.VmDirectory;
-import org.limpetvale.platform.PowerInterface;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
-import org.limpetvale.platform.Vm;
+import org.limpetvale.ports.PowerInterface;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
+import org.limpetvale.ports.Vm;
 
 /** Takes operators' wishes; the holder of the zone's lease carries them out. */
 public final class Wishes {
--- a/entry/src/main/java/org/limpetvale/entry/request/Claims.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/Claims.java
@@ -14,12 +14,12 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.Digests;
 import org.limpetvale.daemon.Ids;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.RowAges;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.RowAges;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
 
 /**
  * Claims of calls that may not be repeated: a call runs only after a conditional insert into the
--- a/entry/src/main/java/org/limpetvale/entry/request/SuspectBook.java
+++ b/entry/src/main/java/org/limpetvale/entry/request/SuspectBook.java
@@ -11,12 +11,12 @@
 import org.limpetvale.core.crash.Suspect;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.entry.config.SuspectNewsbox;
-import org.limpetvale.platform.Commit;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.RowAges;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
+import org.limpetvale.ports.Commit;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.RowAges;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
 import org.limpetvale.wire.SuspectNews;
 
 /**
--- a/entry/src/main/java/org/limpetvale/entry/upstream/SidecarLink.java
+++ b/entry/src/main/java/org/limpetvale/entry/upstream/SidecarLink.java
@@ -13,7 +13,7 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.GrpcFactory;
 import org.limpetvale.daemon.TransportSecurity;
-import org.limpetvale.platform.Vm;
+import org.limpetvale.ports.Vm;
 import org.limpetvale.wire.OrderReply;
 import org.limpetvale.wire.OrderRequest;
 import org.limpetvale.wire.RunCommand;
--- a/entry/src/main/java/org/limpetvale/entry/upstream/SidecarPool.java
+++ b/entry/src/main/java/org/limpetvale/entry/upstream/SidecarPool.java
@@ -14,7 +14,7 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.Identity;
 import org.limpetvale.daemon.TransportSecurity;
-import org.limpetvale.platform.Vm;
+import org.limpetvale.ports.Vm;
 
 /** The links of this entry: for each model and service a subset of its sidecars. */
 public final class SidecarPool {
--- a/entry/src/main/java/org/limpetvale/entry/upstream/VmDirectory.java
+++ b/entry/src/main/java/org/limpetvale/entry/upstream/VmDirectory.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.limpetvale.core.time.TimerService;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.Vm;
-import org.limpetvale.platform.VmList;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.Vm;
+import org.limpetvale.ports.VmList;
 
 /** The VM list as last read; it stays in force while the list does not answer. */
 public final class VmDirectory {
--- a/entry/src/main/java/org/limpetvale/entry/usage/UsageLedger.java
+++ b/entry/src/main/java/org/limpetvale/entry/usage/UsageLedger.java
@@ -18,10 +18,10 @@
 import org.limpetvale.core.usage.UsageRecord;
 import org.limpetvale.daemon.Ids;
 import org.limpetvale.entry.upstream.FlushedRecords;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Transaction;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Transaction;
 
 /**
  * The usage records of this entry on their way to the table.
--- a/entry/src/main/java/org/limpetvale/entry/usage/UsageRecovery.java
+++ b/entry/src/main/java/org/limpetvale/entry/usage/UsageRecovery.java
@@ -17,11 +17,11 @@
 import org.limpetvale.daemon.Ids;
 import org.limpetvale.entry.upstream.SidecarLink;
 import org.limpetvale.entry.upstream.SidecarPool;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
 
 /**
  * Recovers the usage records that a lost entry has left at sidecars.
--- a/entry/src/main/java/org/limpetvale/entry/usage/UsageReporter.java
+++ b/entry/src/main/java/org/limpetvale/entry/usage/UsageReporter.java
@@ -16,12 +16,12 @@
 import org.limpetvale.daemon.Ids;
 import org.limpetvale.entry.control.FencedSender;
 import org.limpetvale.entry.control.LeaseKeeper;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
-import org.limpetvale.platform.UsageSink;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
+import org.limpetvale.ports.UsageSink;
 
 /**
  * Seals the windows of usage and reports them, while it holds the lease of that duty.
--- a/entry/src/test/java/org/limpetvale/entry/control/OrdersExplorationTest.java
+++ b/entry/src/test/java/org/limpetvale/entry/control/OrdersExplorationTest.java
@@ -12,7 +12,7 @@
 import org.limpetvale.core.lease.OrderRow;
 import org.limpetvale.entry.testing.ManualTimer;
 import org.limpetvale.entry.testing.MemoryTable;
-import org.limpetvale.platform.ResolvedCommit;
+import org.limpetvale.ports.ResolvedCommit;
 
 /**
  * Explores interleavings of three processes that contend for one duty: freezes at any step, lost
--- a/entry/src/test/java/org/limpetvale/entry/testing/MemoryTable.java
+++ b/entry/src/test/java/org/limpetvale/entry/testing/MemoryTable.java
@@ -5,11 +5,11 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import org.limpetvale.platform.Commit;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
+import org.limpetvale.ports.Commit;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
 
 /** A table in memory that loses answers and is out now and then, by a seed. */
 public final class MemoryTable implements Table {
--- a/entry/src/test/java/org/limpetvale/entry/usage/UsageExplorationTest.java
+++ b/entry/src/test/java/org/limpetvale/entry/usage/UsageExplorationTest.java
@@ -15,8 +15,8 @@
 import org.limpetvale.entry.control.LeaseKeeper;
 import org.limpetvale.entry.testing.ManualTimer;
 import org.limpetvale.entry.testing.MemoryTable;
-import org.limpetvale.platform.ResolvedCommit;
-import org.limpetvale.platform.UsageSink;
+import org.limpetvale.ports.ResolvedCommit;
+import org.limpetvale.ports.UsageSink;
 
 /**
  * Explores interleavings of three entries that write usage and contend for its reports: lost
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -0,0 +1,221 @@
+package org.limpetvale.forward;
+
+import static org.limpetvale.forward.log.EventLog.field;
+
+import io.netty.channel.ChannelFuture;
+import java.util.Objects;
+import java.util.UUID;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.accept.CallerServer;
+import org.limpetvale.forward.account.RetryBudgets;
+import org.limpetvale.forward.account.UsageCounts;
+import org.limpetvale.forward.duty.DutyLoop;
+import org.limpetvale.forward.duty.Members;
+import org.limpetvale.forward.fleet.ConfigKeeper;
+import org.limpetvale.forward.fleet.TableFollower;
+import org.limpetvale.forward.fleet.UpstreamKeeper;
+import org.limpetvale.forward.http.TextServer;
+import org.limpetvale.forward.http.Transport;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.metrics.ForwardMetrics;
+import org.limpetvale.forward.metrics.MetricsPage;
+import org.limpetvale.forward.place.LoadBook;
+import org.limpetvale.forward.place.Placer;
+import org.limpetvale.forward.relay.Forwarder;
+import org.limpetvale.forward.route.Planner;
+import org.limpetvale.forward.spi.DutyCalls;
+import org.limpetvale.forward.spi.FleetStore;
+import org.limpetvale.forward.spi.RequestDialect;
+import org.limpetvale.forward.spi.RowDecoder;
+import org.limpetvale.forward.spi.RowTable;
+import org.limpetvale.forward.time.LoopTimer;
+
+/** A forwarding daemon: its parts, its start and its stop. */
+public final class ForwardDaemon {
+  /** Short waits confirm the configuration often enough for withdrawn keys. */
+  private static final TableFollower.Pace CONFIG_PACE = new TableFollower.Pace(1_500, 8_000);
+
+  private static final TableFollower.Pace UPSTREAM_PACE = new TableFollower.Pace(4_000, 12_000);
+
+  /** Time in which the balancer notices that the daemon is leaving. */
+  private static final long NOTICE_MILLIS = 2_600;
+
+  /** Part of the grace that is kept for the last writes. */
+  private static final long LAST_WRITES_MILLIS = 900;
+
+  private static final long STOP_CHECK_MILLIS = 50;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  /**
+   * What the daemon needs of the platform that it runs on.
+   *
+   * @param store the store
+   * @param decoder decodes rows that others write
+   * @param dialect the header names of callers and upstreams
+   * @param calls calls that are the duty of one entry at a time
+   */
+  public record Platform(
+      FleetStore store, RowDecoder decoder, RequestDialect dialect, DutyCalls calls) {
+    public Platform {
+      Objects.requireNonNull(store, "store is null");
+      Objects.requireNonNull(decoder, "decoder is null");
+      Objects.requireNonNull(dialect, "dialect is null");
+      Objects.requireNonNull(calls, "calls is null");
+    }
+  }
+
+  private final ForwardSettings settings;
+  private final Transport transport;
+  private final EventLog log;
+  private final TimerService timer;
+  private final ConfigKeeper config;
+  private final UpstreamKeeper upstreams;
+  private final TableFollower configFollower;
+  private final TableFollower upstreamFollower;
+  private final Forwarder forwarder;
+  private final CallerServer callers;
+  private final DutyLoop duties;
+  private final ForwardMetrics metrics;
+  private final MetricsPage metricsPage;
+  private boolean stopping;
+
+  private ForwardDaemon(
+      ForwardSettings settings, Transport transport, Platform platform, EventLog log) {
+    this.settings = Objects.requireNonNull(settings, "settings is null");
+    this.transport = Objects.requireNonNull(transport, "transport is null");
+    this.log = Objects.requireNonNull(log, "log is null");
+    this.timer = LoopTimer.of(transport.loop(), log);
+    this.metrics = ForwardMetrics.empty();
+    this.metricsPage = MetricsPage.of(metrics);
+    this.config = ConfigKeeper.of(platform.decoder(), timer, log, settings.bounds().revokeMillis());
+    this.upstreams = UpstreamKeeper.of(platform.decoder(), timer, log);
+    this.configFollower =
+        TableFollower.of(platform.store(), RowTable.CONFIG, CONFIG_PACE, config, timer, log);
+    this.upstreamFollower =
+        TableFollower.of(
+            platform.store(), RowTable.UPSTREAMS, UPSTREAM_PACE, upstreams, timer, log);
+    Members members = Members.of(timer);
+    UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), timer::wallMillis);
+    Placer placer =
+        Placer.of(settings.zone(), upstreams::view, members::running, LoadBook.empty(), timer);
+    RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::sharers, timer);
+    this.forwarder =
+        Forwarder.of(
+            transport,
+            Planner.of(() -> config),
+            placer,
+            platform.dialect(),
+            upstreams::view,
+            budgets,
+            usage,
+            metrics,
+            log,
+            timer);
+    this.callers = CallerServer.of(transport, timer, log, config::limits, forwarder);
+    this.duties =
+        DutyLoop.of(
+            new DutyLoop.Identity(
+                settings.name(),
+                UUID.randomUUID().toString().substring(0, 8),
+                settings.bounds().leaseMillis()),
+            platform.store(),
+            platform.calls(),
+            usage,
+            members,
+            timer,
+            log);
+  }
+
+  /** Returns a daemon that has not begun. */
+  public static ForwardDaemon of(
+      ForwardSettings settings, Transport transport, Platform platform, EventLog log) {
+    return new ForwardDaemon(settings, transport, platform, log);
+  }
+
+  // -- start
+
+  /** Begins to listen and to follow the store. */
+  public void start() {
+    upstreams.onChange(forwarder::fleetChanged);
+    config.onSuspicion(configFollower::restart);
+    metrics.openConnections(callers::openConnections);
+    bound("callers", callers.listen(settings.callers()));
+    bound("ready", TextServer.listen(transport, settings.ready(), path -> readyPage()));
+    transport.loop().execute(this::follow);
+    log.change(
+        "started",
+        field("zone", settings.zone()),
+        field("callers", settings.callers()),
+        field("nativeTransport", transport.isNative()));
+  }
+
+  private void follow() {
+    configFollower.restart();
+    upstreamFollower.restart();
+    duties.start();
+    bound(
+        "metrics",
+        TextServer.listen(
+            transport, settings.metrics(), path -> new TextServer.Page(OK, metricsPage.text())));
+  }
+
+  private void bound(String what, ChannelFuture bind) {
+    bind.addListener(
+        done -> {
+          if (!done.isSuccess()) {
+            log.change(
+                "not_listening", field("what", what), field("cause", String.valueOf(done.cause())));
+          }
+        });
+  }
+
+  private TextServer.Page readyPage() {
+    boolean ready = !stopping && upstreams.readOnce() && config.keysAreCurrent();
+    return new TextServer.Page(ready ? OK : UNAVAILABLE, ready ? "ready" : "not ready");
+  }
+
+  // -- reload and stop
+
+  /** Notes that the settings may have changed; what can change while running is read elsewhere. */
+  public void reload() {
+    log.change("reload", field("config", config.config().map(each -> each.version()).orElse(-1L)));
+    transport.loop().execute(configFollower::restart);
+  }
+
+  /**
+   * Stops gracefully: leaves the balancer, finishes what runs, hands over the duties.
+   *
+   * @param onEnd runs at the end
+   */
+  public void stop(Runnable onEnd) {
+    transport.loop().execute(() -> beginStop(onEnd));
+  }
+
+  private void beginStop(Runnable onEnd) {
+    if (stopping) {
+      return;
+    }
+    stopping = true;
+    log.change("stopping", field("running", forwarder.running()));
+    callers.endConnectionsAfterRequests();
+    long lastMillis = timer.nowMillis() + settings.bounds().graceMillis() - LAST_WRITES_MILLIS;
+    timer.after(NOTICE_MILLIS, () -> finishWhenIdle(lastMillis, onEnd));
+  }
+
+  private void finishWhenIdle(long lastMillis, Runnable onEnd) {
+    callers.closeIdle();
+    boolean idle = forwarder.running() == 0 && callers.openConnections() == 0;
+    if (!idle && timer.nowMillis() < lastMillis) {
+      timer.after(STOP_CHECK_MILLIS, () -> finishWhenIdle(lastMillis, onEnd));
+      return;
+    }
+    duties
+        .stop()
+        .thenAccept(
+            done -> {
+              log.change("stopped", field("running", forwarder.running()));
+              onEnd.run();
+            });
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -0,0 +1,148 @@
+package org.limpetvale.forward;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.limpetvale.core.config.Fault;
+import org.limpetvale.forward.account.RetryBudgets;
+
+/** Reads settings from JSON and finds all their faults at once. */
+public final class SettingsReader {
+  private static final int HIGHEST_PORT = 65_535;
+
+  private final List<Fault> faults = new ArrayList<>();
+
+  private SettingsReader() {}
+
+  /** The outcome of reading settings. */
+  public sealed interface Outcome {
+    /** Settings without faults. */
+    record Valid(ForwardSettings settings) implements Outcome {}
+
+    /** All faults that were found. */
+    record Invalid(List<Fault> faults) implements Outcome {}
+  }
+
+  /** Reads settings. */
+  public static Outcome read(String json) {
+    JsonNode root;
+    try {
+      root = JsonMapper.builder().build().readTree(json);
+    } catch (JsonProcessingException e) {
+      return new Outcome.Invalid(
+          List.of(new Fault("(whole input)", String.valueOf(e.getOriginalMessage()), "JSON")));
+    }
+    SettingsReader reader = new SettingsReader();
+    ForwardSettings settings = reader.settings(root);
+    return reader.faults.isEmpty()
+        ? new Outcome.Valid(settings)
+        : new Outcome.Invalid(List.copyOf(reader.faults));
+  }
+
+  private ForwardSettings settings(JsonNode root) {
+    known(root, "", Set.of("name", "zone", "listen", "store", "duties", "bounds"));
+    JsonNode listen = root.path("listen");
+    known(listen, "listen.", Set.of("callers", "ready", "metrics"));
+    known(root.path("store"), "store.", Set.of("address"));
+    known(root.path("duties"), "duties.", Set.of("address"));
+    return new ForwardSettings(
+        text(root, "name", ""),
+        text(root, "zone", ""),
+        address(listen, "callers", "listen."),
+        address(listen, "ready", "listen."),
+        address(listen, "metrics", "listen."),
+        address(root.path("store"), "address", "store."),
+        address(root.path("duties"), "address", "duties."),
+        bounds(root.path("bounds")));
+  }
+
+  private ForwardSettings.Bounds bounds(JsonNode node) {
+    known(
+        node,
+        "bounds.",
+        Set.of(
+            "revokeMillis",
+            "graceMillis",
+            "leaseMillis",
+            "usageWindowMillis",
+            "retryRatio",
+            "retryAllowance",
+            "retryWindowMillis"));
+    return new ForwardSettings.Bounds(
+        millis(node, "revokeMillis"),
+        millis(node, "graceMillis"),
+        millis(node, "leaseMillis"),
+        millis(node, "usageWindowMillis"),
+        new RetryBudgets.Bounds(
+            number(node, "retryRatio"),
+            number(node, "retryAllowance"),
+            millis(node, "retryWindowMillis")));
+  }
+
+  // -- fields
+
+  private void known(JsonNode node, String path, Set<String> names) {
+    node.fieldNames()
+        .forEachRemaining(
+            name -> {
+              if (!names.contains(name)) {
+                faults.add(
+                    new Fault(
+                        path + name, "(present)", "one of the fields " + new TreeSet<>(names)));
+              }
+            });
+  }
+
+  private String text(JsonNode node, String field, String path) {
+    JsonNode value = node.path(field);
+    if (!value.isTextual() || value.asText().isEmpty()) {
+      faults.add(new Fault(path + field, shown(value), "a text"));
+      return "";
+    }
+    return value.asText();
+  }
+
+  private InetSocketAddress address(JsonNode node, String field, String path) {
+    String value = text(node, field, path);
+    int colon = value.lastIndexOf(':');
+    if (colon > 0) {
+      try {
+        int port = Integer.parseInt(value.substring(colon + 1));
+        if (port > 0 && port <= HIGHEST_PORT) {
+          return new InetSocketAddress(value.substring(0, colon), port);
+        }
+      } catch (NumberFormatException e) {
+        // Falls through to the fault below, as for a port out of range.
+      }
+    }
+    faults.add(new Fault(path + field, value, "an IP address and a port, as in 10.0.0.1:80"));
+    return new InetSocketAddress(0);
+  }
+
+  private long millis(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (!value.isNumber() || value.asDouble() <= 0) {
+      faults.add(new Fault("bounds." + field, shown(value), "milliseconds above 0"));
+      return 1;
+    }
+    return Math.round(value.asDouble());
+  }
+
+  private double number(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (!value.isNumber() || value.asDouble() < 0) {
+      faults.add(new Fault("bounds." + field, shown(value), "a number of at least 0"));
+      return 0;
+    }
+    return value.asDouble();
+  }
+
+  private static String shown(JsonNode value) {
+    return value.isMissingNode() ? "(absent)" : value.toString();
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerServer.java
@@ -0,0 +1,130 @@
+package org.limpetvale.forward.accept;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.limpetvale.core.fleet.CallerLimits;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.http.Transport;
+import org.limpetvale.forward.log.EventLog;
+
+/** Accepts callers' connections. */
+public final class CallerServer {
+  private final Transport transport;
+  private final TimerService timer;
+  private final EventLog log;
+  private final Supplier<CallerLimits> limits;
+  private final Exchanges exchanges;
+  private final BodyMemory memory = new BodyMemory();
+  private final Set<CallerHandler> connections = new HashSet<>();
+  private Channel listener;
+  private boolean stopping;
+
+  private CallerServer(
+      Transport transport,
+      TimerService timer,
+      EventLog log,
+      Supplier<CallerLimits> limits,
+      Exchanges exchanges) {
+    this.transport = Objects.requireNonNull(transport, "transport is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.log = Objects.requireNonNull(log, "log is null");
+    this.limits = Objects.requireNonNull(limits, "limits is null");
+    this.exchanges = Objects.requireNonNull(exchanges, "exchanges is null");
+  }
+
+  /**
+   * Returns a server that does not listen yet.
+   *
+   * @param limits the limits in force; asked for each connection and request
+   * @param exchanges serves the requests
+   */
+  public static CallerServer of(
+      Transport transport,
+      TimerService timer,
+      EventLog log,
+      Supplier<CallerLimits> limits,
+      Exchanges exchanges) {
+    return new CallerServer(transport, timer, log, limits, exchanges);
+  }
+
+  /** Begins to listen. */
+  public ChannelFuture listen(InetSocketAddress address) {
+    ChannelFuture bound =
+        transport
+            .server()
+            .childHandler(
+                new ChannelInitializer<>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new StrictRequestDecoder(limits.get().maxHeaderBytes()))
+                        .addLast(new HttpResponseEncoder())
+                        .addLast(new CallerHandler(CallerServer.this));
+                  }
+                })
+            .bind(address);
+    listener = bound.channel();
+    return bound;
+  }
+
+  /** Ends each connection after the request that it carries, from now on. */
+  public void endConnectionsAfterRequests() {
+    stopping = true;
+  }
+
+  /** Stops to listen and closes the connections that carry no request. */
+  public void closeIdle() {
+    if (listener != null) {
+      listener.close();
+    }
+    List.copyOf(connections).forEach(CallerHandler::closeIfIdle);
+  }
+
+  /** Returns the number of open connections. */
+  public int openConnections() {
+    return connections.size();
+  }
+
+  // -- for the connections
+
+  boolean stopping() {
+    return stopping;
+  }
+
+  TimerService timer() {
+    return timer;
+  }
+
+  EventLog log() {
+    return log;
+  }
+
+  CallerLimits limits() {
+    return limits.get();
+  }
+
+  Exchanges exchanges() {
+    return exchanges;
+  }
+
+  BodyMemory memory() {
+    return memory;
+  }
+
+  void opened(CallerHandler connection) {
+    connections.add(connection);
+  }
+
+  void closed(CallerHandler connection) {
+    connections.remove(connection);
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/accept/ProblemAnswers.java
@@ -0,0 +1,64 @@
+package org.limpetvale.forward.accept;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.limpetvale.core.result.Refusal;
+
+/** Writes refusals as problem JSON. */
+public final class ProblemAnswers {
+  private static final JsonFactory JSON = new JsonFactory();
+  private static final double MILLIS_PER_SECOND = 1000;
+
+  private ProblemAnswers() {}
+
+  /** Returns the answer that tells a caller of a refusal. */
+  public static FullHttpResponse of(Refusal refusal) {
+    ByteBuf body = Unpooled.copiedBuffer(json(refusal), StandardCharsets.UTF_8);
+    FullHttpResponse answer =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(refusal.code().httpStatus()), body);
+    answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
+    HttpUtil.setContentLength(answer, body.readableBytes());
+    if (refusal.retryAfterMillis() > 0) {
+      answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(refusal.retryAfterMillis()));
+    }
+    return answer;
+  }
+
+  /** Returns a time as seconds with fractions, as Retry-After carries it. */
+  public static String seconds(long millis) {
+    return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
+  }
+
+  private static String json(Refusal refusal) {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator json = JSON.createGenerator(text)) {
+      json.writeStartObject();
+      json.writeStringField("code", refusal.code().label());
+      json.writeStringField("title", refusal.code().meaning());
+      json.writeStringField("detail", refusal.detail());
+      json.writeStringField("ran", refusal.ran().text());
+      if (refusal.retryAfterMillis() > 0) {
+        json.writeNumberField(
+            "retry_after_seconds", refusal.retryAfterMillis() / MILLIS_PER_SECOND);
+      }
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException("a problem could not be written", e);
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/accept/RequestInput.java
@@ -0,0 +1,26 @@
+package org.limpetvale.forward.accept;
+
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.Objects;
+
+/**
+ * A request that was read in full.
+ *
+ * @param head its request line and headers
+ * @param body its body
+ * @param arrivedMillis monotonic time at which its header was read
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record RequestInput(HttpRequest head, byte[] body, long arrivedMillis) {
+  public RequestInput {
+    Objects.requireNonNull(head, "head is null");
+    Objects.requireNonNull(body, "body is null");
+  }
+
+  /** Returns the path without its query. */
+  public String path() {
+    String uri = head.uri();
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/accept/StrictRequestDecoder.java
@@ -0,0 +1,29 @@
+package org.limpetvale.forward.accept;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/** Decodes requests and refuses those whose length is ambiguous. */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+  private static final int LARGEST_CHUNK_BYTES = 65_536;
+
+  /**
+   * Creates a decoder.
+   *
+   * @param maxHeaderBytes largest request line, and largest header
+   */
+  StrictRequestDecoder(int maxHeaderBytes) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(maxHeaderBytes)
+            .setMaxHeaderSize(maxHeaderBytes)
+            .setMaxChunkSize(LARGEST_CHUNK_BYTES)
+            .setChunkedSupported(true));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("both Transfer-Encoding and Content-Length are given");
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/account/RetryBudgets.java
@@ -0,0 +1,55 @@
+package org.limpetvale.forward.account;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.IntSupplier;
+import org.limpetvale.core.retry.RetryWindow;
+import org.limpetvale.core.time.TimerService;
+
+/** This entry's share of the fleet's retry budget, by service; for the event loop only. */
+public final class RetryBudgets {
+  /**
+   * Bounds on the repeats of the whole fleet.
+   *
+   * @param ratio repeats for each request
+   * @param allowance repeats beyond the ratio
+   * @param windowMillis length of the sliding window
+   */
+  public record Bounds(double ratio, double allowance, long windowMillis) {}
+
+  private final Bounds bounds;
+  private final IntSupplier entries;
+  private final TimerService timer;
+  private final Map<String, RetryWindow> windows = new HashMap<>();
+
+  private RetryBudgets(Bounds bounds, IntSupplier entries, TimerService timer) {
+    this.bounds = Objects.requireNonNull(bounds, "bounds is null");
+    this.entries = Objects.requireNonNull(entries, "entries is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+  }
+
+  /**
+   * Returns unused budgets.
+   *
+   * @param entries number of entries that share the allowance
+   */
+  public static RetryBudgets of(Bounds bounds, IntSupplier entries, TimerService timer) {
+    return new RetryBudgets(bounds, entries, timer);
+  }
+
+  /** Notes a request that is sent to a service for the first time. */
+  public void request(String service) {
+    window(service).request(timer.nowMillis());
+  }
+
+  /** Takes a repeat to a service out of the budget, if there is one. */
+  public boolean tryTake(String service) {
+    return window(service).tryTake(timer.nowMillis(), entries.getAsInt());
+  }
+
+  private RetryWindow window(String service) {
+    return windows.computeIfAbsent(
+        service, name -> RetryWindow.of(bounds.windowMillis(), bounds.ratio(), bounds.allowance()));
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -0,0 +1,130 @@
+package org.limpetvale.forward.duty;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.limpetvale.core.lease.LeaseRow;
+
+/** Keys and values of the rows that entries share. */
+final class FleetRows {
+  static final String LEASE_KEY = "lease/duties";
+  static final String MEMBER_PREFIX = "member/";
+  static final String USAGE_PREFIX = "usage/";
+  static final String REPORT_PREFIX = "report/";
+
+  private static final ObjectMapper JSON = JsonMapper.builder().build();
+
+  private FleetRows() {}
+
+  /** What an entry wrote of a window's usage. */
+  record UsageRow(long window, String entry, boolean closed, Map<String, Long> counts) {}
+
+  /** The sealed figures of a window. */
+  record ReportRow(long window, boolean taken, Map<String, Long> counts) {}
+
+  // -- keys
+
+  static String memberKey(String entry) {
+    return MEMBER_PREFIX + entry;
+  }
+
+  static String usageKey(long window, String entry) {
+    return USAGE_PREFIX + window + "/" + entry;
+  }
+
+  static String reportKey(long window) {
+    return REPORT_PREFIX + window;
+  }
+
+  // -- values
+
+  static String member(String boot, long beat) {
+    ObjectNode node = JSON.createObjectNode();
+    node.put("boot", boot);
+    node.put("beat", beat);
+    return node.toString();
+  }
+
+  static String lease(LeaseRow row) {
+    ObjectNode node = JSON.createObjectNode();
+    node.put("duty", row.duty());
+    node.put("holder", row.holder());
+    node.put("epoch", row.epoch());
+    node.put("durationMillis", row.durationMillis());
+    node.put("token", row.token());
+    return node.toString();
+  }
+
+  static Optional<LeaseRow> parseLease(String text) {
+    return parse(text)
+        .map(
+            node ->
+                new LeaseRow(
+                    node.path("duty").asText(),
+                    node.path("holder").asText(),
+                    node.path("epoch").asLong(),
+                    node.path("durationMillis").asLong(),
+                    node.path("token").asText()));
+  }
+
+  static String usage(boolean closed, Map<String, Long> counts) {
+    ObjectNode node = JSON.createObjectNode();
+    node.put("closed", closed);
+    putCounts(node, counts);
+    return node.toString();
+  }
+
+  static Optional<UsageRow> parseUsage(String key, String text) {
+    String[] parts = key.substring(USAGE_PREFIX.length()).split("/", 2);
+    if (parts.length != 2) {
+      return Optional.empty();
+    }
+    return parse(text)
+        .map(
+            node ->
+                new UsageRow(
+                    Long.parseLong(parts[0]),
+                    parts[1],
+                    node.path("closed").asBoolean(),
+                    counts(node)));
+  }
+
+  static String report(boolean taken, Map<String, Long> counts) {
+    ObjectNode node = JSON.createObjectNode();
+    node.put("taken", taken);
+    putCounts(node, counts);
+    return node.toString();
+  }
+
+  static Optional<ReportRow> parseReport(String key, String text) {
+    long window = Long.parseLong(key.substring(REPORT_PREFIX.length()));
+    return parse(text)
+        .map(node -> new ReportRow(window, node.path("taken").asBoolean(), counts(node)));
+  }
+
+  private static void putCounts(ObjectNode node, Map<String, Long> counts) {
+    ObjectNode inner = node.putObject("counts");
+    new TreeMap<>(counts).forEach(inner::put);
+  }
+
+  private static Map<String, Long> counts(JsonNode node) {
+    Map<String, Long> counts = new TreeMap<>();
+    node.path("counts")
+        .properties()
+        .forEach(entry -> counts.put(entry.getKey(), entry.getValue().asLong()));
+    return counts;
+  }
+
+  private static Optional<JsonNode> parse(String text) {
+    try {
+      return Optional.of(JSON.readTree(text));
+    } catch (JsonProcessingException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -0,0 +1,93 @@
+package org.limpetvale.forward.duty;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.limpetvale.core.time.TimerService;
+
+/** The entries that have lately written their rows, as seen on this process's monotonic clock. */
+public final class Members {
+  private static final long LIVE_MILLIS = 7_000;
+
+  /** Time for which an entry counts as a sharer of the retry budget after its last row. */
+  private static final long SHARING_MILLIS = 20_000;
+
+  /** Time without a read after which the fleet may have grown unseen. */
+  private static final long UNSEEN_MILLIS = 5_000;
+
+  private static final int ASSUMED_BEFORE_FIRST_READ = 8;
+  private static final int UNSEEN_FACTOR = 2;
+
+  private final TimerService timer;
+  private final Map<String, Seen> seen = new HashMap<>();
+  private boolean readOnce;
+  private long readAtMillis;
+
+  private record Seen(long version, long atMillis) {}
+
+  private Members(TimerService timer) {
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+  }
+
+  /** Returns members of which none has been seen. */
+  public static Members of(TimerService timer) {
+    return new Members(timer);
+  }
+
+  /** Notes the rows of all entries as read now, by name with their versions. */
+  void read(Map<String, Long> versions) {
+    readOnce = true;
+    readAtMillis = timer.nowMillis();
+    versions.forEach(
+        (name, version) ->
+            seen.compute(
+                name,
+                (key, old) ->
+                    old != null && old.version() == version
+                        ? old
+                        : new Seen(version, readAtMillis)));
+    seen.keySet().retainAll(versions.keySet());
+  }
+
+  /** Returns the entries that are thought to run. */
+  Set<String> live() {
+    long nowMillis = timer.nowMillis();
+    Set<String> live = new HashSet<>();
+    seen.forEach(
+        (name, each) -> {
+          if (nowMillis - each.atMillis() <= LIVE_MILLIS) {
+            live.add(name);
+          }
+        });
+    return live;
+  }
+
+  /** Tells whether an entry has been silent for so long that its row may go. */
+  boolean forgotten(String name) {
+    Seen each = seen.get(name);
+    return each != null && timer.nowMillis() - each.atMillis() > SHARING_MILLIS;
+  }
+
+  /**
+   * Returns the number of entries that may share the retry budget, rather too many than too few.
+   */
+  public int sharers() {
+    if (!readOnce) {
+      return ASSUMED_BEFORE_FIRST_READ;
+    }
+    long nowMillis = timer.nowMillis();
+    long known =
+        seen.values().stream()
+            .filter(each -> nowMillis - each.atMillis() <= SHARING_MILLIS)
+            .count();
+    int sharers = (int) Math.max(1, known);
+    return nowMillis - readAtMillis > UNSEEN_MILLIS ? sharers * UNSEEN_FACTOR : sharers;
+  }
+
+  /** Returns the number of entries that are thought to run. */
+  public int running() {
+    return Math.max(1, live().size());
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/duty/package-info.java
@@ -0,0 +1,2 @@
+/** Duties that one entry at a time does under a lease: usage reports and scaling. */
+package org.limpetvale.forward.duty;
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigKeeper.java
@@ -0,0 +1,142 @@
+package org.limpetvale.forward.fleet;
+
+import static org.limpetvale.forward.log.EventLog.field;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.limpetvale.core.fleet.CallerLimits;
+import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.route.Planner;
+import org.limpetvale.forward.spi.RowDecoder;
+import org.limpetvale.forward.spi.StoredRow;
+
+/** The newest configuration and how recently it was confirmed to be the newest. */
+public final class ConfigKeeper implements TableFollower.Subscriber, Planner.Knowledge {
+  /** Part of the bound on withdrawn keys that is kept for the way of a request. */
+  private static final long MARGIN_MILLIS = 400;
+
+  /** Drift of the time of day against the monotonic clock that hints at a suspended VM. */
+  private static final long SUSPENSION_MILLIS = 400;
+
+  private final RowDecoder decoder;
+  private final TimerService timer;
+  private final EventLog log;
+  private final long revokeMillis;
+  private final AtomicReference<Optional<FleetConfig>> config =
+      new AtomicReference<>(Optional.empty());
+  private Runnable refresh = () -> {};
+  private boolean confirmedOnce;
+  private long confirmedAtMillis;
+  private long wallOffsetMillis;
+  private boolean suspicious;
+
+  private ConfigKeeper(RowDecoder decoder, TimerService timer, EventLog log, long revokeMillis) {
+    this.decoder = Objects.requireNonNull(decoder, "decoder is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.log = Objects.requireNonNull(log, "log is null");
+    this.revokeMillis = revokeMillis;
+  }
+
+  /**
+   * Returns a keeper that knows no configuration.
+   *
+   * @param revokeMillis time within which a withdrawn key must stop working
+   */
+  public static ConfigKeeper of(
+      RowDecoder decoder, TimerService timer, EventLog log, long revokeMillis) {
+    return new ConfigKeeper(decoder, timer, log, revokeMillis);
+  }
+
+  /** Sets what reads the configuration again at once. */
+  public void onSuspicion(Runnable action) {
+    refresh = Objects.requireNonNull(action, "action is null");
+  }
+
+  @Override
+  public Optional<FleetConfig> config() {
+    return config.get();
+  }
+
+  /** Returns the limits on callers in force. */
+  public CallerLimits limits() {
+    return config.get().map(FleetConfig::limits).orElse(CallerLimits.DEFAULT);
+  }
+
+  @Override
+  public boolean keysAreCurrent() {
+    if (!confirmedOnce) {
+      return false;
+    }
+    if (Math.abs(wallOffset() - wallOffsetMillis) > SUSPENSION_MILLIS) {
+      suspect();
+      return false;
+    }
+    return timer.nowMillis() - confirmedAtMillis < revokeMillis - MARGIN_MILLIS;
+  }
+
+  // -- subscription
+
+  @Override
+  public void whole(List<StoredRow> rows) {
+    rows.forEach(this::take);
+  }
+
+  @Override
+  public void changed(List<StoredRow> rows) {
+    rows.forEach(this::take);
+  }
+
+  @Override
+  public void confirmed(long asOfMillis) {
+    confirmedOnce = true;
+    confirmedAtMillis = asOfMillis;
+    wallOffsetMillis = wallOffset();
+    suspicious = false;
+  }
+
+  @Override
+  public void regained() {
+    log.change("config_confirmed_again");
+  }
+
+  private void take(StoredRow row) {
+    if (row.removed() || !decoder.isConfig(row)) {
+      return;
+    }
+    switch (decoder.config(row)) {
+      case RowDecoder.Decoded.Value<FleetConfig>(FleetConfig next) -> install(next);
+      case RowDecoder.Decoded.Unusable<FleetConfig>(String reason) ->
+          log.change("config_unusable", field("row", row.version()), field("cause", reason));
+    }
+  }
+
+  private void install(FleetConfig next) {
+    long old = config.get().map(FleetConfig::version).orElse(-1L);
+    if (next.version() <= old) {
+      return;
+    }
+    config.set(Optional.of(next));
+    log.change(
+        "config_installed",
+        field("from", old),
+        field("to", next.version()),
+        field("routes", next.routes().size()),
+        field("keys", next.workspacesByKey().size()));
+  }
+
+  private void suspect() {
+    if (!suspicious) {
+      suspicious = true;
+      log.change("clock_drift", field("millis", wallOffset() - wallOffsetMillis));
+      refresh.run();
+    }
+  }
+
+  private long wallOffset() {
+    return timer.wallMillis() - timer.nowMillis();
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/TableFollower.java
@@ -0,0 +1,184 @@
+package org.limpetvale.forward.fleet;
+
+import static org.limpetvale.forward.log.EventLog.field;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.ThreadLocalRandom;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.spi.FleetStore;
+import org.limpetvale.forward.spi.RowPage;
+import org.limpetvale.forward.spi.RowTable;
+import org.limpetvale.forward.spi.StoreRead;
+import org.limpetvale.forward.spi.StoredRow;
+
+/**
+ * Follows a table of the store: reads it whole, then waits for changes.
+ *
+ * <p>It reads the table whole again when the store has dropped its history, after failures, and
+ * from time to time, since a store that loses history may hide a change.
+ */
+public final class TableFollower {
+  private static final long FIRST_PAUSE_MILLIS = 100;
+  private static final long LONGEST_PAUSE_MILLIS = 800;
+
+  /**
+   * How a table is followed.
+   *
+   * @param waitMillis time that the store holds a call without changes
+   * @param wholeReadMillis time after which the table is read whole again
+   */
+  public record Pace(long waitMillis, long wholeReadMillis) {}
+
+  /** Takes what is read, on the event loop. */
+  public interface Subscriber {
+    /** All rows of the table. */
+    void whole(List<StoredRow> rows);
+
+    /** Rows that have changed since. */
+    void changed(List<StoredRow> rows);
+
+    /**
+     * All changes up to a moment have been handed over.
+     *
+     * @param asOfMillis that moment, on this process's monotonic clock
+     */
+    void confirmed(long asOfMillis);
+
+    /** The store answers again after failures. */
+    void regained();
+  }
+
+  private final FleetStore store;
+  private final RowTable table;
+  private final Pace pace;
+  private final Subscriber subscriber;
+  private final TimerService timer;
+  private final EventLog log;
+  private long version;
+  private long wholeReadAtMillis;
+  private long pauseMillis;
+  private boolean failing;
+
+  /** Number of the running chain of calls; a new chain makes the old one end. */
+  private long chain;
+
+  private TableFollower(
+      FleetStore store,
+      RowTable table,
+      Pace pace,
+      Subscriber subscriber,
+      TimerService timer,
+      EventLog log) {
+    this.store = Objects.requireNonNull(store, "store is null");
+    this.table = Objects.requireNonNull(table, "table is null");
+    this.pace = Objects.requireNonNull(pace, "pace is null");
+    this.subscriber = Objects.requireNonNull(subscriber, "subscriber is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.log = Objects.requireNonNull(log, "log is null");
+  }
+
+  /** Returns a follower that has not begun. */
+  public static TableFollower of(
+      FleetStore store,
+      RowTable table,
+      Pace pace,
+      Subscriber subscriber,
+      TimerService timer,
+      EventLog log) {
+    return new TableFollower(store, table, pace, subscriber, timer, log);
+  }
+
+  /** Reads the table whole now and follows it from there. */
+  public void restart() {
+    chain++;
+    readWhole(chain);
+  }
+
+  private void readWhole(long mine) {
+    long sentMillis = timer.nowMillis();
+    store.read(table, "", "").thenAccept(read -> tookWhole(mine, sentMillis, read));
+  }
+
+  private void tookWhole(long mine, long sentMillis, StoreRead read) {
+    if (mine != chain) {
+      return;
+    }
+    switch (read) {
+      case StoreRead.Page(RowPage page) when page.version() >= version -> {
+        version = page.version();
+        wholeReadAtMillis = sentMillis;
+        answered();
+        subscriber.whole(page.rows());
+        subscriber.confirmed(sentMillis);
+        waitForChanges(mine);
+      }
+      case StoreRead.Page(RowPage page) ->
+          failed(mine, "an old state: " + page.version() + " after " + version);
+      case StoreRead.HistoryGone() -> failed(mine, "no history for a whole read");
+      case StoreRead.Failed(String detail) -> failed(mine, detail);
+    }
+  }
+
+  private void waitForChanges(long mine) {
+    long sentMillis = timer.nowMillis();
+    if (sentMillis - wholeReadAtMillis >= pace.wholeReadMillis()) {
+      readWhole(mine);
+      return;
+    }
+    store
+        .changes(table, version, pace.waitMillis())
+        .thenAccept(read -> tookChanges(mine, sentMillis, read));
+  }
+
+  private void tookChanges(long mine, long sentMillis, StoreRead read) {
+    if (mine != chain) {
+      return;
+    }
+    switch (read) {
+      case StoreRead.Page(RowPage page) when page.version() >= version -> {
+        version = page.version();
+        answered();
+        if (!page.rows().isEmpty()) {
+          subscriber.changed(page.rows());
+        }
+        subscriber.confirmed(sentMillis);
+        waitForChanges(mine);
+      }
+      case StoreRead.Page(RowPage page) ->
+          failed(mine, "an old state: " + page.version() + " after " + version);
+      case StoreRead.HistoryGone() -> {
+        log.change("history_gone", field("table", table), field("version", version));
+        readWhole(mine);
+      }
+      case StoreRead.Failed(String detail) -> failed(mine, detail);
+    }
+  }
+
+  private void answered() {
+    pauseMillis = 0;
+    if (failing) {
+      failing = false;
+      log.change("store_regained", field("table", table), field("version", version));
+      subscriber.regained();
+    }
+  }
+
+  private void failed(long mine, String detail) {
+    if (!failing) {
+      failing = true;
+      log.change(
+          "store_lost", field("table", table), field("version", version), field("cause", detail));
+    }
+    pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, Math.max(FIRST_PAUSE_MILLIS, pauseMillis * 2));
+    long jittered = pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis / 2 + 1);
+    timer.after(
+        jittered,
+        () -> {
+          if (mine == chain) {
+            readWhole(mine);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamKeeper.java
@@ -0,0 +1,171 @@
+package org.limpetvale.forward.fleet;
+
+import static org.limpetvale.forward.log.EventLog.field;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.limpetvale.core.fleet.FleetView;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.spi.RowDecoder;
+import org.limpetvale.forward.spi.StoredRow;
+
+/**
+ * The upstreams that describe themselves in the store.
+ *
+ * <p>Descriptions may lapse while the store is away, though their upstreams live. So an upstream
+ * whose description is missing shortly after the store's return is kept until the time within which
+ * descriptions come back has passed.
+ */
+public final class UpstreamKeeper implements TableFollower.Subscriber {
+  /** Time after the store's return within which lapsed descriptions come back. */
+  private static final long RETURN_MILLIS = 2_200;
+
+  private static final int MOST_REMEMBERED_FAULTS = 500;
+
+  private final RowDecoder decoder;
+  private final TimerService timer;
+  private final EventLog log;
+  private final AtomicReference<FleetView> view = new AtomicReference<>(FleetView.empty());
+  private final Map<String, Long> unusable = new HashMap<>();
+  private final Set<String> missing = new HashSet<>();
+  private Consumer<FleetView> onChange = changed -> {};
+  private boolean readOnce;
+  private long regainedAtMillis = Long.MIN_VALUE / 2;
+
+  private UpstreamKeeper(RowDecoder decoder, TimerService timer, EventLog log) {
+    this.decoder = Objects.requireNonNull(decoder, "decoder is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.log = Objects.requireNonNull(log, "log is null");
+  }
+
+  /** Returns a keeper that knows no upstreams. */
+  public static UpstreamKeeper of(RowDecoder decoder, TimerService timer, EventLog log) {
+    return new UpstreamKeeper(decoder, timer, log);
+  }
+
+  /** Sets what is told of each change. */
+  public void onChange(Consumer<FleetView> action) {
+    onChange = Objects.requireNonNull(action, "action is null");
+  }
+
+  /** Returns the upstreams that are known. */
+  public FleetView view() {
+    return view.get();
+  }
+
+  /** Tells whether the upstreams have been read at least once. */
+  public boolean readOnce() {
+    return readOnce;
+  }
+
+  // -- subscription
+
+  @Override
+  public void whole(List<StoredRow> rows) {
+    readOnce = true;
+    Set<String> present = new HashSet<>();
+    FleetView next = view.get();
+    for (StoredRow row : rows) {
+      present.add(row.key());
+      next = applied(next, row);
+    }
+    for (Upstream known : next.all()) {
+      if (!present.contains(known.id())) {
+        next = lapsed(next, known.id());
+      }
+    }
+    publish(next);
+  }
+
+  @Override
+  public void changed(List<StoredRow> rows) {
+    FleetView next = view.get();
+    for (StoredRow row : rows) {
+      next = row.removed() ? lapsed(next, row.key()) : applied(next, row);
+    }
+    publish(next);
+  }
+
+  @Override
+  public void confirmed(long asOfMillis) {}
+
+  @Override
+  public void regained() {
+    regainedAtMillis = timer.nowMillis();
+  }
+
+  private FleetView applied(FleetView base, StoredRow row) {
+    return switch (decoder.upstream(row)) {
+      case RowDecoder.Decoded.Value<Upstream>(Upstream upstream) -> {
+        missing.remove(upstream.id());
+        Optional<Upstream> known = base.find(upstream.id());
+        if (known.filter(upstream::equals).isPresent()) {
+          yield base;
+        }
+        logUpstream(upstream, known.isPresent());
+        yield base.with(upstream);
+      }
+      case RowDecoder.Decoded.Unusable<Upstream>(String reason) -> {
+        logUnusable(row, reason);
+        yield base.without(row.key());
+      }
+    };
+  }
+
+  private FleetView lapsed(FleetView base, String id) {
+    if (base.find(id).isEmpty()) {
+      return base;
+    }
+    long sinceReturn = timer.nowMillis() - regainedAtMillis;
+    if (sinceReturn >= RETURN_MILLIS) {
+      log.change("upstream_gone", field("upstream", id));
+      return base.without(id);
+    }
+    if (missing.add(id)) {
+      timer.after(RETURN_MILLIS - sinceReturn, () -> dropIfStillMissing(id));
+    }
+    return base;
+  }
+
+  private void dropIfStillMissing(String id) {
+    if (missing.remove(id)) {
+      log.change("upstream_gone", field("upstream", id), field("after", "store outage"));
+      publish(view.get().without(id));
+    }
+  }
+
+  private void publish(FleetView next) {
+    if (next != view.get()) {
+      view.set(next);
+      onChange.accept(next);
+    }
+  }
+
+  private void logUpstream(Upstream upstream, boolean known) {
+    log.change(
+        known ? "upstream_changed" : "upstream_new",
+        field("upstream", upstream.id()),
+        field("service", upstream.service()),
+        field("zone", upstream.zone()),
+        field("draining", upstream.draining()));
+  }
+
+  private void logUnusable(StoredRow row, String reason) {
+    if (unusable.size() > MOST_REMEMBERED_FAULTS) {
+      unusable.clear();
+    }
+    Long logged = unusable.put(row.key(), row.version());
+    if (logged == null) {
+      log.change("upstream_unusable", field("upstream", row.key()), field("cause", reason));
+    }
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** What the daemon knows of the configuration, the upstreams and the other entries. */
+package org.limpetvale.forward.fleet;
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
@@ -0,0 +1,201 @@
+package org.limpetvale.forward.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Calls one HTTP server over kept connections, one call at a time on each.
+ *
+ * <p>A connection on which a call was given up is reset, so that bytes still held on the way are
+ * dropped instead of arriving late. All methods are for the event loop only.
+ */
+public final class HttpCaller {
+  private static final int LARGEST_ANSWER_BYTES = 16 * 1024 * 1024;
+  private static final int MOST_IDLE = 4;
+
+  private final Transport transport;
+  private final InetSocketAddress address;
+  private final Deque<Connection> idle = new ArrayDeque<>();
+
+  private HttpCaller(Transport transport, InetSocketAddress address) {
+    this.transport = Objects.requireNonNull(transport, "transport is null");
+    this.address = Objects.requireNonNull(address, "address is null");
+  }
+
+  /** Returns a caller of a server. */
+  public static HttpCaller of(Transport transport, InetSocketAddress address) {
+    return new HttpCaller(transport, address);
+  }
+
+  /**
+   * Calls the server once.
+   *
+   * @param call the call
+   * @return the outcome; the future never fails
+   */
+  public CompletableFuture<HttpReply> call(HttpCall call) {
+    CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+    Connection kept = takeIdle();
+    if (kept != null) {
+      kept.send(call, reply);
+    } else {
+      connect(call, reply);
+    }
+    return reply;
+  }
+
+  private Connection takeIdle() {
+    while (!idle.isEmpty()) {
+      Connection connection = idle.removeLast();
+      if (connection.channel.isActive()) {
+        return connection;
+      }
+    }
+    return null;
+  }
+
+  private void connect(HttpCall call, CompletableFuture<HttpReply> reply) {
+    ChannelFuture connecting =
+        transport
+            .client()
+            .handler(
+                new ChannelInitializer<>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new HttpClientCodec())
+                        .addLast(new HttpObjectAggregator(LARGEST_ANSWER_BYTES))
+                        .addLast(new Connection(channel));
+                  }
+                })
+            .connect(address);
+    connecting.addListener(
+        done -> {
+          if (!done.isSuccess()) {
+            reply.complete(new HttpReply.NotSent("not connected: " + done.cause()));
+            return;
+          }
+          connecting.channel().pipeline().get(Connection.class).send(call, reply);
+        });
+  }
+
+  private FullHttpRequest request(HttpCall call) {
+    ByteBuf body = Unpooled.copiedBuffer(call.body(), StandardCharsets.UTF_8);
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method()), call.path(), body);
+    call.headers().forEach((name, value) -> request.headers().set(name, value));
+    request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+    if (body.isReadable()) {
+      request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+    }
+    HttpUtil.setContentLength(request, body.readableBytes());
+    return request;
+  }
+
+  /** One connection with at most one call under way. */
+  private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final Channel channel;
+    private CompletableFuture<HttpReply> reply;
+    private Future<?> timeout;
+
+    Connection(Channel channel) {
+      this.channel = channel;
+    }
+
+    void send(HttpCall call, CompletableFuture<HttpReply> waiting) {
+      reply = waiting;
+      timeout =
+          channel
+              .eventLoop()
+              .schedule(
+                  () -> abandon("no answer in " + call.timeoutMillis() + " ms"),
+                  call.timeoutMillis(),
+                  TimeUnit.MILLISECONDS);
+      channel.writeAndFlush(request(call));
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      if (reply == null) {
+        reset();
+        return;
+      }
+      if (response.decoderResult().isFailure()) {
+        abandon("unreadable answer: " + response.decoderResult().cause());
+        return;
+      }
+      String body = response.content().toString(StandardCharsets.UTF_8);
+      boolean keep = HttpUtil.isKeepAlive(response);
+      CompletableFuture<HttpReply> waiting = finish();
+      if (keep && idle.size() < MOST_IDLE) {
+        idle.addLast(this);
+      } else {
+        channel.close();
+      }
+      waiting.complete(new HttpReply.Answer(response.status().code(), body));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      lose("the connection was closed");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      abandon(cause.toString());
+    }
+
+    private void abandon(String detail) {
+      reset();
+      lose(detail);
+    }
+
+    private void lose(String detail) {
+      idle.remove(this);
+      if (reply != null) {
+        finish().complete(new HttpReply.Lost(detail));
+      }
+    }
+
+    private CompletableFuture<HttpReply> finish() {
+      CompletableFuture<HttpReply> waiting = reply;
+      reply = null;
+      if (timeout != null) {
+        timeout.cancel(false);
+        timeout = null;
+      }
+      return waiting;
+    }
+
+    private void reset() {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/http/Transport.java
@@ -0,0 +1,114 @@
+package org.limpetvale.forward.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.concurrent.TimeUnit;
+import jdk.net.ExtendedSocketOptions;
+
+/**
+ * One event loop, and sockets that notice silent peers.
+ *
+ * <p>The native transport is used where it loads, since only it has TCP_USER_TIMEOUT; otherwise
+ * keep-alive probes alone find silent peers.
+ */
+public final class Transport implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
+  private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+  private static final int KEEP_ALIVE_PROBES = 2;
+  private static final int USER_TIMEOUT_MILLIS = 2_500;
+  private static final int BACKLOG = 1_024;
+  private static final long CLOSE_MILLIS = 100;
+
+  private final MultiThreadIoEventLoopGroup group;
+  private final boolean nativeTransport;
+
+  private Transport(boolean nativeTransport) {
+    this.nativeTransport = nativeTransport;
+    IoHandlerFactory factory =
+        nativeTransport ? EpollIoHandler.newFactory() : NioIoHandler.newFactory();
+    this.group = new MultiThreadIoEventLoopGroup(1, factory);
+  }
+
+  /**
+   * Returns a transport with a running event loop.
+   *
+   * @param preferNative whether to use the native transport where it loads
+   */
+  public static Transport of(boolean preferNative) {
+    return new Transport(preferNative && Epoll.isAvailable());
+  }
+
+  /** Returns the event loop. */
+  public EventLoop loop() {
+    return group.next();
+  }
+
+  /** Tells whether the native transport is in use. */
+  public boolean isNative() {
+    return nativeTransport;
+  }
+
+  /** Returns a client bootstrap on the event loop. */
+  public Bootstrap client() {
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(group)
+            .channel(nativeTransport ? EpollSocketChannel.class : NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    if (nativeTransport) {
+      return bootstrap
+          .option(EpollChannelOption.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
+          .option(EpollChannelOption.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_SECONDS)
+          .option(EpollChannelOption.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+          .option(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLIS);
+    }
+    return bootstrap
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+        .option(
+            NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+            KEEP_ALIVE_INTERVAL_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES);
+  }
+
+  /** Returns a server bootstrap on the event loop. */
+  public ServerBootstrap server() {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(
+                nativeTransport ? EpollServerSocketChannel.class : NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_KEEPALIVE, true);
+    if (nativeTransport) {
+      return bootstrap
+          .childOption(EpollChannelOption.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
+          .childOption(EpollChannelOption.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_SECONDS)
+          .childOption(EpollChannelOption.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+          .childOption(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLIS);
+    }
+    return bootstrap;
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/place/LoadBook.java
@@ -0,0 +1,40 @@
+package org.limpetvale.forward.place;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.limpetvale.core.fleet.FleetView;
+import org.limpetvale.core.fleet.Upstream;
+
+/** The states of all upstream processes that this entry knows of; for the event loop only. */
+public final class LoadBook {
+  private final Map<String, UpstreamState> states = new HashMap<>();
+
+  private LoadBook() {}
+
+  /** Returns a book without upstreams. */
+  public static LoadBook empty() {
+    return new LoadBook();
+  }
+
+  /** Returns the state of an upstream; a new process under an old id starts afresh. */
+  public UpstreamState state(Upstream upstream) {
+    UpstreamState known = states.get(upstream.id());
+    if (known != null && known.upstream().sameProcess(upstream)) {
+      known.describe(upstream);
+      return known;
+    }
+    UpstreamState fresh = new UpstreamState(upstream);
+    states.put(upstream.id(), fresh);
+    return fresh;
+  }
+
+  /** Forgets the upstreams that a view does not hold. */
+  public void keepOnly(FleetView view) {
+    states.keySet().removeIf(id -> view.find(id).isEmpty());
+  }
+
+  /** Returns the streams with a short gap target that this entry has open. */
+  public int tightStreams() {
+    return states.values().stream().mapToInt(UpstreamState::tightStreams).sum();
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -0,0 +1,138 @@
+package org.limpetvale.forward.place;
+
+import java.util.LinkedHashSet;
+import java.util.Objects;
+import java.util.Set;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.UpstreamLoad;
+import org.limpetvale.forward.spi.AnswerHead;
+
+/** What this entry knows of one upstream process; for the event loop only. */
+public final class UpstreamState {
+  private static final double FAILURE_WEIGHT = 0.15;
+  private static final double OTHERS_HALF_LIFE_MILLIS = 1_500;
+  private static final long FIRST_PAUSE_MILLIS = 500;
+  private static final long LONGEST_PAUSE_MILLIS = 4_000;
+
+  /** A request that this entry has sent there. */
+  public interface Sent {
+    /** Returns the monotonic time of its last sign of life, or of its sending. */
+    long lastSignMillis();
+
+    /** Returns the time without a sign of life after which its upstream counts as silent. */
+    long silentAfterMillis();
+  }
+
+  private final Set<Sent> sent = new LinkedHashSet<>();
+  private Upstream upstream;
+  private int pendingPromptTokens;
+  private int tightStreams;
+  private double others;
+  private long othersAtMillis;
+  private double failureShare;
+  private long pauseMillis;
+  private long pausedUntilMillis;
+
+  UpstreamState(Upstream upstream) {
+    this.upstream = Objects.requireNonNull(upstream, "upstream is null");
+  }
+
+  /** Returns the upstream. */
+  public Upstream upstream() {
+    return upstream;
+  }
+
+  void describe(Upstream next) {
+    upstream = next;
+  }
+
+  /** Returns the number of this entry's requests there. */
+  public int requests() {
+    return sent.size();
+  }
+
+  // -- requests
+
+  /** Notes a request that is sent now. */
+  public void begin(Sent request, int promptTokens, boolean tight) {
+    sent.add(request);
+    pendingPromptTokens += promptTokens;
+    tightStreams += tight ? 1 : 0;
+  }
+
+  /** Notes the first event of a request. */
+  public void promptRead(int promptTokens) {
+    pendingPromptTokens -= promptTokens;
+  }
+
+  /** Notes the end of a request. */
+  public void end(Sent request, boolean tight) {
+    if (sent.remove(request)) {
+      tightStreams -= tight ? 1 : 0;
+    }
+  }
+
+  /** Notes the load that an answer told. */
+  public void told(AnswerHead.Load load, long nowMillis) {
+    others = Math.max(0, load.running() + load.waiting() - sent.size());
+    othersAtMillis = nowMillis;
+  }
+
+  /** Notes whether a request failed there through the upstream's fault. */
+  public void outcome(boolean failed) {
+    failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureShare);
+  }
+
+  // -- connections
+
+  /** Notes a connection that could not be made, and pauses attempts. */
+  public void connectFailed(long nowMillis) {
+    pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, Math.max(FIRST_PAUSE_MILLIS, pauseMillis * 2));
+    pausedUntilMillis = nowMillis + pauseMillis;
+  }
+
+  /** Notes a connection that was made. */
+  public void connected() {
+    pauseMillis = 0;
+    pausedUntilMillis = 0;
+  }
+
+  /** Tells whether no connection should be tried now. */
+  public boolean paused(long nowMillis) {
+    return nowMillis < pausedUntilMillis;
+  }
+
+  // -- view
+
+  UpstreamLoad load(int cachedTokens, long nowMillis) {
+    return new UpstreamLoad(
+        upstream,
+        sent.size(),
+        (int) Math.round(othersNow(nowMillis)),
+        Math.max(0, pendingPromptTokens),
+        tightStreams,
+        cachedTokens,
+        1,
+        failureShare,
+        silent(nowMillis));
+  }
+
+  int tightStreams() {
+    return tightStreams;
+  }
+
+  private double othersNow(long nowMillis) {
+    double age = Math.max(0, nowMillis - othersAtMillis);
+    return others * Math.pow(0.5, age / OTHERS_HALF_LIFE_MILLIS);
+  }
+
+  private boolean silent(long nowMillis) {
+    int silentRequests = 0;
+    for (Sent request : sent) {
+      if (nowMillis - request.lastSignMillis() > request.silentAfterMillis()) {
+        silentRequests++;
+      }
+    }
+    return silentRequests > 0 && silentRequests * 2 >= sent.size();
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/place/package-info.java
@@ -0,0 +1,2 @@
+/** Third filter: the upstream of a request, from the load that this entry knows of. */
+package org.limpetvale.forward.place;
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/relay/AnswerSink.java
@@ -0,0 +1,36 @@
+package org.limpetvale.forward.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import org.limpetvale.forward.spi.AnswerHead;
+
+/** Takes the answer of one attempt, on the event loop. */
+interface AnswerSink {
+  /** The header of the answer. */
+  void head(HttpResponse response, AnswerHead head);
+
+  /** A part of the body; the bytes stay the connection's. */
+  void content(ByteBuf bytes);
+
+  /** All that has come so far has been handed over. */
+  void batchEnd();
+
+  /** The answer is complete. */
+  void complete();
+
+  /**
+   * The answer will not be completed.
+   *
+   * @param why what happened
+   * @param detail for the log
+   */
+  void broken(Break why, String detail);
+
+  /** Why an answer broke off. */
+  enum Break {
+    /** The connection ended or was reset. */
+    CONNECTION_LOST,
+    /** Bytes came that are not an answer to the request. */
+    SPOILED
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -0,0 +1,262 @@
+package org.limpetvale.forward.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import org.limpetvale.core.fleet.Route;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.EnginePlacement;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.place.UpstreamState;
+import org.limpetvale.forward.route.RequestPlan;
+import org.limpetvale.forward.spi.AnswerHead;
+import org.limpetvale.forward.spi.RequestHead;
+
+/** One try of a request at one upstream. */
+final class Attempt implements AnswerSink, UpstreamState.Sent {
+  /** Answers up to this size of requests that may be repeated are held until they are whole. */
+  private static final int MOST_HELD_BYTES = 65_536;
+
+  private static final long LEAST_SILENCE_MILLIS = 1_000;
+  private static final int SILENCE_TARGETS = 3;
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final int MISDIRECTED = 421;
+
+  /** Why an attempt did not serve the request. */
+  enum Failure {
+    /** The upstream did not run it and never will. */
+    NOT_RUN,
+    /** The connection was lost; it may have run. */
+    LOST,
+    /** The answer was broken; it may have run. */
+    SPOILED,
+    /** The upstream answered with a failure of its own. */
+    FAILED
+  }
+
+  /** The exchange that the attempt belongs to. */
+  interface Listener {
+    /** The request began to run. */
+    void ranFirstToken();
+
+    /** Tells whether an answer is to be passed on to the caller. */
+    boolean wants(int status, boolean signed, boolean notRun);
+
+    /** Passes the header of the answer on. */
+    void passHead(HttpResponse response, boolean notRun);
+
+    /** Passes a part of the body on. */
+    void passContent(byte[] bytes);
+
+    /** Sends what was passed on. */
+    void flush();
+
+    /** The answer has been passed on in full. */
+    void completed(int status, boolean notRun);
+
+    /** The attempt ended without an answer that was passed on in full. */
+    void notServed(Failure failure, String detail);
+  }
+
+  private final Listener listener;
+  private final RequestPlan plan;
+  private final RequestHead request;
+  private final Upstream upstream;
+  private final UpstreamState state;
+  private final UpstreamConnection connection;
+  private final TimerService timer;
+  private final boolean tight;
+  private final Optional<EventBoundary> events;
+  private long lastSignMillis;
+  private boolean promptPending;
+  private int status;
+  private boolean notRun;
+  private boolean wanted;
+
+  /** Header and body that are held until the answer is whole; null when they are passed on. */
+  private HttpResponse heldHead;
+
+  private ByteArrayOutputStream heldBody;
+
+  Attempt(
+      Listener listener,
+      RequestPlan plan,
+      RequestHead request,
+      Upstream upstream,
+      UpstreamState state,
+      UpstreamConnection connection,
+      TimerService timer) {
+    this.listener = listener;
+    this.plan = plan;
+    this.request = request;
+    this.upstream = upstream;
+    this.state = state;
+    this.connection = connection;
+    this.timer = timer;
+    this.tight = EnginePlacement.isTight(plan.route());
+    this.events = plan.route().resumable() ? Optional.of(new EventBoundary()) : Optional.empty();
+  }
+
+  void send(FullHttpRequest message) {
+    lastSignMillis = timer.nowMillis();
+    promptPending = true;
+    state.begin(this, request.shape().promptTokens(), tight);
+    connection.send(message, request.requestId(), this);
+  }
+
+  Upstream upstream() {
+    return upstream;
+  }
+
+  /** Returns the id of the last event that was passed on whole. */
+  Optional<String> lastEventId() {
+    return events.flatMap(EventBoundary::lastId);
+  }
+
+  void setReading(boolean reading) {
+    connection.setReading(reading);
+  }
+
+  /** Gives the attempt up; its connection ends with it. */
+  void cancel() {
+    connection.cancel();
+    leave();
+  }
+
+  // -- signs of life
+
+  @Override
+  public long lastSignMillis() {
+    return lastSignMillis;
+  }
+
+  @Override
+  public long silentAfterMillis() {
+    return Math.max(LEAST_SILENCE_MILLIS, SILENCE_TARGETS * plan.route().targetLatencyMillis());
+  }
+
+  // -- the answer
+
+  @Override
+  public void head(HttpResponse response, AnswerHead head) {
+    lastSignMillis = timer.nowMillis();
+    head.load().ifPresent(load -> state.told(load, lastSignMillis));
+    status = response.status().code();
+    notRun = head.notRun() || status == MISDIRECTED;
+    if (!notRun && plan.route().kind() != Route.Kind.STREAMING) {
+      begun();
+    }
+    state.outcome(status >= FIRST_SERVER_ERROR && !notRun);
+    wanted = listener.wants(status, head.signed(), notRun);
+    if (!wanted) {
+      return;
+    }
+    if (plan.route().kind() == Route.Kind.IDEMPOTENT) {
+      heldHead =
+          new DefaultHttpResponse(
+              HttpVersion.HTTP_1_1, response.status(), response.headers().copy());
+      heldBody = new ByteArrayOutputStream();
+    } else {
+      listener.passHead(response, notRun);
+    }
+  }
+
+  @Override
+  public void content(ByteBuf bytes) {
+    lastSignMillis = timer.nowMillis();
+    if (!wanted) {
+      return;
+    }
+    if (!notRun) {
+      begun();
+    }
+    byte[] copy = new byte[bytes.readableBytes()];
+    bytes.getBytes(bytes.readerIndex(), copy);
+    if (heldHead != null) {
+      hold(copy);
+    } else {
+      byte[] whole = events.map(each -> each.take(copy)).orElse(copy);
+      if (whole.length > 0) {
+        listener.passContent(whole);
+      }
+    }
+  }
+
+  private void hold(byte[] bytes) {
+    heldBody.writeBytes(bytes);
+    if (heldBody.size() > MOST_HELD_BYTES) {
+      passHeld();
+    }
+  }
+
+  private void passHeld() {
+    listener.passHead(heldHead, notRun);
+    if (heldBody.size() > 0) {
+      listener.passContent(heldBody.toByteArray());
+    }
+    heldHead = null;
+    heldBody = null;
+  }
+
+  @Override
+  public void batchEnd() {
+    if (wanted && heldHead == null) {
+      listener.flush();
+    }
+  }
+
+  @Override
+  public void complete() {
+    leave();
+    if (!wanted) {
+      listener.notServed(unwantedFailure(), "status " + status);
+      return;
+    }
+    if (heldHead != null) {
+      passHeld();
+    }
+    events
+        .map(EventBoundary::takeRest)
+        .filter(rest -> rest.length > 0)
+        .ifPresent(listener::passContent);
+    listener.completed(status, notRun);
+  }
+
+  private Failure unwantedFailure() {
+    if (notRun) {
+      return Failure.NOT_RUN;
+    }
+    return status >= FIRST_SERVER_ERROR ? Failure.FAILED : Failure.SPOILED;
+  }
+
+  @Override
+  public void broken(Break why, String detail) {
+    leave();
+    if (notRun) {
+      listener.notServed(Failure.NOT_RUN, "status " + status);
+      return;
+    }
+    state.outcome(true);
+    listener.notServed(why == Break.SPOILED ? Failure.SPOILED : Failure.LOST, detail);
+  }
+
+  private void begun() {
+    if (promptPending) {
+      promptPending = false;
+      state.promptRead(request.shape().promptTokens());
+    }
+    listener.ranFirstToken();
+  }
+
+  private void leave() {
+    if (promptPending) {
+      promptPending = false;
+      state.promptRead(request.shape().promptTokens());
+    }
+    state.end(this, tight);
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -0,0 +1,463 @@
+package org.limpetvale.forward.relay;
+
+import static org.limpetvale.forward.log.EventLog.field;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.limpetvale.core.fleet.Route;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.Choice;
+import org.limpetvale.core.result.Ran;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.Result;
+import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.accept.CallerLink;
+import org.limpetvale.forward.accept.Exchanges;
+import org.limpetvale.forward.accept.ProblemAnswers;
+import org.limpetvale.forward.accept.RequestInput;
+import org.limpetvale.forward.metrics.ForwardMetrics.Counter;
+import org.limpetvale.forward.place.UpstreamState;
+import org.limpetvale.forward.route.RequestPlan;
+import org.limpetvale.forward.spi.RequestDialect;
+import org.limpetvale.forward.spi.RequestHead;
+
+/**
+ * One request from its arrival to the end of its answer: plan, place, send, relay, and send again
+ * where that is allowed.
+ */
+final class Exchange implements Exchanges.Running, Attempt.Listener {
+  /** Time below which another attempt is of no use. */
+  private static final long LEAST_RETRY_MILLIS = 40;
+
+  private static final long LEAST_RETRY_AFTER_MILLIS = 200;
+  private static final long RETRY_AFTER_SPREAD_MILLIS = 500;
+  private static final int MOST_CONNECT_FAILURES = 3;
+  private static final int HIGHEST_PRIORITY_NUMBER = 9;
+  private static final int MISDIRECTED = 421;
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final int FIRST_REDIRECT = 300;
+
+  private final Forwarder.Parts parts;
+  private final RequestInput input;
+  private final CallerLink link;
+  private final Runnable onEnd;
+  private final RequestHead head;
+  private final Set<String> tried = new HashSet<>();
+  private RequestPlan plan;
+  private long endMillis;
+  private TimerService.Subscription timeout = () -> {};
+  private Attempt attempt;
+  private int sentAttempts;
+  private int connectFailures;
+
+  /** Whether an attempt that was given up may have run. */
+  private boolean mayHaveRun;
+
+  /** Whether the budget has granted the next attempt. */
+  private boolean retryTaken;
+
+  private boolean counted;
+  private boolean headPassedOn;
+  private boolean ended;
+  private Optional<String> resumeAfter = Optional.empty();
+
+  Exchange(Forwarder.Parts parts, RequestInput input, CallerLink link, Runnable onEnd) {
+    this.parts = parts;
+    this.input = input;
+    this.link = link;
+    this.onEnd = onEnd;
+    this.head = parts.dialect().decodeRequest(input.head().headers());
+  }
+
+  // -- beginning
+
+  void start() {
+    parts.metrics().count(Counter.REQUESTS);
+    String host = input.head().headers().get(HttpHeaderNames.HOST, "");
+    switch (parts.planner().plan(head, host, input.path())) {
+      case Result.Err<RequestPlan>(Refusal refusal) -> refuse(refusal);
+      case Result.Ok<RequestPlan>(RequestPlan found) -> {
+        plan = found;
+        long allowed = Math.min(plan.route().timeoutMillis(), deadlineMillis());
+        endMillis = input.arrivedMillis() + allowed;
+        timeout = parts.timer().after(Math.max(0, leftMillis()), this::timedOut);
+        parts.budgets().request(plan.service());
+        place();
+      }
+    }
+  }
+
+  private long deadlineMillis() {
+    OptionalLong given = head.deadlineMillis();
+    return given.orElse(plan.route().timeoutMillis());
+  }
+
+  private long leftMillis() {
+    return endMillis - parts.timer().nowMillis();
+  }
+
+  private Route route() {
+    return plan.route();
+  }
+
+  // -- placing
+
+  private void place() {
+    Optional<Choice> choice = parts.placer().place(plan, head.shape(), tried);
+    if (choice.isEmpty()) {
+      giveUp(ResultCode.NO_UPSTREAM, "no upstream of " + plan.service() + " can take it");
+      return;
+    }
+    Upstream upstream = choice.get().upstream();
+    logPlacement(choice.get());
+    tried.add(upstream.id());
+    parts.pool().acquire(upstream, lease -> connected(upstream, lease));
+  }
+
+  private void logPlacement(Choice choice) {
+    parts
+        .log()
+        .decision(
+            "place",
+            head.requestId(),
+            field("route", route().name()),
+            field("service", plan.service()),
+            field("config", plan.configVersion()),
+            field("upstream", choice.upstream().id()),
+            field("predictedMillis", choice.predictedMillis()),
+            field("costMillis", choice.costMillis()),
+            field("cachedTokens", choice.cachedTokens()),
+            field("attempt", sentAttempts + 1));
+  }
+
+  private void connected(Upstream upstream, UpstreamPool.Lease lease) {
+    UpstreamState state = parts.placer().loads().state(upstream);
+    switch (lease) {
+      case UpstreamPool.Lease.Unreachable(String detail) -> {
+        state.connectFailed(parts.timer().nowMillis());
+        parts.metrics().count(Counter.CONNECTS_FAILED);
+        parts
+            .log()
+            .change(
+                "upstream_unreachable", field("upstream", upstream.id()), field("cause", detail));
+        if (!ended) {
+          connectFailed();
+        }
+      }
+      case UpstreamPool.Lease.Open(UpstreamConnection connection) -> {
+        state.connected();
+        if (ended || !stillReady(upstream)) {
+          connection.close();
+          if (!ended) {
+            place();
+          }
+          return;
+        }
+        send(upstream, state, connection);
+      }
+    }
+  }
+
+  private void connectFailed() {
+    connectFailures++;
+    if (connectFailures >= MOST_CONNECT_FAILURES || leftMillis() < LEAST_RETRY_MILLIS) {
+      giveUp(ResultCode.NO_UPSTREAM, "no connection to any upstream tried");
+    } else {
+      place();
+    }
+  }
+
+  private boolean stillReady(Upstream upstream) {
+    return parts
+        .fleet()
+        .get()
+        .find(upstream.id())
+        .filter(now -> !now.draining() && now.sameProcess(upstream))
+        .isPresent();
+  }
+
+  // -- sending
+
+  private void send(Upstream upstream, UpstreamState state, UpstreamConnection connection) {
+    long left = leftMillis();
+    if (left <= 0) {
+      connection.close();
+      return;
+    }
+    sentAttempts++;
+    parts.metrics().count(Counter.ATTEMPTS);
+    parts.placer().sent(upstream, head.shape());
+    attempt = new Attempt(this, plan, head, upstream, state, connection, parts.timer());
+    attempt.send(request(upstream, left));
+  }
+
+  private FullHttpRequest request(Upstream upstream, long left) {
+    HttpHeaders headers = HopHeaders.passedOn(input.head().headers());
+    Optional<Integer> priority =
+        plan.forEngine()
+            ? Optional.of(Math.max(0, Math.min(HIGHEST_PRIORITY_NUMBER, plan.priority())))
+            : Optional.empty();
+    parts
+        .dialect()
+        .stamp(
+            headers,
+            new RequestDialect.Grant(upstream, plan.workspace(), left, priority, resumeAfter));
+    HttpMethod method = input.head().method();
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            method,
+            input.head().uri(),
+            Unpooled.wrappedBuffer(input.body()),
+            headers,
+            DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+    boolean hasBody = input.body().length > 0 || carriedLength();
+    if (hasBody) {
+      HttpUtil.setContentLength(request, input.body().length);
+    } else {
+      headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+    }
+    return request;
+  }
+
+  private boolean carriedLength() {
+    HttpHeaders headers = input.head().headers();
+    return headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+  }
+
+  // -- what attempts tell
+
+  @Override
+  public void ranFirstToken() {
+    if (!counted) {
+      counted = true;
+      plan.workspace().ifPresent(workspace -> parts.usage().began(workspace.name()));
+    }
+  }
+
+  @Override
+  public boolean wants(int status, boolean signed, boolean notRun) {
+    if (status < FIRST_REDIRECT && !signed) {
+      return false;
+    }
+    if (headPassedOn) {
+      return status < FIRST_REDIRECT;
+    }
+    if (notRun) {
+      return status != MISDIRECTED && !mayHaveRun && !takeRetry(false);
+    }
+    return status < FIRST_SERVER_ERROR || !takeRetry(true);
+  }
+
+  @Override
+  public void passHead(HttpResponse response, boolean notRun) {
+    if (headPassedOn) {
+      return;
+    }
+    headPassedOn = true;
+    parts.metrics().firstByte(parts.timer().nowMillis() - input.arrivedMillis());
+    HttpHeaders headers = HopHeaders.passedOn(response.headers());
+    HttpResponse passed = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers);
+    if (notRun && !headers.contains(HttpHeaderNames.RETRY_AFTER)) {
+      headers.set(HttpHeaderNames.RETRY_AFTER, ProblemAnswers.seconds(retryAfterMillis()));
+    }
+    if (route().resumable()) {
+      headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+    }
+    if (!HttpUtil.isContentLengthSet(passed) && !input.head().method().equals(HttpMethod.HEAD)) {
+      HttpUtil.setTransferEncodingChunked(passed, true);
+    }
+    link.writeHead(passed);
+  }
+
+  @Override
+  public void passContent(byte[] bytes) {
+    link.writeContent(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    if (!link.isWritable() && attempt != null) {
+      attempt.setReading(false);
+    }
+  }
+
+  @Override
+  public void flush() {
+    link.flush();
+  }
+
+  @Override
+  public void callerWritable() {
+    if (attempt != null) {
+      attempt.setReading(true);
+    }
+  }
+
+  @Override
+  public void completed(int status, boolean notRun) {
+    boolean served = status < FIRST_REDIRECT;
+    parts.metrics().count(served ? Counter.SERVED : Counter.FAILED);
+    finish(served ? "served" : "passed_on", status);
+    link.finish();
+  }
+
+  @Override
+  public void notServed(Attempt.Failure failure, String detail) {
+    Attempt failed = attempt;
+    attempt = null;
+    boolean ran = failure != Attempt.Failure.NOT_RUN;
+    if (failure == Attempt.Failure.SPOILED) {
+      parts.metrics().count(Counter.ANSWERS_SPOILED);
+    }
+    parts
+        .log()
+        .decision(
+            "attempt_failed",
+            head.requestId(),
+            field("upstream", failed.upstream().id()),
+            field("failure", failure),
+            field("detail", detail),
+            field("begun", headPassedOn));
+    resumeAfter = failed.lastEventId().or(() -> resumeAfter);
+    if (takeRetry(ran)) {
+      retryTaken = false;
+      parts.metrics().count(headPassedOn ? Counter.RESUMES : Counter.RETRIES);
+      mayHaveRun |= ran;
+      place();
+      return;
+    }
+    mayHaveRun |= ran;
+    giveUp(code(failure), detail);
+  }
+
+  private static ResultCode code(Attempt.Failure failure) {
+    return switch (failure) {
+      case NOT_RUN -> ResultCode.UPSTREAM_FULL;
+      case LOST -> ResultCode.UPSTREAM_LOST;
+      case SPOILED -> ResultCode.ANSWER_SPOILED;
+      case FAILED -> ResultCode.UPSTREAM_ERROR;
+    };
+  }
+
+  /** Takes the right to another attempt out of the budget, once for each failed attempt. */
+  private boolean takeRetry(boolean ran) {
+    if (!retryTaken && canRetry(ran)) {
+      retryTaken = parts.budgets().tryTake(plan.service());
+      if (!retryTaken) {
+        parts.metrics().count(Counter.RETRIES_DENIED);
+      }
+    }
+    return retryTaken;
+  }
+
+  private boolean canRetry(boolean ran) {
+    if (sentAttempts >= route().maxAttempts() || leftMillis() < LEAST_RETRY_MILLIS) {
+      return false;
+    }
+    if (headPassedOn && !(route().kind() == Route.Kind.STREAMING && route().resumable())) {
+      return false;
+    }
+    if (ran && !route().mayRepeat()) {
+      return false;
+    }
+    return parts.placer().place(plan, head.shape(), tried).isPresent();
+  }
+
+  // -- ends
+
+  private void timedOut() {
+    if (ended) {
+      return;
+    }
+    mayHaveRun |= attempt != null;
+    cancelAttempt();
+    ResultCode code = mayHaveRun ? ResultCode.UPSTREAM_TIMEOUT : ResultCode.NO_UPSTREAM;
+    giveUp(code, "the time allowed has passed");
+  }
+
+  @Override
+  public void callerGone() {
+    if (ended) {
+      return;
+    }
+    cancelAttempt();
+    parts.metrics().count(Counter.CALLERS_GONE);
+    finish("caller_gone", 0);
+  }
+
+  private void cancelAttempt() {
+    if (attempt != null) {
+      attempt.cancel();
+      attempt = null;
+    }
+  }
+
+  private void giveUp(ResultCode code, String detail) {
+    if (headPassedOn) {
+      parts.metrics().count(Counter.FAILED);
+      finish("broken_off", 0);
+      link.abort();
+      return;
+    }
+    if (!mayHaveRun) {
+      refuse(new Refusal(code, detail, Ran.NOT_RUN, retryAfterMillis()));
+      return;
+    }
+    boolean promises = code.ran() == Ran.NOT_RUN;
+    ResultCode honest = promises ? ResultCode.UPSTREAM_LOST : code;
+    refuse(new Refusal(honest, detail, Ran.MAY_HAVE_RUN, 0));
+  }
+
+  private static long retryAfterMillis() {
+    return LEAST_RETRY_AFTER_MILLIS
+        + ThreadLocalRandom.current().nextLong(RETRY_AFTER_SPREAD_MILLIS);
+  }
+
+  private void refuse(Refusal refusal) {
+    parts.metrics().count(Counter.REFUSED);
+    parts
+        .log()
+        .decision(
+            "refuse",
+            head.requestId(),
+            field("code", refusal.code().label()),
+            field("detail", refusal.detail()),
+            field("ran", refusal.ran().text()),
+            field("retryAfterMillis", refusal.retryAfterMillis()));
+    finish("refused", refusal.code().httpStatus());
+    link.answer(ProblemAnswers.of(refusal));
+  }
+
+  private void finish(String outcome, int status) {
+    ended = true;
+    attempt = null;
+    timeout.cancel();
+    long millis = parts.timer().nowMillis() - input.arrivedMillis();
+    parts.metrics().whole(millis);
+    parts
+        .log()
+        .decision(
+            "end",
+            head.requestId(),
+            field("outcome", outcome),
+            field("status", status),
+            field("route", plan == null ? "" : route().name()),
+            field("attempts", sentAttempts),
+            field("millis", millis));
+    onEnd.run();
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/relay/HopHeaders.java
@@ -0,0 +1,39 @@
+package org.limpetvale.forward.relay;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+
+/** Copies headers without those that concern one connection only. */
+final class HopHeaders {
+  private static final List<CharSequence> OF_ONE_CONNECTION =
+      List.of(
+          HttpHeaderNames.CONNECTION,
+          "Keep-Alive",
+          HttpHeaderNames.PROXY_AUTHENTICATE,
+          HttpHeaderNames.PROXY_AUTHORIZATION,
+          "Proxy-Connection",
+          HttpHeaderNames.TE,
+          HttpHeaderNames.TRAILER,
+          HttpHeaderNames.TRANSFER_ENCODING,
+          HttpHeaderNames.UPGRADE,
+          HttpHeaderNames.EXPECT);
+
+  private HopHeaders() {}
+
+  /** Returns a copy of the headers that are passed on. */
+  static HttpHeaders passedOn(HttpHeaders headers) {
+    HttpHeaders copy = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+    copy.add(headers);
+    for (String listed : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : listed.split(",")) {
+        if (!name.isBlank()) {
+          copy.remove(name.trim());
+        }
+      }
+    }
+    OF_ONE_CONNECTION.forEach(copy::remove);
+    return copy;
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
@@ -0,0 +1,152 @@
+package org.limpetvale.forward.relay;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.limpetvale.core.fleet.FleetView;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.http.Transport;
+import org.limpetvale.forward.spi.RequestDialect;
+
+/** Connections to upstreams, kept between requests; for the event loop only. */
+final class UpstreamPool {
+  private static final int LARGEST_HEADER_BYTES = 65_536;
+  private static final int LARGEST_CHUNK_BYTES = 65_536;
+
+  private final Transport transport;
+  private final RequestDialect dialect;
+  private final TimerService timer;
+  private final Map<String, Kept> kept = new HashMap<>();
+
+  UpstreamPool(Transport transport, RequestDialect dialect, TimerService timer) {
+    this.transport = Objects.requireNonNull(transport, "transport is null");
+    this.dialect = Objects.requireNonNull(dialect, "dialect is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+  }
+
+  /** The outcome of asking for a connection. */
+  sealed interface Lease {
+    /** A connection that carries no request. */
+    record Open(UpstreamConnection connection) implements Lease {}
+
+    /** No connection could be made. */
+    record Unreachable(String detail) implements Lease {}
+  }
+
+  /**
+   * Hands out a connection to an upstream.
+   *
+   * @param upstream the upstream
+   * @param then takes the outcome, now or later
+   */
+  void acquire(Upstream upstream, Consumer<Lease> then) {
+    Kept own = kept.computeIfAbsent(upstream.id(), id -> new Kept(upstream));
+    if (!own.upstream.sameProcess(upstream)) {
+      own.closeAll();
+      own = new Kept(upstream);
+      kept.put(upstream.id(), own);
+    }
+    UpstreamConnection idle = own.take();
+    if (idle != null) {
+      then.accept(new Lease.Open(idle));
+      return;
+    }
+    connect(own, then);
+  }
+
+  /** Closes the kept connections of upstreams that a view does not hold. */
+  void keepOnly(FleetView view) {
+    kept.values()
+        .removeIf(
+            each -> {
+              if (view.find(each.upstream.id()).isPresent()) {
+                return false;
+              }
+              each.closeAll();
+              return true;
+            });
+  }
+
+  private void connect(Kept own, Consumer<Lease> then) {
+    InetSocketAddress address = new InetSocketAddress(own.upstream.host(), own.upstream.port());
+    ChannelFuture connecting =
+        transport
+            .client()
+            .handler(
+                new ChannelInitializer<>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new HttpClientCodec(decoderConfig(), false, false))
+                        .addLast(new UpstreamConnection(channel, dialect, timer, own));
+                  }
+                })
+            .connect(address);
+    connecting.addListener(
+        done ->
+            then.accept(
+                done.isSuccess()
+                    ? new Lease.Open(connecting.channel().pipeline().get(UpstreamConnection.class))
+                    : new Lease.Unreachable(String.valueOf(done.cause()))));
+  }
+
+  private static HttpDecoderConfig decoderConfig() {
+    return new HttpDecoderConfig()
+        .setMaxInitialLineLength(LARGEST_HEADER_BYTES)
+        .setMaxHeaderSize(LARGEST_HEADER_BYTES)
+        .setMaxChunkSize(LARGEST_CHUNK_BYTES);
+  }
+
+  /** The idle connections to one upstream process, the newest last. */
+  private static final class Kept implements UpstreamConnection.Owner {
+    private final Upstream upstream;
+    private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+    private boolean closed;
+
+    Kept(Upstream upstream) {
+      this.upstream = upstream;
+    }
+
+    UpstreamConnection take() {
+      while (!idle.isEmpty()) {
+        UpstreamConnection connection = idle.removeLast();
+        if (connection.usable()) {
+          return connection;
+        }
+        connection.close();
+      }
+      return null;
+    }
+
+    void closeAll() {
+      closed = true;
+      idle.forEach(UpstreamConnection::close);
+      idle.clear();
+    }
+
+    @Override
+    public void reusable(UpstreamConnection connection) {
+      if (closed) {
+        connection.close();
+      } else {
+        idle.addLast(connection);
+      }
+    }
+
+    @Override
+    public void ended(UpstreamConnection connection) {
+      idle.remove(connection);
+    }
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/spi/RowDecoder.java
@@ -0,0 +1,26 @@
+package org.limpetvale.forward.spi;
+
+import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.fleet.Upstream;
+
+/** Decodes rows that others write into typed values. */
+public interface RowDecoder {
+
+  /** The outcome of decoding. */
+  sealed interface Decoded<T> {
+    /** A usable value. */
+    record Value<T>(T value) implements Decoded<T> {}
+
+    /** A row that can't be used, and why. */
+    record Unusable<T>(String reason) implements Decoded<T> {}
+  }
+
+  /** Tells whether a row of the configuration table is the configuration. */
+  boolean isConfig(StoredRow row);
+
+  /** Decodes the configuration. */
+  Decoded<FleetConfig> config(StoredRow row);
+
+  /** Decodes an upstream's description. */
+  Decoded<Upstream> upstream(StoredRow row);
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/spi/RowTransaction.java
@@ -0,0 +1,42 @@
+package org.limpetvale.forward.spi;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * An atomic change of rows of the fleet's table.
+ *
+ * @param conditions conditions that must all hold
+ * @param writes rows to write
+ * @param removals keys to remove
+ */
+public record RowTransaction(
+    List<Condition> conditions, List<Write> writes, List<String> removals) {
+
+  /**
+   * A condition on one row.
+   *
+   * @param key the key
+   * @param version version that the row must have; 0 for a row that must not exist
+   */
+  public record Condition(String key, long version) {}
+
+  /**
+   * A row to write.
+   *
+   * @param key the key
+   * @param text the value
+   */
+  public record Write(String key, String text) {}
+
+  public RowTransaction {
+    conditions = List.copyOf(Objects.requireNonNull(conditions, "conditions is null"));
+    writes = List.copyOf(Objects.requireNonNull(writes, "writes is null"));
+    removals = List.copyOf(Objects.requireNonNull(removals, "removals is null"));
+  }
+
+  /** Returns a transaction that writes rows without a condition. */
+  public static RowTransaction of(List<Write> writes) {
+    return new RowTransaction(List.of(), writes, List.of());
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/spi/StoredRow.java
@@ -0,0 +1,18 @@
+package org.limpetvale.forward.spi;
+
+import java.util.Objects;
+
+/**
+ * A row of the store.
+ *
+ * @param key the key
+ * @param text the value as text; empty for a removed row
+ * @param version version of the transaction that wrote it
+ * @param removed whether the row was removed
+ */
+public record StoredRow(String key, String text, long version, boolean removed) {
+  public StoredRow {
+    Objects.requireNonNull(key, "key is null");
+    Objects.requireNonNull(text, "text is null");
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time on the daemon's event loop. */
+package org.limpetvale.forward.time;
--- a/platform/src/main/java/org/limpetvale/platform/Commit.java
+++ b/ports/src/main/java/org/limpetvale/ports/Commit.java
@@ -1,4 +1,4 @@
-package org.limpetvale.platform;
+package org.limpetvale.ports;
 
 /** The result of a transaction. */
 public sealed interface Commit {
--- a/platform/src/main/java/org/limpetvale/platform/PowerInterface.java
+++ b/ports/src/main/java/org/limpetvale/ports/PowerInterface.java
@@ -1,4 +1,4 @@
-package org.limpetvale.platform;
+package org.limpetvale.ports;
 
 import java.util.List;
 import org.limpetvale.core.lease.OrderRow;
--- a/platform/src/main/java/org/limpetvale/platform/RowAges.java
+++ b/ports/src/main/java/org/limpetvale/ports/RowAges.java
@@ -1,4 +1,4 @@
-package org.limpetvale.platform;
+package org.limpetvale.ports;
 
 import java.util.Map;
 import java.util.Objects;
--- a/platform/src/main/java/org/limpetvale/platform/Table.java
+++ b/ports/src/main/java/org/limpetvale/ports/Table.java
@@ -1,4 +1,4 @@
-package org.limpetvale.platform;
+package org.limpetvale.ports;
 
 import java.util.List;
 import java.util.Optional;
--- a/platform/src/main/java/org/limpetvale/platform/UsageSink.java
+++ b/ports/src/main/java/org/limpetvale/ports/UsageSink.java
@@ -1,4 +1,4 @@
-package org.limpetvale.platform;
+package org.limpetvale.ports;
 
 import org.limpetvale.core.usage.UsageFigures;
 
--- a/platform/src/main/java/org/limpetvale/platform/http/HttpObjectStore.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/HttpObjectStore.java
@@ -1,11 +1,11 @@
-package org.limpetvale.platform.http;
+package org.limpetvale.ports.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import org.limpetvale.platform.ObjectStore;
-import org.limpetvale.platform.Read;
+import org.limpetvale.ports.ObjectStore;
+import org.limpetvale.ports.Read;
 
 /** The object store over HTTP. */
 public final class HttpObjectStore implements ObjectStore {
--- a/platform/src/main/java/org/limpetvale/platform/http/HttpPower.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/HttpPower.java
@@ -1,4 +1,4 @@
-package org.limpetvale.platform.http;
+package org.limpetvale.ports.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -6,8 +6,8 @@
 import java.util.Locale;
 import java.util.Objects;
 import org.limpetvale.core.lease.OrderRow;
-import org.limpetvale.platform.PowerInterface;
-import org.limpetvale.platform.Read;
+import org.limpetvale.ports.PowerInterface;
+import org.limpetvale.ports.Read;
 
 /** The start and stop interface over HTTP. */
 public final class HttpPower implements PowerInterface {
--- a/platform/src/main/java/org/limpetvale/platform/http/HttpTable.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/HttpTable.java
@@ -1,4 +1,4 @@
-package org.limpetvale.platform.http;
+package org.limpetvale.ports.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.URLEncoder;
@@ -7,11 +7,11 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import org.limpetvale.platform.Commit;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.Row;
-import org.limpetvale.platform.Table;
-import org.limpetvale.platform.Transaction;
+import org.limpetvale.ports.Commit;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.Row;
+import org.limpetvale.ports.Table;
+import org.limpetvale.ports.Transaction;
 
 /** The table over HTTP. */
 public final class HttpTable implements Table {
--- a/platform/src/main/java/org/limpetvale/platform/http/HttpUsageSink.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/HttpUsageSink.java
@@ -1,9 +1,9 @@
-package org.limpetvale.platform.http;
+package org.limpetvale.ports.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Objects;
 import org.limpetvale.core.usage.UsageFigures;
-import org.limpetvale.platform.UsageSink;
+import org.limpetvale.ports.UsageSink;
 
 /** The usage interface over HTTP. */
 public final class HttpUsageSink implements UsageSink {
--- a/platform/src/main/java/org/limpetvale/platform/http/HttpVmList.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/HttpVmList.java
@@ -1,13 +1,13 @@
-package org.limpetvale.platform.http;
+package org.limpetvale.ports.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
-import org.limpetvale.platform.Read;
-import org.limpetvale.platform.Vm;
-import org.limpetvale.platform.VmList;
+import org.limpetvale.ports.Read;
+import org.limpetvale.ports.Vm;
+import org.limpetvale.ports.VmList;
 
 /** The VM list over HTTP. */
 public final class HttpVmList implements VmList {
--- a/platform/src/main/java/org/limpetvale/platform/http/JsonHttp.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/JsonHttp.java
@@ -1,4 +1,4 @@
-package org.limpetvale.platform.http;
+package org.limpetvale.ports.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/platform/src/main/java/org/limpetvale/platform/http/package-info.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/package-info.java
@@ -1,2 +1,2 @@
 /** Adapters of the platform's ports over HTTP and JSON. */
-package org.limpetvale.platform.http;
+package org.limpetvale.ports.http;
--- a/platform/src/main/java/org/limpetvale/platform/time/ThreadTimerService.java
+++ b/ports/src/main/java/org/limpetvale/ports/time/ThreadTimerService.java
@@ -1,4 +1,4 @@
-package org.limpetvale.platform.time;
+package org.limpetvale.ports.time;
 
 import com.google.common.flogger.FluentLogger;
 import java.util.concurrent.Executors;
--- /dev/null
+++ b/ports/src/main/java/org/limpetvale/ports/time/package-info.java
@@ -0,0 +1,2 @@
+/** Timers on threads. */
+package org.limpetvale.ports.time;
--- a/sidecar/src/main/java/org/limpetvale/sidecar/SidecarModule.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/SidecarModule.java
@@ -9,7 +9,7 @@
 import org.limpetvale.core.admission.AdmissionQueue;
 import org.limpetvale.core.admission.Limits;
 import org.limpetvale.core.time.TimerService;
-import org.limpetvale.platform.time.ThreadTimerService;
+import org.limpetvale.ports.time.ThreadTimerService;
 
 /** Puts the parts of a sidecar together. */
 final class SidecarModule extends AbstractModule {
