Usage survives kills and cuts: entries tell each other their counts directly

Change: datagrams between entries carry totals of usage and what each has at every upstream (peer package; placement uses the loads instead of the upstreams' lagging figures); lease of 4 s renewed each second by its holder; the wait for another holder counts only time in which the store could be read; acting waits only after a release; a round runs as soon as the store answers.

--- a/core/src/main/java/org/limpetvale/core/lease/LeaseView.java
+++ b/core/src/main/java/org/limpetvale/core/lease/LeaseView.java
@@ -43,6 +43,15 @@
         Optional.of(written), newRevision, sentMillis, written.holder().isEmpty() ? 0 : held);
   }
 
+  /**
+   * Returns the view after a time in which the table could not be read.
+   *
+   * <p>A holder could not renew in that time either, so that a contender begins to wait anew.
+   */
+  public LeaseView afterOutage(long nowMillis) {
+    return new LeaseView(row, revision, nowMillis, heldUntilMillis);
+  }
+
   /** Tells whether this process may act as the holder now. */
   public boolean held(long nowMillis) {
     return nowMillis < heldUntilMillis;
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -19,6 +19,9 @@
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.metrics.ForwardMetrics;
 import org.limpetvale.forward.metrics.MetricsPage;
+import org.limpetvale.forward.peer.PeerBook;
+import org.limpetvale.forward.peer.PeerLink;
+import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.place.LoadBook;
 import org.limpetvale.forward.place.Placer;
 import org.limpetvale.forward.relay.Forwarder;
@@ -44,6 +47,11 @@
   private static final long LAST_WRITES_MILLIS = 900;
 
   private static final long STOP_CHECK_MILLIS = 50;
+  private static final int BOOT_ID_LENGTH = 8;
+
+  /** Usage windows that entries tell each other, from the current one back. */
+  private static final int WINDOWS_TOLD = 3;
+
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
 
@@ -76,10 +84,14 @@
   private final Forwarder forwarder;
   private final CallerServer callers;
   private final DutyLoop duties;
+  private final PeerLink peers;
   private final ForwardMetrics metrics;
   private final MetricsPage metricsPage;
   private boolean stopping;
 
+  /** Whether no request will begin to run any more. */
+  private boolean finished;
+
   private ForwardDaemon(
       ForwardSettings settings, Transport transport, Platform platform, EventLog log) {
     this.settings = Objects.requireNonNull(settings, "settings is null");
@@ -96,9 +108,11 @@
         TableFollower.of(
             platform.store(), RowTable.UPSTREAMS, UPSTREAM_PACE, upstreams, timer, log);
     Members members = Members.of(timer);
+    PeerBook peerBook = PeerBook.of(timer);
+    LoadBook loads = LoadBook.empty();
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), timer::wallMillis);
     Placer placer =
-        Placer.of(settings.zone(), upstreams::view, members::running, LoadBook.empty(), timer);
+        Placer.of(settings.zone(), upstreams::view, peerBook, loads, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::sharers, timer);
     this.forwarder =
         Forwarder.of(
@@ -113,16 +127,28 @@
             log,
             timer);
     this.callers = CallerServer.of(transport, timer, log, config::limits, forwarder);
+    DutyLoop.Identity self =
+        new DutyLoop.Identity(
+            settings.name(),
+            UUID.randomUUID().toString().substring(0, BOOT_ID_LENGTH),
+            settings.peers(),
+            settings.bounds().leaseMillis());
     this.duties =
         DutyLoop.of(
-            new DutyLoop.Identity(
-                settings.name(),
-                UUID.randomUUID().toString().substring(0, 8),
-                settings.bounds().leaseMillis()),
-            platform.store(),
-            platform.calls(),
-            usage,
-            members,
+            self, platform.store(), platform.calls(), usage, members, peerBook, timer, log);
+    this.peers =
+        PeerLink.of(
+            transport,
+            settings.peers(),
+            peerBook,
+            () -> members.addressesBut(settings.peers()),
+            number ->
+                new PeerReport(
+                    self.writer(),
+                    number,
+                    finished ? usage.currentWindow() : usage.closedWindow(),
+                    usage.newest(WINDOWS_TOLD),
+                    loads.own()),
             timer,
             log);
   }
@@ -139,6 +165,7 @@
   public void start() {
     upstreams.onChange(forwarder::fleetChanged);
     config.onSuspicion(configFollower::restart);
+    config.onRegained(duties::roundNow);
     metrics.openConnections(callers::openConnections);
     bound("callers", callers.listen(settings.callers()));
     bound("ready", TextServer.listen(transport, settings.ready(), path -> readyPage()));
@@ -154,6 +181,7 @@
     configFollower.restart();
     upstreamFollower.restart();
     duties.start();
+    peers.start();
     bound(
         "metrics",
         TextServer.listen(
@@ -210,6 +238,8 @@
       timer.after(STOP_CHECK_MILLIS, () -> finishWhenIdle(lastMillis, onEnd));
       return;
     }
+    finished = true;
+    peers.send();
     duties
         .stop()
         .thenAccept(
--- a/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
@@ -12,6 +12,7 @@
  * @param callers address for callers
  * @param ready address for the balancer's readiness checks
  * @param metrics address of the metrics page
+ * @param peers address for the other entries
  * @param store address of the platform's store
  * @param duties address of the platform's interface for duties
  * @param bounds times and budgets to keep
@@ -22,6 +23,7 @@
     InetSocketAddress callers,
     InetSocketAddress ready,
     InetSocketAddress metrics,
+    InetSocketAddress peers,
     InetSocketAddress store,
     InetSocketAddress duties,
     Bounds bounds) {
@@ -52,6 +54,7 @@
     Objects.requireNonNull(callers, "callers is null");
     Objects.requireNonNull(ready, "ready is null");
     Objects.requireNonNull(metrics, "metrics is null");
+    Objects.requireNonNull(peers, "peers is null");
     Objects.requireNonNull(store, "store is null");
     Objects.requireNonNull(duties, "duties is null");
     Objects.requireNonNull(bounds, "bounds is null");
--- a/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -47,7 +47,7 @@
   private ForwardSettings settings(JsonNode root) {
     known(root, "", Set.of("name", "zone", "listen", "store", "duties", "bounds"));
     JsonNode listen = root.path("listen");
-    known(listen, "listen.", Set.of("callers", "ready", "metrics"));
+    known(listen, "listen.", Set.of("callers", "ready", "metrics", "peers"));
     known(root.path("store"), "store.", Set.of("address"));
     known(root.path("duties"), "duties.", Set.of("address"));
     return new ForwardSettings(
@@ -56,6 +56,7 @@
         address(listen, "callers", "listen."),
         address(listen, "ready", "listen."),
         address(listen, "metrics", "listen."),
+        address(listen, "peers", "listen."),
         address(root.path("store"), "address", "store."),
         address(root.path("duties"), "address", "duties."),
         bounds(root.path("bounds")));
--- a/forward/src/main/java/org/limpetvale/forward/account/UsageCounts.java
+++ b/forward/src/main/java/org/limpetvale/forward/account/UsageCounts.java
@@ -8,6 +8,11 @@
 
 /** Requests that began to run, by window of true time and workspace; for the event loop only. */
 public final class UsageCounts {
+  /** Time after the end of a window after which its counts do not grow any more. */
+  private static final long CLOSED_AFTER_MILLIS = 400;
+
+  private static final int WINDOWS_KEPT = 6;
+
   private final long windowMillis;
   private final LongSupplier trueMillis;
   private final TreeMap<Long, Map<String, Long>> countsByWindow = new TreeMap<>();
@@ -49,8 +54,28 @@
     return Map.copyOf(countsByWindow.getOrDefault(window, Map.of()));
   }
 
-  /** Forgets the windows before one. */
-  public void forgetBefore(long window) {
-    countsByWindow.headMap(window, false).clear();
+  /** Tells whether the counts of a window do not grow any more. */
+  public boolean isClosed(long window) {
+    return sinceEndMillis(window) > CLOSED_AFTER_MILLIS;
+  }
+
+  /** Returns the newest window whose counts do not grow any more. */
+  public long closedWindow() {
+    long current = currentWindow();
+    return isClosed(current - 1) ? current - 1 : current - 2;
+  }
+
+  /** Returns the counts of the newest windows. */
+  public Map<Long, Map<String, Long>> newest(int windows) {
+    Map<Long, Map<String, Long>> newest = new HashMap<>();
+    countsByWindow
+        .tailMap(currentWindow() - windows, false)
+        .forEach((window, counts) -> newest.put(window, Map.copyOf(counts)));
+    return newest;
+  }
+
+  /** Forgets windows that have been reported long ago. */
+  public void forgetOld() {
+    countsByWindow.headMap(currentWindow() - WINDOWS_KEPT, false).clear();
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -2,6 +2,7 @@
 
 import static org.limpetvale.forward.log.EventLog.field;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +16,7 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.account.UsageCounts;
 import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.peer.PeerBook;
 import org.limpetvale.forward.spi.DutyCalls;
 import org.limpetvale.forward.spi.FleetStore;
 import org.limpetvale.forward.spi.RowPage;
@@ -27,15 +29,15 @@
 /**
  * Writes this entry's rows, reads those of the others, and does the duties while it holds their
  * lease; for the event loop only.
+ *
+ * <p>The holder renews each round; the others look every second round. After a time in which the
+ * store could not be read, the others wait for the whole lease anew, as the holder could not renew
+ * either.
  */
 public final class DutyLoop {
-  private static final long PERIOD_MILLIS = 2_000;
-  private static final long LEASE_MILLIS = 6_000;
-
-  /** Time after the end of a window after which its counts do not grow any more. */
-  private static final long CLOSED_AFTER_MILLIS = 400;
-
-  private static final int WINDOWS_KEPT = 6;
+  private static final long PERIOD_MILLIS = 1_000;
+  private static final int CONTENDER_ROUNDS = 2;
+  private static final long LEASE_MILLIS = 4_000;
   private static final String DUTY = "duties";
 
   /**
@@ -43,10 +45,12 @@
    *
    * @param name name of this entry's VM
    * @param boot id of this process
+   * @param peers address where it takes reports of other entries
    * @param settleMillis time between two holders' acts that the platform asks for
    */
-  public record Identity(String name, String boot, long settleMillis) {
-    String writer() {
+  public record Identity(String name, String boot, InetSocketAddress peers, long settleMillis) {
+    /** Returns the id under which this process writes rows. */
+    public String writer() {
       return name + "." + boot;
     }
   }
@@ -59,8 +63,10 @@
   private final TimerService timer;
   private final EventLog log;
   private LeaseView lease = LeaseView.empty();
-  private Optional<Long> heldSinceMillis = Optional.empty();
+  private long actsFromMillis;
   private long beat;
+  private long rounds;
+  private boolean readFailed;
   private boolean busy;
   private boolean stopped;
 
@@ -70,6 +76,7 @@
       DutyCalls calls,
       UsageCounts usage,
       Members members,
+      PeerBook peers,
       TimerService timer,
       EventLog log) {
     this.self = Objects.requireNonNull(self, "self is null");
@@ -78,7 +85,7 @@
     this.members = Objects.requireNonNull(members, "members is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.log = Objects.requireNonNull(log, "log is null");
-    this.usageDuty = new UsageDuty(self.name(), store, calls, usage, members, log);
+    this.usageDuty = new UsageDuty(self, store, calls, usage, members, peers, log);
   }
 
   /** Returns a loop that has not begun. */
@@ -88,15 +95,23 @@
       DutyCalls calls,
       UsageCounts usage,
       Members members,
+      PeerBook peers,
       TimerService timer,
       EventLog log) {
-    return new DutyLoop(self, store, calls, usage, members, timer, log);
+    return new DutyLoop(self, store, calls, usage, members, peers, timer, log);
   }
 
   /** Begins. */
   public void start() {
-    round();
-    timer.every(PERIOD_MILLIS, this::round);
+    roundNow();
+    timer.every(PERIOD_MILLIS, this::nextRound);
+  }
+
+  /** Does a round at once, as when the store answers again. */
+  public void roundNow() {
+    if (!busy && !stopped) {
+      round();
+    }
   }
 
   /** Writes what is left and releases the lease; the future completes in any case. */
@@ -104,13 +119,13 @@
     stopped = true;
     List<RowTransaction.Write> writes = usageRows(true);
     List<RowTransaction.Condition> conditions = new ArrayList<>();
-    List<String> removals = List.of(FleetRows.memberKey(self.writer()));
     if (lease.held(timer.nowMillis())) {
       LeaseRow free = new LeaseRow(DUTY, "", lease.epoch(), LEASE_MILLIS, token());
       conditions.add(new RowTransaction.Condition(FleetRows.LEASE_KEY, lease.revision()));
       writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.lease(free)));
     }
     lease = LeaseView.empty();
+    List<String> removals = List.of(FleetRows.memberKey(self.writer()));
     return store
         .commit(new RowTransaction(conditions, writes, removals))
         .thenApply(
@@ -120,22 +135,73 @@
             });
   }
 
-  // -- one round
+  // -- rounds
 
-  private void round() {
-    if (busy || stopped) {
-      return;
+  private void nextRound() {
+    rounds++;
+    boolean turn = lease.held(timer.nowMillis()) || rounds % CONTENDER_ROUNDS == 0;
+    if (turn) {
+      roundNow();
     }
+  }
+
+  private void round() {
     busy = true;
-    writeOwn().thenCompose(done -> readAll()).thenAccept(done -> busy = false);
+    CompletableFuture<Void> steps =
+        lease.held(timer.nowMillis())
+            ? holderRound()
+            : writeOwn().thenCompose(commit -> readAll()).thenCompose(this::contend);
+    steps.whenComplete(
+        (done, fault) -> {
+          busy = false;
+          if (fault != null) {
+            log.change("duty_round_failed", field("cause", fault.toString()));
+          }
+        });
+  }
+
+  private CompletableFuture<Void> holderRound() {
+    return write(renewal(), ownRows())
+        .thenCompose(
+            held -> held && usageDuty.isDue() ? readAll().thenCompose(this::act) : done());
+  }
+
+  private CompletableFuture<Void> contend(Optional<RowPage> page) {
+    if (page.isEmpty()) {
+      return done();
+    }
+    Optional<LeaseRow> next = renewal();
+    if (next.isEmpty()) {
+      return done();
+    }
+    return write(next, List.of()).thenCompose(held -> held ? act(page) : done());
   }
 
+  private CompletableFuture<Void> act(Optional<RowPage> page) {
+    long nowMillis = timer.nowMillis();
+    if (page.isEmpty() || nowMillis < actsFromMillis || !lease.held(nowMillis)) {
+      return done();
+    }
+    return usageDuty.act(
+        page.get(), new UsageDuty.Right(lease.revision(), lease.epoch(), this::mayAct));
+  }
+
+  private boolean mayAct() {
+    return !stopped && lease.held(timer.nowMillis());
+  }
+
+  // -- rows
+
   private CompletableFuture<StoreCommit> writeOwn() {
+    return store.commit(RowTransaction.of(ownRows()));
+  }
+
+  private List<RowTransaction.Write> ownRows() {
     List<RowTransaction.Write> writes = usageRows(false);
     writes.add(
         new RowTransaction.Write(
-            FleetRows.memberKey(self.writer()), FleetRows.member(self.boot(), ++beat)));
-    return store.commit(RowTransaction.of(writes));
+            FleetRows.memberKey(self.writer()), FleetRows.member(self.peers(), ++beat)));
+    return writes;
   }
 
   private List<RowTransaction.Write> usageRows(boolean last) {
@@ -143,102 +209,118 @@
     long current = usage.currentWindow();
     for (long window = current - 1; window <= current; window++) {
       Map<String, Long> counts = usage.counts(window);
-      boolean closed = last || usage.sinceEndMillis(window) > CLOSED_AFTER_MILLIS;
+      boolean closed = last || usage.isClosed(window);
       if (!counts.isEmpty() || closed) {
         writes.add(
             new RowTransaction.Write(
                 FleetRows.usageKey(window, self.writer()), FleetRows.usage(closed, counts)));
       }
     }
-    usage.forgetBefore(current - WINDOWS_KEPT);
+    usage.forgetOld();
     return writes;
   }
 
-  private CompletableFuture<Void> readAll() {
+  private CompletableFuture<Optional<RowPage>> readAll() {
     return store
         .read(RowTable.FLEET, "", "")
-        .thenCompose(
+        .thenApply(
             read ->
                 switch (read) {
-                  case StoreRead.Page(RowPage page) -> took(page);
-                  case StoreRead.HistoryGone() -> done();
+                  case StoreRead.Page(RowPage page) -> {
+                    took(page);
+                    yield Optional.of(page);
+                  }
+                  case StoreRead.HistoryGone() -> Optional.empty();
                   case StoreRead.Failed(String detail) -> {
-                    log.change("duty_read_failed", field("cause", detail));
-                    yield done();
+                    logFirstFailure(detail);
+                    yield Optional.empty();
                   }
                 });
   }
 
-  private CompletableFuture<Void> took(RowPage page) {
-    Map<String, Long> versions = new HashMap<>();
+  private void logFirstFailure(String detail) {
+    if (!readFailed) {
+      log.change("duty_read_failed", field("cause", detail));
+    }
+    readFailed = true;
+  }
+
+  private void took(RowPage page) {
+    Map<String, Members.Row> rows = new HashMap<>();
     Optional<LeaseRow> leaseRow = Optional.empty();
     long leaseVersion = 0;
     for (StoredRow row : page.rows()) {
       if (row.key().startsWith(FleetRows.MEMBER_PREFIX)) {
-        versions.put(row.key().substring(FleetRows.MEMBER_PREFIX.length()), row.version());
+        String writer = row.key().substring(FleetRows.MEMBER_PREFIX.length());
+        rows.put(writer, new Members.Row(row.version(), FleetRows.parseMember(row.text())));
       } else if (row.key().equals(FleetRows.LEASE_KEY)) {
         leaseRow = FleetRows.parseLease(row.text());
         leaseVersion = row.version();
       }
     }
-    members.read(versions);
-    lease = lease.afterRead(leaseRow, leaseVersion, timer.nowMillis());
-    return renew().thenCompose(held -> held ? act(page) : done());
+    members.read(rows);
+    long nowMillis = timer.nowMillis();
+    lease = lease.afterRead(leaseRow, leaseVersion, nowMillis);
+    boolean own = leaseRow.filter(row -> row.holder().equals(self.writer())).isPresent();
+    if (readFailed && !own) {
+      lease = lease.afterOutage(nowMillis);
+    }
+    readFailed = false;
   }
 
   // -- the lease
 
-  private CompletableFuture<Boolean> renew() {
-    long sentMillis = timer.nowMillis();
-    Optional<LeaseRow> next =
-        lease.nextWrite(self.writer(), DUTY, LEASE_MILLIS, token(), sentMillis);
-    if (next.isEmpty() || stopped) {
-      heldSinceMillis = Optional.empty();
+  private Optional<LeaseRow> renewal() {
+    return stopped
+        ? Optional.empty()
+        : lease.nextWrite(self.writer(), DUTY, LEASE_MILLIS, token(), timer.nowMillis());
+  }
+
+  /** Writes the lease and other rows, on condition that the lease's row is unchanged. */
+  private CompletableFuture<Boolean> write(
+      Optional<LeaseRow> row, List<RowTransaction.Write> others) {
+    if (row.isEmpty()) {
       return CompletableFuture.completedFuture(false);
     }
-    RowTransaction write =
+    long sentMillis = timer.nowMillis();
+    List<RowTransaction.Write> writes = new ArrayList<>(others);
+    writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.lease(row.get())));
+    RowTransaction transaction =
         new RowTransaction(
             List.of(new RowTransaction.Condition(FleetRows.LEASE_KEY, lease.revision())),
-            List.of(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.lease(next.get()))),
+            writes,
             List.of());
-    return store.commit(write).thenApply(commit -> renewed(commit, next.get(), sentMillis));
+    return store.commit(transaction).thenApply(commit -> written(commit, row.get(), sentMillis));
   }
 
-  private boolean renewed(StoreCommit commit, LeaseRow row, long sentMillis) {
+  private boolean written(StoreCommit commit, LeaseRow row, long sentMillis) {
     return switch (commit) {
       case StoreCommit.Committed(long version, long ignored) -> {
-        boolean fresh = lease.epoch() != row.epoch() || !lease.held(sentMillis);
-        lease = lease.afterWrite(row, version, sentMillis);
-        if (fresh) {
-          heldSinceMillis = Optional.of(sentMillis);
-          log.change("lease_taken", field("epoch", row.epoch()), field("version", version));
+        if (lease.epoch() != row.epoch()) {
+          begin(row, sentMillis);
         }
+        lease = lease.afterWrite(row, version, sentMillis);
         yield true;
       }
-      case StoreCommit.Conflict ignored -> lostLease("conflict");
-      case StoreCommit.Refused(String detail) -> lostLease(detail);
-      case StoreCommit.Unknown(String detail) -> lostLease(detail);
+      case StoreCommit.Conflict ignored -> notWritten("conflict");
+      case StoreCommit.Refused(String detail) -> notWritten(detail);
+      case StoreCommit.Unknown(String detail) -> notWritten(detail);
     };
   }
 
-  private boolean lostLease(String cause) {
-    log.change("lease_not_written", field("epoch", lease.epoch()), field("cause", cause));
-    return false;
-  }
-
-  /** Acts as the holder, once the time since the last holder's acts has passed. */
-  private CompletableFuture<Void> act(RowPage page) {
-    long nowMillis = timer.nowMillis();
-    boolean settled =
-        heldSinceMillis.filter(since -> nowMillis - since >= self.settleMillis()).isPresent();
-    if (!settled || !lease.held(nowMillis)) {
-      return done();
-    }
-    return usageDuty.act(page, new UsageDuty.Right(lease.revision(), lease.epoch(), this::mayAct));
+  /**
+   * Begins to hold the lease. After a release the last holder may have acted a moment ago, and may
+   * act again soon; so the first act waits. A lapse has made it wait already.
+   */
+  private void begin(LeaseRow row, long sentMillis) {
+    boolean released = lease.row().filter(old -> old.holder().isEmpty()).isPresent();
+    actsFromMillis = released ? sentMillis + self.settleMillis() : sentMillis;
+    log.change("lease_taken", field("epoch", row.epoch()), field("afterRelease", released));
   }
 
-  private boolean mayAct() {
-    return !stopped && lease.held(timer.nowMillis());
+  private boolean notWritten(String cause) {
+    log.change("lease_not_written", field("epoch", lease.epoch()), field("cause", cause));
+    return false;
   }
 
   private static String token() {
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -43,13 +44,20 @@
 
   // -- values
 
-  static String member(String boot, long beat) {
+  static String member(InetSocketAddress address, long beat) {
     ObjectNode node = JSON.createObjectNode();
-    node.put("boot", boot);
+    node.put("host", address.getHostString());
+    node.put("port", address.getPort());
     node.put("beat", beat);
     return node.toString();
   }
 
+  static Optional<InetSocketAddress> parseMember(String text) {
+    return parse(text)
+        .filter(node -> node.path("host").isTextual() && node.path("port").isInt())
+        .map(node -> new InetSocketAddress(node.path("host").asText(), node.path("port").asInt()));
+  }
+
   static String lease(LeaseRow row) {
     ObjectNode node = JSON.createObjectNode();
     node.put("duty", row.duty());
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -1,9 +1,12 @@
 package org.limpetvale.forward.duty;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import org.limpetvale.core.time.TimerService;
 
@@ -25,7 +28,15 @@
   private boolean readOnce;
   private long readAtMillis;
 
-  private record Seen(long version, long atMillis) {}
+  /**
+   * An entry's row.
+   *
+   * @param version version of the row
+   * @param address where the entry takes reports of others
+   */
+  record Row(long version, Optional<InetSocketAddress> address) {}
+
+  private record Seen(Row row, long atMillis) {}
 
   private Members(TimerService timer) {
     this.timer = Objects.requireNonNull(timer, "timer is null");
@@ -36,19 +47,19 @@
     return new Members(timer);
   }
 
-  /** Notes the rows of all entries as read now, by name with their versions. */
-  void read(Map<String, Long> versions) {
+  /** Notes the rows of all entries as read now, by writer. */
+  void read(Map<String, Row> rows) {
     readOnce = true;
     readAtMillis = timer.nowMillis();
-    versions.forEach(
-        (name, version) ->
+    rows.forEach(
+        (name, row) ->
             seen.compute(
                 name,
                 (key, old) ->
-                    old != null && old.version() == version
+                    old != null && old.row().version() == row.version()
                         ? old
-                        : new Seen(version, readAtMillis)));
-    seen.keySet().retainAll(versions.keySet());
+                        : new Seen(row, readAtMillis)));
+    seen.keySet().retainAll(rows.keySet());
   }
 
   /** Returns the entries that are thought to run. */
@@ -70,6 +81,17 @@
     return each != null && timer.nowMillis() - each.atMillis() > SHARING_MILLIS;
   }
 
+  /** Returns the addresses of the entries that were seen lately, without one address. */
+  public List<InetSocketAddress> addressesBut(InetSocketAddress own) {
+    long nowMillis = timer.nowMillis();
+    return seen.values().stream()
+        .filter(each -> nowMillis - each.atMillis() <= SHARING_MILLIS)
+        .flatMap(each -> each.row().address().stream())
+        .filter(address -> !address.equals(own))
+        .distinct()
+        .toList();
+  }
+
   /**
    * Returns the number of entries that may share the retry budget, rather too many than too few.
    */
@@ -85,9 +107,4 @@
     int sharers = (int) Math.max(1, known);
     return nowMillis - readAtMillis > UNSEEN_MILLIS ? sharers * UNSEEN_FACTOR : sharers;
   }
-
-  /** Returns the number of entries that are thought to run. */
-  public int running() {
-    return Math.max(1, live().size());
-  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
@@ -3,15 +3,18 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.limpetvale.forward.account.UsageCounts;
 import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.peer.PeerBook;
 import org.limpetvale.forward.spi.DutyCalls;
 import org.limpetvale.forward.spi.DutyReply;
 import org.limpetvale.forward.spi.FleetStore;
@@ -23,38 +26,49 @@
 /**
  * Reports the usage of each window once.
  *
- * <p>The figures are sealed in the store, under the condition that the lease is still held, before
- * they are sent; whoever sends them again after a lost answer sends the same.
+ * <p>Counts come from the rows of the entries and from what they told this one directly; of both,
+ * the higher holds, since counts only grow. The figures are sealed in the store, under the condition
+ * that the lease is still held, before they are sent; whoever sends them again after a lost answer
+ * sends the same.
  */
 final class UsageDuty {
   /** Time after a window's end after which missing entries are no longer waited for. */
-  private static final long LONGEST_WAIT_MILLIS = 6_000;
+  private static final long LONGEST_WAIT_MILLIS = 8_000;
 
   /** Time after a window's end after which its rows are removed. */
   private static final long KEPT_MILLIS = 40_000;
 
+  /** Windows before the current one that are looked after. */
+  private static final int WINDOWS_BACK = 5;
+
   private static final int MOST_REMOVALS = 40;
 
-  private final String holder;
+  private final DutyLoop.Identity self;
   private final FleetStore store;
   private final DutyCalls calls;
   private final UsageCounts usage;
   private final Members members;
+  private final PeerBook peers;
   private final EventLog log;
+  private final long firstWindow;
+  private final TreeSet<Long> taken = new TreeSet<>();
 
   UsageDuty(
-      String holder,
+      DutyLoop.Identity self,
       FleetStore store,
       DutyCalls calls,
       UsageCounts usage,
       Members members,
+      PeerBook peers,
       EventLog log) {
-    this.holder = holder;
+    this.self = self;
     this.store = store;
     this.calls = calls;
     this.usage = usage;
     this.members = members;
+    this.peers = peers;
     this.log = log;
+    this.firstWindow = usage.currentWindow() - 1;
   }
 
   /**
@@ -66,13 +80,38 @@
    */
   record Right(long leaseVersion, long epoch, BooleanSupplier stands) {}
 
-  /** What the rows say of one window. */
+  /** What is known of one window. */
   private static final class Window {
-    private final Map<String, Long> sums = new TreeMap<>();
+    private final Map<String, Map<String, Long>> byWriter = new HashMap<>();
     private final Set<String> closedBy = new HashSet<>();
     private final List<String> keys = new ArrayList<>();
+
+    void add(String writer, Map<String, Long> counts) {
+      Map<String, Long> known = byWriter.computeIfAbsent(writer, key -> new HashMap<>());
+      counts.forEach((workspace, count) -> known.merge(workspace, count, Long::max));
+    }
+
+    Map<String, Long> sums() {
+      Map<String, Long> sums = new TreeMap<>();
+      byWriter
+          .values()
+          .forEach(counts -> counts.forEach((name, count) -> sums.merge(name, count, Long::sum)));
+      return sums;
+    }
   }
 
+  /** Tells whether a window may be waiting for its report. */
+  boolean isDue() {
+    long current = usage.currentWindow();
+    for (long window = Math.max(firstWindow, current - WINDOWS_BACK); window < current; window++) {
+      if (!taken.contains(window) && usage.isClosed(window)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Reports what is complete, and sends again what has not been taken. */
   CompletableFuture<Void> act(RowPage page, Right right) {
     TreeMap<Long, Window> windows = new TreeMap<>();
     TreeMap<Long, FleetRows.ReportRow> reports = new TreeMap<>();
@@ -84,85 +123,105 @@
             .ifPresent(each -> reports.put(each.window(), each));
       }
     }
-    CompletableFuture<Void> steps = CompletableFuture.completedFuture(null);
+    windows.forEach(this::addDirect);
+    CompletableFuture<Void> steps = done();
     for (FleetRows.ReportRow report : reports.values()) {
-      if (!report.taken()) {
-        steps = steps.thenCompose(done -> send(report.window(), report.counts(), right));
+      if (report.taken()) {
+        taken.add(report.window());
+      } else {
+        steps = steps.thenCompose(before -> send(report.window(), report.counts(), right));
       }
     }
     for (Map.Entry<Long, Window> each : windows.entrySet()) {
       if (!reports.containsKey(each.getKey()) && complete(each.getKey(), each.getValue())) {
-        steps = steps.thenCompose(done -> seal(each.getKey(), each.getValue(), right));
+        steps = steps.thenCompose(before -> seal(each.getKey(), each.getValue(), right));
       }
     }
-    return steps.thenCompose(done -> sweep(windows, reports, page));
+    return steps.thenCompose(before -> sweep(windows, reports, page));
   }
 
   private static void add(Map<Long, Window> windows, StoredRow row, FleetRows.UsageRow usageRow) {
     Window window = windows.computeIfAbsent(usageRow.window(), key -> new Window());
-    usageRow.counts().forEach((name, count) -> window.sums.merge(name, count, Long::sum));
+    window.add(usageRow.entry(), usageRow.counts());
     window.keys.add(row.key());
     if (usageRow.closed()) {
       window.closedBy.add(usageRow.entry());
     }
   }
 
+  /** Adds what the entries told directly, and this entry's own counts. */
+  private void addDirect(long number, Window window) {
+    peers.usage(number).forEach(window::add);
+    window.closedBy.addAll(peers.closedBy(number));
+    window.add(self.writer(), usage.counts(number));
+    if (usage.isClosed(number)) {
+      window.closedBy.add(self.writer());
+    }
+  }
+
   private boolean complete(long number, Window window) {
-    long sinceEnd = usage.sinceEndMillis(number);
-    return sinceEnd > 0
-        && (sinceEnd > LONGEST_WAIT_MILLIS || window.closedBy.containsAll(members.live()));
+    if (!usage.isClosed(number)) {
+      return false;
+    }
+    Set<String> expected = new HashSet<>(members.live());
+    expected.addAll(peers.live());
+    return usage.sinceEndMillis(number) > LONGEST_WAIT_MILLIS
+        || window.closedBy.containsAll(expected);
   }
 
-  private CompletableFuture<Void> seal(long window, Window figures, Right right) {
+  private CompletableFuture<Void> seal(long number, Window window, Right right) {
     if (!right.stands().getAsBoolean()) {
       return done();
     }
+    Map<String, Long> sums = window.sums();
     RowTransaction write =
         new RowTransaction(
             List.of(
                 new RowTransaction.Condition(FleetRows.LEASE_KEY, right.leaseVersion()),
-                new RowTransaction.Condition(FleetRows.reportKey(window), 0)),
+                new RowTransaction.Condition(FleetRows.reportKey(number), 0)),
             List.of(
                 new RowTransaction.Write(
-                    FleetRows.reportKey(window), FleetRows.report(false, figures.sums))),
+                    FleetRows.reportKey(number), FleetRows.report(false, sums))),
             List.of());
     return store
         .commit(write)
         .thenCompose(
             commit -> {
               if (commit instanceof StoreCommit.Committed) {
-                return send(window, figures.sums, right);
+                return send(number, sums, right);
               }
               log.change(
-                  "usage_not_sealed", field("window", window), field("cause", commit.toString()));
+                  "usage_not_sealed", field("window", number), field("cause", commit.toString()));
               return done();
             });
   }
 
-  private CompletableFuture<Void> send(long window, Map<String, Long> counts, Right right) {
+  private CompletableFuture<Void> send(long number, Map<String, Long> counts, Right right) {
     if (!right.stands().getAsBoolean()) {
       return done();
     }
     return calls
-        .reportUsage(holder, right.epoch(), window, counts)
+        .reportUsage(self.name(), right.epoch(), number, counts)
         .thenCompose(
             reply -> {
               log.change(
                   "usage_reported",
-                  field("window", window),
+                  field("window", number),
                   field("epoch", right.epoch()),
                   field("requests", counts.values().stream().mapToLong(Long::longValue).sum()),
+                  field("sinceEndMillis", usage.sinceEndMillis(number)),
                   field("outcome", reply.toString()));
-              return reply instanceof DutyReply.Taken ? markTaken(window, counts) : done();
+              return reply instanceof DutyReply.Taken ? markTaken(number, counts) : done();
             });
   }
 
-  private CompletableFuture<Void> markTaken(long window, Map<String, Long> counts) {
+  private CompletableFuture<Void> markTaken(long number, Map<String, Long> counts) {
+    taken.add(number);
     RowTransaction write =
         RowTransaction.of(
             List.of(
                 new RowTransaction.Write(
-                    FleetRows.reportKey(window), FleetRows.report(true, counts))));
+                    FleetRows.reportKey(number), FleetRows.report(true, counts))));
     return store.commit(write).thenCompose(commit -> done());
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigKeeper.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigKeeper.java
@@ -29,6 +29,7 @@
   private final AtomicReference<Optional<FleetConfig>> config =
       new AtomicReference<>(Optional.empty());
   private Runnable refresh = () -> {};
+  private Runnable onRegained = () -> {};
   private boolean confirmedOnce;
   private long confirmedAtMillis;
   private long wallOffsetMillis;
@@ -56,6 +57,11 @@
     refresh = Objects.requireNonNull(action, "action is null");
   }
 
+  /** Sets what runs when the store answers again. */
+  public void onRegained(Runnable action) {
+    onRegained = Objects.requireNonNull(action, "action is null");
+  }
+
   @Override
   public Optional<FleetConfig> config() {
     return config.get();
@@ -100,7 +106,7 @@
 
   @Override
   public void regained() {
-    log.change("config_confirmed_again");
+    onRegained.run();
   }
 
   private void take(StoredRow row) {
--- a/forward/src/main/java/org/limpetvale/forward/http/Transport.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/Transport.java
@@ -8,11 +8,13 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollDatagramChannel;
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.TimeUnit;
@@ -107,6 +109,13 @@
     return bootstrap;
   }
 
+  /** Returns a bootstrap for datagrams on the event loop. */
+  public Bootstrap datagrams() {
+    return new Bootstrap()
+        .group(group)
+        .channel(nativeTransport ? EpollDatagramChannel.class : NioDatagramChannel.class);
+  }
+
   @Override
   public void close() {
     group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -0,0 +1,124 @@
+package org.limpetvale.forward.peer;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.limpetvale.core.time.TimerService;
+
+/** The newest reports of the other entries; for the event loop only. */
+public final class PeerBook {
+  /** Age up to which a report's loads are used. */
+  private static final long FRESH_MILLIS = 1_000;
+
+  /** Age up to which an entry counts as running. */
+  private static final long LIVE_MILLIS = 2_500;
+
+  /** Age after which an entry's report is dropped. */
+  private static final long KEPT_MILLIS = 60_000;
+
+  private final TimerService timer;
+  private final Map<String, Heard> reports = new HashMap<>();
+
+  private record Heard(PeerReport report, long atMillis) {}
+
+  private PeerBook(TimerService timer) {
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+  }
+
+  /** Returns a book without reports. */
+  public static PeerBook of(TimerService timer) {
+    return new PeerBook(timer);
+  }
+
+  /** Takes a report, unless a later one of the same entry is known. */
+  public void take(PeerReport report) {
+    Heard known = reports.get(report.writer());
+    if (known != null && known.report().number() >= report.number()) {
+      return;
+    }
+    long nowMillis = timer.nowMillis();
+    reports.put(report.writer(), new Heard(report, nowMillis));
+    reports.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
+  }
+
+  // -- loads
+
+  /** Tells whether any other entry has reported lately. */
+  public boolean hasFresh() {
+    long nowMillis = timer.nowMillis();
+    return reports.values().stream().anyMatch(each -> isFresh(each, nowMillis));
+  }
+
+  /** Returns what the other entries have at an upstream, as far as they have reported lately. */
+  public PeerReport.Load othersAt(String upstreamId) {
+    long nowMillis = timer.nowMillis();
+    int requests = 0;
+    int pendingPromptTokens = 0;
+    int tightStreams = 0;
+    for (Heard each : reports.values()) {
+      PeerReport.Load load = each.report().loads().get(upstreamId);
+      if (load != null && isFresh(each, nowMillis)) {
+        requests += load.requests();
+        pendingPromptTokens += load.pendingPromptTokens();
+        tightStreams += load.tightStreams();
+      }
+    }
+    return new PeerReport.Load(requests, pendingPromptTokens, tightStreams);
+  }
+
+  /** Returns the streams with a short gap target that other entries have open. */
+  public int tightStreams() {
+    long nowMillis = timer.nowMillis();
+    return reports.values().stream()
+        .filter(each -> isFresh(each, nowMillis))
+        .flatMap(each -> each.report().loads().values().stream())
+        .mapToInt(PeerReport.Load::tightStreams)
+        .sum();
+  }
+
+  private static boolean isFresh(Heard heard, long nowMillis) {
+    return nowMillis - heard.atMillis() <= FRESH_MILLIS;
+  }
+
+  // -- usage
+
+  /** Returns the entries that have reported lately. */
+  public Set<String> live() {
+    long nowMillis = timer.nowMillis();
+    Set<String> live = new HashSet<>();
+    reports.forEach(
+        (writer, heard) -> {
+          if (nowMillis - heard.atMillis() <= LIVE_MILLIS) {
+            live.add(writer);
+          }
+        });
+    return live;
+  }
+
+  /** Returns the entries whose counts of a window do not grow any more. */
+  public Set<String> closedBy(long window) {
+    Set<String> closed = new HashSet<>();
+    reports.forEach(
+        (writer, heard) -> {
+          if (heard.report().closedWindow() >= window) {
+            closed.add(writer);
+          }
+        });
+    return closed;
+  }
+
+  /** Returns the counts of a window by entry, as last reported. */
+  public Map<String, Map<String, Long>> usage(long window) {
+    Map<String, Map<String, Long>> byWriter = new HashMap<>();
+    reports.forEach(
+        (writer, heard) -> {
+          Map<String, Long> counts = heard.report().usage().get(window);
+          if (counts != null) {
+            byWriter.put(writer, counts);
+          }
+        });
+    return byWriter;
+  }
+}
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -0,0 +1,107 @@
+package org.limpetvale.forward.peer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What one entry tells the others at a moment. Later reports replace earlier ones.
+ *
+ * @param writer id of the entry's process
+ * @param number number of the report; later ones have higher numbers
+ * @param closedWindow newest usage window whose counts do not grow any more
+ * @param usage requests that began to run, by window and workspace; totals so far
+ * @param loads what the entry has sent to upstreams and not yet seen answered, by upstream
+ */
+public record PeerReport(
+    String writer,
+    long number,
+    long closedWindow,
+    Map<Long, Map<String, Long>> usage,
+    Map<String, Load> loads) {
+  private static final ObjectMapper JSON = JsonMapper.builder().build();
+
+  /**
+   * What an entry has at an upstream.
+   *
+   * @param requests requests under way
+   * @param pendingPromptTokens prompt tokens of requests without a first event
+   * @param tightStreams streams with a short gap target
+   */
+  public record Load(int requests, int pendingPromptTokens, int tightStreams) {}
+
+  public PeerReport {
+    Objects.requireNonNull(writer, "writer is null");
+    usage = Map.copyOf(Objects.requireNonNull(usage, "usage is null"));
+    loads = Map.copyOf(Objects.requireNonNull(loads, "loads is null"));
+  }
+
+  /** Returns the report as JSON. */
+  public String toJson() {
+    ObjectNode node = JSON.createObjectNode();
+    node.put("w", writer);
+    node.put("n", number);
+    node.put("c", closedWindow);
+    ObjectNode windows = node.putObject("u");
+    usage.forEach(
+        (window, counts) -> {
+          ObjectNode inner = windows.putObject(Long.toString(window));
+          counts.forEach(inner::put);
+        });
+    ObjectNode upstreams = node.putObject("l");
+    loads.forEach(
+        (id, load) ->
+            upstreams
+                .putArray(id)
+                .add(load.requests())
+                .add(load.pendingPromptTokens())
+                .add(load.tightStreams()));
+    return node.toString();
+  }
+
+  /** Reads a report; empty when the text is not one. */
+  public static Optional<PeerReport> parse(String json) {
+    try {
+      JsonNode node = JSON.readTree(json);
+      if (!node.path("w").isTextual() || !node.path("n").isIntegralNumber()) {
+        return Optional.empty();
+      }
+      return Optional.of(
+          new PeerReport(
+              node.path("w").asText(),
+              node.path("n").asLong(),
+              node.path("c").asLong(),
+              usage(node.path("u")),
+              loads(node.path("l"))));
+    } catch (JsonProcessingException | NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static Map<Long, Map<String, Long>> usage(JsonNode node) {
+    Map<Long, Map<String, Long>> usage = new HashMap<>();
+    for (Map.Entry<String, JsonNode> window : node.properties()) {
+      Map<String, Long> counts = new HashMap<>();
+      window.getValue().properties().forEach(e -> counts.put(e.getKey(), e.getValue().asLong()));
+      usage.put(Long.parseLong(window.getKey()), counts);
+    }
+    return usage;
+  }
+
+  private static Map<String, Load> loads(JsonNode node) {
+    Map<String, Load> loads = new HashMap<>();
+    for (Map.Entry<String, JsonNode> each : node.properties()) {
+      JsonNode values = each.getValue();
+      loads.put(
+          each.getKey(),
+          new Load(values.path(0).asInt(), values.path(1).asInt(), values.path(2).asInt()));
+    }
+    return loads;
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/place/LoadBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/LoadBook.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.forward.peer.PeerReport;
 
 /** The states of all upstream processes that this entry knows of; for the event loop only. */
 public final class LoadBook {
@@ -33,6 +34,18 @@
     states.keySet().removeIf(id -> view.find(id).isEmpty());
   }
 
+  /** Returns what this entry has at each upstream where it has anything, by id. */
+  public Map<String, PeerReport.Load> own() {
+    Map<String, PeerReport.Load> own = new HashMap<>();
+    states.forEach(
+        (id, state) -> {
+          if (state.requests() > 0) {
+            own.put(id, state.own());
+          }
+        });
+    return own;
+  }
+
   /** Returns the streams with a short gap target that this entry has open. */
   public int tightStreams() {
     return states.values().stream().mapToInt(UpstreamState::tightStreams).sum();
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -4,7 +4,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
@@ -17,6 +16,8 @@
 import org.limpetvale.core.placement.ServicePlacement;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.peer.PeerBook;
+import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.route.RequestPlan;
 
 /** Places requests on upstreams; for the event loop only. */
@@ -26,21 +27,17 @@
 
   private final String zone;
   private final Supplier<FleetView> fleet;
-  private final IntSupplier entries;
+  private final PeerBook peers;
   private final LoadBook loads;
   private final TimerService timer;
   private final PrefixBook prefixes = PrefixBook.empty();
   private double tightStreams;
 
   private Placer(
-      String zone,
-      Supplier<FleetView> fleet,
-      IntSupplier entries,
-      LoadBook loads,
-      TimerService timer) {
+      String zone, Supplier<FleetView> fleet, PeerBook peers, LoadBook loads, TimerService timer) {
     this.zone = Objects.requireNonNull(zone, "zone is null");
     this.fleet = Objects.requireNonNull(fleet, "fleet is null");
-    this.entries = Objects.requireNonNull(entries, "entries is null");
+    this.peers = Objects.requireNonNull(peers, "peers is null");
     this.loads = Objects.requireNonNull(loads, "loads is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
   }
@@ -50,15 +47,11 @@
    *
    * @param zone availability zone of this entry
    * @param fleet the upstreams that are known
-   * @param entries number of entries that share the upstreams
+   * @param peers what the other entries have told of the upstreams
    */
   public static Placer of(
-      String zone,
-      Supplier<FleetView> fleet,
-      IntSupplier entries,
-      LoadBook loads,
-      TimerService timer) {
-    return new Placer(zone, fleet, entries, loads, timer);
+      String zone, Supplier<FleetView> fleet, PeerBook peers, LoadBook loads, TimerService timer) {
+    return new Placer(zone, fleet, peers, loads, timer);
   }
 
   /**
@@ -75,7 +68,7 @@
         ready.stream().filter(each -> usable(each, excluded, nowMillis)).toList();
     if (!shape.isModelRequest()) {
       return ServicePlacement.choose(
-          zone, candidates.stream().map(each -> loads.state(each).load(0, nowMillis)).toList());
+          zone, candidates.stream().map(each -> load(each, 0, nowMillis)).toList());
     }
     EnginePools pools = pools(ready);
     String preferred = preferred(plan, shape, pools, ready);
@@ -105,12 +98,19 @@
   private UpstreamLoad rated(
       Upstream upstream, PromptShape shape, boolean preferred, long nowMillis) {
     int cached = prefixes.expectedTokens(upstream, shape, preferred, nowMillis);
-    return loads.state(upstream).load(cached, nowMillis);
+    return load(upstream, cached, nowMillis);
+  }
+
+  private UpstreamLoad load(Upstream upstream, int cachedTokens, long nowMillis) {
+    Optional<PeerReport.Load> others =
+        peers.hasFresh() ? Optional.of(peers.othersAt(upstream.id())) : Optional.empty();
+    return loads.state(upstream).load(cachedTokens, others, nowMillis);
   }
 
   private EnginePools pools(List<Upstream> ready) {
-    tightStreams += STREAMS_WEIGHT * (loads.tightStreams() - tightStreams);
-    return EnginePools.split(ready, tightStreams * Math.max(1, entries.getAsInt()));
+    int now = loads.tightStreams() + peers.tightStreams();
+    tightStreams += STREAMS_WEIGHT * (now - tightStreams);
+    return EnginePools.split(ready, tightStreams);
   }
 
   private static String preferred(
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -2,9 +2,11 @@
 
 import java.util.LinkedHashSet;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.UpstreamLoad;
+import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.spi.AnswerHead;
 
 /** What this entry knows of one upstream process; for the event loop only. */
@@ -104,13 +106,19 @@
 
   // -- view
 
-  UpstreamLoad load(int cachedTokens, long nowMillis) {
+  /**
+   * Returns what is known of the upstream.
+   *
+   * @param peers what the other entries have told of it; empty when they have not been heard
+   */
+  UpstreamLoad load(int cachedTokens, Optional<PeerReport.Load> peers, long nowMillis) {
+    PeerReport.Load others = peers.orElse(new PeerReport.Load(othersTold(nowMillis), 0, 0));
     return new UpstreamLoad(
         upstream,
         sent.size(),
-        (int) Math.round(othersNow(nowMillis)),
-        Math.max(0, pendingPromptTokens),
-        tightStreams,
+        others.requests(),
+        Math.max(0, pendingPromptTokens) + others.pendingPromptTokens(),
+        tightStreams + others.tightStreams(),
         cachedTokens,
         1,
         failureShare,
@@ -121,9 +129,14 @@
     return tightStreams;
   }
 
-  private double othersNow(long nowMillis) {
+  /** Returns what this entry has there, for the other entries. */
+  PeerReport.Load own() {
+    return new PeerReport.Load(sent.size(), Math.max(0, pendingPromptTokens), tightStreams);
+  }
+
+  private int othersTold(long nowMillis) {
     double age = Math.max(0, nowMillis - othersAtMillis);
-    return others * Math.pow(0.5, age / OTHERS_HALF_LIFE_MILLIS);
+    return (int) Math.round(others * Math.pow(0.5, age / OTHERS_HALF_LIFE_MILLIS));
   }
 
   private boolean silent(long nowMillis) {
