--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -111,8 +111,7 @@
     PeerBook peerBook = PeerBook.of(timer);
     LoadBook loads = LoadBook.empty();
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), timer::wallMillis);
-    Placer placer =
-        Placer.of(settings.zone(), upstreams::view, peerBook, loads, timer);
+    Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::sharers, timer);
     this.forwarder =
         Forwarder.of(
@@ -134,8 +133,7 @@
             settings.peers(),
             settings.bounds().leaseMillis());
     this.duties =
-        DutyLoop.of(
-            self, platform.store(), platform.calls(), usage, members, peerBook, timer, log);
+        DutyLoop.of(self, platform.store(), platform.calls(), usage, members, peerBook, timer, log);
     this.peers =
         PeerLink.of(
             transport,
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -162,8 +162,7 @@
 
   private CompletableFuture<Void> holderRound() {
     return write(renewal(), ownRows())
-        .thenCompose(
-            held -> held && usageDuty.isDue() ? readAll().thenCompose(this::act) : done());
+        .thenCompose(held -> held && usageDuty.isDue() ? readAll().thenCompose(this::act) : done());
   }
 
   private CompletableFuture<Void> contend(Optional<RowPage> page) {
@@ -221,21 +220,16 @@
   }
 
   private CompletableFuture<Optional<RowPage>> readAll() {
-    return store
-        .read(RowTable.FLEET, "", "")
-        .thenApply(
-            read ->
-                switch (read) {
-                  case StoreRead.Page(RowPage page) -> {
-                    took(page);
-                    yield Optional.of(page);
-                  }
-                  case StoreRead.HistoryGone() -> Optional.empty();
-                  case StoreRead.Failed(String detail) -> {
-                    logFirstFailure(detail);
-                    yield Optional.empty();
-                  }
-                });
+    return store.read(RowTable.FLEET, "", "").thenApply(this::page);
+  }
+
+  private Optional<RowPage> page(StoreRead read) {
+    if (read instanceof StoreRead.Page found) {
+      took(found.page());
+      return Optional.of(found.page());
+    }
+    logFirstFailure(read.toString());
+    return Optional.empty();
   }
 
   private void logFirstFailure(String detail) {
--- a/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
@@ -27,9 +27,9 @@
  * Reports the usage of each window once.
  *
  * <p>Counts come from the rows of the entries and from what they told this one directly; of both,
- * the higher holds, since counts only grow. The figures are sealed in the store, under the condition
- * that the lease is still held, before they are sent; whoever sends them again after a lost answer
- * sends the same.
+ * the higher holds, since counts only grow. The figures are sealed in the store, under the
+ * condition that the lease is still held, before they are sent; whoever sends them again after a
+ * lost answer sends the same.
  */
 final class UsageDuty {
   /** Time after a window's end after which missing entries are no longer waited for. */
