Rank requests by workspace, then by route, so that equal workspaces keep the route's order

All workspaces have priorities of their own, so that upstreams saw one number for all of a workspace's routes.

--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigKeeper.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigKeeper.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
 import org.limpetvale.core.fleet.CallerLimits;
 import org.limpetvale.core.fleet.FleetConfig;
 import org.limpetvale.core.time.TimerService;
@@ -131,7 +132,18 @@
         field("from", old),
         field("to", next.version()),
         field("routes", next.routes().size()),
-        field("keys", next.workspacesByKey().size()));
+        field("keys", next.workspacesByKey().size()),
+        field("ownPriorities", ownPriorities(next)));
+  }
+
+  /** Returns the priorities that workspaces have of their own, in order. */
+  private static String ownPriorities(FleetConfig config) {
+    return config.workspacesByKey().values().stream()
+        .distinct()
+        .flatMapToInt(workspace -> workspace.priority().stream())
+        .sorted()
+        .mapToObj(Integer::toString)
+        .collect(Collectors.joining(","));
   }
 
   private void suspect() {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -48,7 +48,6 @@
   private static final long LEAST_RETRY_AFTER_MILLIS = 200;
   private static final long RETRY_AFTER_SPREAD_MILLIS = 500;
   private static final int MOST_CONNECT_FAILURES = 3;
-  private static final int HIGHEST_PRIORITY_NUMBER = 9;
   private static final int MISDIRECTED = 421;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int FIRST_REDIRECT = 300;
@@ -210,9 +209,7 @@
   private FullHttpRequest request(Upstream upstream, long left) {
     HttpHeaders headers = HopHeaders.passedOn(input.head().headers());
     Optional<Integer> priority =
-        plan.forEngine()
-            ? Optional.of(Math.max(0, Math.min(HIGHEST_PRIORITY_NUMBER, plan.priority())))
-            : Optional.empty();
+        plan.forEngine() ? Optional.of(plan.rank()) : Optional.empty();
     parts
         .dialect()
         .stamp(
--- a/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
+++ b/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
@@ -21,6 +21,11 @@
     String service,
     Optional<ServicePolicy> policy,
     Optional<Workspace> workspace) {
+  /** Route priorities that are told apart among workspaces of the same priority. */
+  private static final int ROUTE_PRIORITIES = 3;
+
+  private static final int LOWEST_RANK = 9;
+
   public RequestPlan {
     Objects.requireNonNull(route, "route is null");
     Objects.requireNonNull(service, "service is null");
@@ -28,9 +33,15 @@
     Objects.requireNonNull(workspace, "workspace is null");
   }
 
-  /** Returns the priority, the workspace's before the route's. */
-  public int priority() {
-    return workspace.map(each -> each.priority().orElse(route.priority())).orElse(route.priority());
+  /**
+   * Returns the rank among all requests, 0 the highest: by the workspace's priority before the
+   * route's, and by the route's among equal workspaces.
+   */
+  public int rank() {
+    int routePriority = Math.min(ROUTE_PRIORITIES - 1, Math.max(0, route.priority()));
+    int first =
+        workspace.map(each -> each.priority().orElse(routePriority)).orElse(routePriority);
+    return Math.min(LOWEST_RANK, Math.max(0, first) * ROUTE_PRIORITIES + routePriority);
   }
 
   /** Tells whether the service runs model engines. */
