Placement weighs what an engine has yet to read against the gaps of the streams beside it

Change: pending tokens count only what is to be read; above 5,000 unread tokens a placement pays for each stream with a short gap target there. The log tells first event and longest gap.

--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -30,16 +30,22 @@
 
   private static final double BASE_MILLIS = 10;
 
-  /** Reading time above which a prompt breaks short gap targets beside it. */
-  private static final double HARMFUL_PREFILL_MILLIS = 90;
+  /**
+   * Unread prompt tokens above which an engine reads whole chunks in step after step, so that the
+   * events of all its streams come too late for a short gap target.
+   */
+  private static final double GAP_BREAKING_TOKENS = 5_000;
 
   private static final double HARM_MILLIS_PER_STREAM = 120;
 
+  /** Cost of a stream with a short gap target where its gaps are likely to break. */
+  private static final double BROKEN_GAP_MILLIS = 300;
+
   /** Cost of a request on engines that are set apart for others. */
-  private static final double LONG_IN_TIGHT_POOL_MILLIS = 900;
+  private static final double LONG_IN_TIGHT_POOL_MILLIS = 600;
 
-  private static final double MEDIUM_IN_TIGHT_POOL_MILLIS = 150;
-  private static final double TIGHT_OUTSIDE_POOL_MILLIS = 250;
+  private static final double MEDIUM_IN_TIGHT_POOL_MILLIS = 60;
+  private static final double TIGHT_OUTSIDE_POOL_MILLIS = 150;
   private static final double SILENT_MILLIS = 5_000;
   private static final double FAILURE_MILLIS = 2_000;
 
@@ -80,16 +86,18 @@
 
   private static Choice rate(
       Route route, PromptShape shape, String zone, EnginePools pools, UpstreamLoad load) {
+    int fresh = Math.max(0, shape.promptTokens() - load.cachedTokens());
     double ownMillis = prefillMillis(shape.promptTokens(), load.cachedTokens()) / load.speed();
     double predicted = BASE_MILLIS + queueMillis(load) + ownMillis;
-    double cost = predicted + riskMillis(load) + poolMillis(route, pools, load, ownMillis);
-    if (ownMillis > HARMFUL_PREFILL_MILLIS) {
-      cost += HARM_MILLIS_PER_STREAM * load.tightStreams();
-    }
+    double cost =
+        predicted
+            + riskMillis(load)
+            + poolMillis(route, pools, load, fresh)
+            + gapMillis(route, load, fresh);
     if (!load.upstream().zone().equals(zone)) {
       cost += OTHER_ZONE_MILLIS;
     }
-    return new Choice(load.upstream(), predicted, cost, load.cachedTokens());
+    return new Choice(load.upstream(), predicted, cost, load);
   }
 
   private static double queueMillis(UpstreamLoad load) {
@@ -103,7 +111,7 @@
   }
 
   private static double poolMillis(
-      Route route, EnginePools pools, UpstreamLoad load, double ownMillis) {
+      Route route, EnginePools pools, UpstreamLoad load, int freshTokens) {
     if (pools.tight().isEmpty()) {
       return 0;
     }
@@ -114,11 +122,20 @@
     if (!inTightPool) {
       return 0;
     }
-    return ownMillis > HARMFUL_PREFILL_MILLIS
+    return freshTokens > GAP_BREAKING_TOKENS
         ? LONG_IN_TIGHT_POOL_MILLIS
         : MEDIUM_IN_TIGHT_POOL_MILLIS;
   }
 
+  /** Returns the cost of the gaps that break where the engine has too much to read. */
+  private static double gapMillis(Route route, UpstreamLoad load, int freshTokens) {
+    if (load.pendingPromptTokens() + freshTokens <= GAP_BREAKING_TOKENS) {
+      return 0;
+    }
+    double own = isTight(route) ? BROKEN_GAP_MILLIS : 0;
+    return own + HARM_MILLIS_PER_STREAM * load.tightStreams();
+  }
+
   /** Tells whether the streams of a route have a short gap target. */
   public static boolean isTight(Route route) {
     return route.targetGapMillis() > 0 && route.targetGapMillis() < EnginePools.TIGHT_GAP_MILLIS;
--- a/core/src/main/java/org/limpetvale/core/placement/UpstreamLoad.java
+++ b/core/src/main/java/org/limpetvale/core/placement/UpstreamLoad.java
@@ -9,7 +9,8 @@
  * @param upstream the upstream
  * @param ownRequests requests of this entry that it has not answered in full
  * @param otherRequests requests of other entries there, as last told by the upstream
- * @param pendingPromptTokens prompt tokens of this entry's requests without a first event
+ * @param pendingPromptTokens prompt tokens that it has yet to read, for requests without a first
+ *     event
  * @param tightStreams streams of this entry there with a short gap target
  * @param cachedTokens tokens of the request's prompt that are expected in its cache
  * @param speed its speed against its peers; 1 for the usual one
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -55,16 +55,20 @@
 
   // -- requests
 
-  /** Notes a request that is sent now. */
-  public void begin(Sent request, int promptTokens, boolean tight) {
+  /**
+   * Notes a request that is sent now.
+   *
+   * @param freshTokens tokens of its prompt that the upstream has to read
+   */
+  public void begin(Sent request, int freshTokens, boolean tight) {
     sent.add(request);
-    pendingPromptTokens += promptTokens;
+    pendingPromptTokens += freshTokens;
     tightStreams += tight ? 1 : 0;
   }
 
   /** Notes the first event of a request. */
-  public void promptRead(int promptTokens) {
-    pendingPromptTokens -= promptTokens;
+  public void promptRead(int freshTokens) {
+    pendingPromptTokens -= freshTokens;
   }
 
   /** Notes the end of a request. */
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.Choice;
 import org.limpetvale.core.placement.EnginePlacement;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.place.UpstreamState;
@@ -70,6 +71,7 @@
   private final UpstreamConnection connection;
   private final TimerService timer;
   private final boolean tight;
+  private final int freshTokens;
   private final Optional<EventBoundary> events;
   private long lastSignMillis;
   private boolean promptPending;
@@ -86,14 +88,15 @@
       Listener listener,
       RequestPlan plan,
       RequestHead request,
-      Upstream upstream,
+      Choice choice,
       UpstreamState state,
       UpstreamConnection connection,
       TimerService timer) {
     this.listener = listener;
     this.plan = plan;
     this.request = request;
-    this.upstream = upstream;
+    this.upstream = choice.upstream();
+    this.freshTokens = Math.max(0, request.shape().promptTokens() - choice.load().cachedTokens());
     this.state = state;
     this.connection = connection;
     this.timer = timer;
@@ -104,7 +107,7 @@
   void send(FullHttpRequest message) {
     lastSignMillis = timer.nowMillis();
     promptPending = true;
-    state.begin(this, request.shape().promptTokens(), tight);
+    state.begin(this, freshTokens, tight);
     connection.send(message, request.requestId(), this);
   }
 
@@ -247,7 +250,7 @@
   private void begun() {
     if (promptPending) {
       promptPending = false;
-      state.promptRead(request.shape().promptTokens());
+      state.promptRead(freshTokens);
     }
     listener.ranFirstToken();
   }
@@ -255,7 +258,7 @@
   private void leave() {
     if (promptPending) {
       promptPending = false;
-      state.promptRead(request.shape().promptTokens());
+      state.promptRead(freshTokens);
     }
     state.end(this, tight);
   }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -72,6 +72,9 @@
   private boolean retryTaken;
 
   private boolean counted;
+  private long firstMillis;
+  private long lastContentMillis;
+  private long longestGapMillis;
   private boolean headPassedOn;
   private boolean ended;
   private Optional<String> resumeAfter = Optional.empty();
@@ -126,7 +129,7 @@
     Upstream upstream = choice.get().upstream();
     logPlacement(choice.get());
     tried.add(upstream.id());
-    parts.pool().acquire(upstream, lease -> connected(upstream, lease));
+    parts.pool().acquire(upstream, lease -> connected(choice.get(), lease));
   }
 
   private void logPlacement(Choice choice) {
@@ -141,11 +144,15 @@
             field("upstream", choice.upstream().id()),
             field("predictedMillis", choice.predictedMillis()),
             field("costMillis", choice.costMillis()),
-            field("cachedTokens", choice.cachedTokens()),
+            field("requestsThere", choice.load().requests()),
+            field("pendingTokens", choice.load().pendingPromptTokens()),
+            field("promptTokens", head.shape().promptTokens()),
+            field("cachedTokens", choice.load().cachedTokens()),
             field("attempt", sentAttempts + 1));
   }
 
-  private void connected(Upstream upstream, UpstreamPool.Lease lease) {
+  private void connected(Choice choice, UpstreamPool.Lease lease) {
+    Upstream upstream = choice.upstream();
     UpstreamState state = parts.placer().loads().state(upstream);
     switch (lease) {
       case UpstreamPool.Lease.Unreachable(String detail) -> {
@@ -168,7 +175,7 @@
           }
           return;
         }
-        send(upstream, state, connection);
+        send(choice, state, connection);
       }
     }
   }
@@ -193,7 +200,8 @@
 
   // -- sending
 
-  private void send(Upstream upstream, UpstreamState state, UpstreamConnection connection) {
+  private void send(Choice choice, UpstreamState state, UpstreamConnection connection) {
+    Upstream upstream = choice.upstream();
     long left = leftMillis();
     if (left <= 0) {
       connection.close();
@@ -202,14 +210,13 @@
     sentAttempts++;
     parts.metrics().count(Counter.ATTEMPTS);
     parts.placer().sent(upstream, head.shape());
-    attempt = new Attempt(this, plan, head, upstream, state, connection, parts.timer());
+    attempt = new Attempt(this, plan, head, choice, state, connection, parts.timer());
     attempt.send(request(upstream, left));
   }
 
   private FullHttpRequest request(Upstream upstream, long left) {
     HttpHeaders headers = HopHeaders.passedOn(input.head().headers());
-    Optional<Integer> priority =
-        plan.forEngine() ? Optional.of(plan.rank()) : Optional.empty();
+    Optional<Integer> priority = plan.forEngine() ? Optional.of(plan.rank()) : Optional.empty();
     parts
         .dialect()
         .stamp(
@@ -286,12 +293,23 @@
 
   @Override
   public void passContent(byte[] bytes) {
+    noteGap();
     link.writeContent(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
     if (!link.isWritable() && attempt != null) {
       attempt.setReading(false);
     }
   }
 
+  private void noteGap() {
+    long nowMillis = parts.timer().nowMillis();
+    if (firstMillis == 0) {
+      firstMillis = nowMillis - input.arrivedMillis();
+    } else {
+      longestGapMillis = Math.max(longestGapMillis, nowMillis - lastContentMillis);
+    }
+    lastContentMillis = nowMillis;
+  }
+
   @Override
   public void flush() {
     link.flush();
@@ -454,6 +472,8 @@
             field("status", status),
             field("route", plan == null ? "" : route().name()),
             field("attempts", sentAttempts),
+            field("firstMillis", firstMillis),
+            field("longestGapMillis", longestGapMillis),
             field("millis", millis));
     onEnd.run();
   }
--- a/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
+++ b/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
@@ -39,8 +39,7 @@
    */
   public int rank() {
     int routePriority = Math.min(ROUTE_PRIORITIES - 1, Math.max(0, route.priority()));
-    int first =
-        workspace.map(each -> each.priority().orElse(routePriority)).orElse(routePriority);
+    int first = workspace.map(each -> each.priority().orElse(routePriority)).orElse(routePriority);
     return Math.min(LOWEST_RANK, Math.max(0, first) * ROUTE_PRIORITIES + routePriority);
   }
 
