--- a/core/src/test/java/org/limpetvale/core/lease/LeaseTest.java
+++ b/core/src/test/java/org/limpetvale/core/lease/LeaseTest.java
@@ -87,4 +87,14 @@
       assertThat(Scaling.decide(List.of(unit("a", true, 0)), TARGETS, 99, 10)).isEmpty();
     }
   }
+
+  @Test
+  void timeInWhichTheTableCouldNotBeReadDoesNotCountForAContender() {
+    LeaseRow row = new LeaseRow("duty", "other", 1, 4_000, "t");
+    LeaseView seen = LeaseView.empty().afterRead(java.util.Optional.of(row), 7, 0);
+    assertThat(seen.nextWrite("me", "duty", 4_000, "u", 4_000)).isPresent();
+    LeaseView after = seen.afterRead(java.util.Optional.of(row), 7, 9_000).afterOutage(9_000);
+    assertThat(after.nextWrite("me", "duty", 4_000, "u", 12_999)).isEmpty();
+    assertThat(after.nextWrite("me", "duty", 4_000, "u", 13_000)).isPresent();
+  }
 }
--- /dev/null
+++ b/core/src/test/java/org/limpetvale/core/placement/ServicePlacementTest.java
@@ -0,0 +1,34 @@
+package org.limpetvale.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.fleet.Upstream;
+
+final class ServicePlacementTest {
+  private static UpstreamLoad load(String id, String zone, int own, int others, double failures) {
+    Upstream upstream = new Upstream(id, "s", "10.0.0.1", 80, zone, 6, false, 1);
+    return new UpstreamLoad(upstream, own, others, 0, 0, 0, 1, failures, false);
+  }
+
+  private static String chosen(UpstreamLoad... loads) {
+    return ServicePlacement.choose("z", List.of(loads)).orElseThrow().upstream().id();
+  }
+
+  @Test
+  void theOwnZoneIsPreferredWhileItHasRoom() {
+    assertThat(chosen(load("far", "y", 0, 0, 0), load("near", "z", 0, 0, 0))).isEqualTo("near");
+    assertThat(chosen(load("far", "y", 0, 0, 0), load("near", "z", 3, 3, 0))).isEqualTo("far");
+  }
+
+  @Test
+  void requestsOfOtherEntriesCount() {
+    assertThat(chosen(load("a", "z", 0, 5, 0), load("b", "z", 1, 0, 0))).isEqualTo("b");
+  }
+
+  @Test
+  void anUpstreamThatFailsRequestsIsAvoided() {
+    assertThat(chosen(load("grey", "z", 0, 0, 0.5), load("well", "y", 4, 0, 0))).isEqualTo("well");
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -197,7 +197,8 @@
   }
 
   private TextServer.Page readyPage() {
-    boolean ready = !stopping && upstreams.readOnce() && config.keysAreCurrent();
+    boolean known = config.config().isPresent() && upstreams.readOnce();
+    boolean ready = !stopping && known && config.keysAreCurrent();
     return new TextServer.Page(ready ? OK : UNAVAILABLE, ready ? "ready" : "not ready");
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/log/EventLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/log/EventLog.java
@@ -55,6 +55,11 @@
     return log;
   }
 
+  /** Returns a log that writes nothing. */
+  public static EventLog silent() {
+    return new EventLog(OutputStream.nullOutputStream(), "");
+  }
+
   /** A field of an event. */
   public record Field(String name, Object value) {}
 
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/SettingsReaderTest.java
@@ -0,0 +1,53 @@
+package org.limpetvale.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.config.Fault;
+
+final class SettingsReaderTest {
+  private static final String VALID =
+      """
+      {"name": "edge-1", "zone": "z",
+       "listen": {"callers": "10.0.0.1:80", "ready": "10.0.0.1:81",
+                  "metrics": "10.0.0.1:82", "peers": "10.0.0.1:83"},
+       "store": {"address": "10.0.0.2:80"}, "duties": {"address": "10.0.0.3:80"},
+       "bounds": {"revokeMillis": 5000, "graceMillis": 8000, "leaseMillis": 3000,
+                  "usageWindowMillis": 5000, "retryRatio": 0.2, "retryAllowance": 52,
+                  "retryWindowMillis": 10000}}
+      """;
+
+  @Test
+  void settingsWithoutFaultsAreRead() {
+    assertThat(SettingsReader.read(VALID))
+        .isInstanceOfSatisfying(
+            SettingsReader.Outcome.Valid.class,
+            valid -> {
+              assertThat(valid.settings().callers().getPort()).isEqualTo(80);
+              assertThat(valid.settings().bounds().retries().allowance()).isEqualTo(52);
+            });
+  }
+
+  @Test
+  void allFaultsAreFoundAtOnce() {
+    String faulty =
+        VALID
+            .replace("10.0.0.1:81", "10.0.0.1")
+            .replace("\"revokeMillis\": 5000", "\"revokeMillis\": -1")
+            .replace("\"zone\": \"z\"", "\"zoen\": \"z\"");
+    assertThat(SettingsReader.read(faulty))
+        .isInstanceOfSatisfying(
+            SettingsReader.Outcome.Invalid.class,
+            invalid ->
+                assertThat(invalid.faults())
+                    .extracting(Fault::field)
+                    .containsExactlyInAnyOrder(
+                        "zoen", "zone", "listen.ready", "bounds.revokeMillis"));
+  }
+
+  @Test
+  void whatIsNoJsonIsAFault() {
+    assertThat(SettingsReader.read("{")).isInstanceOf(SettingsReader.Outcome.Invalid.class);
+    assertThat(SettingsReader.read("")).isInstanceOf(SettingsReader.Outcome.Invalid.class);
+  }
+}
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
@@ -0,0 +1,248 @@
+package org.limpetvale.forward.duty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.account.UsageCounts;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.peer.PeerBook;
+import org.limpetvale.forward.spi.DutyCalls;
+import org.limpetvale.forward.spi.DutyReply;
+import org.limpetvale.forward.testing.ManualTimer;
+import org.limpetvale.forward.testing.MemoryStore;
+import org.limpetvale.forward.testing.ProcessLife;
+
+/**
+ * Seeded schedules of several entries with cuts, lost and late answers, freezes, stops and
+ * restarts: at no time do two figures of a window or two holders of one fencing number reach the
+ * platform.
+ */
+final class DutyExplorationTest {
+  private static final int SCHEDULES = 10_000;
+  private static final long WINDOW_MILLIS = 5_000;
+  private static final long SETTLE_MILLIS = 3_000;
+  private static final long DAY_MILLIS = 60_000;
+  private static final long STEP_MILLIS = 500;
+
+  /** What the platform has received. */
+  private record Received(String holder, long fence, long window, String counts, long atMillis) {}
+
+  private static final class Entry {
+    private final String name;
+    private ProcessLife life = new ProcessLife();
+    private int boots;
+    private DutyLoop loop;
+    private UsageCounts usage;
+    private boolean running;
+
+    Entry(String name) {
+      this.name = name;
+    }
+  }
+
+  private static final class World {
+    private final ManualTimer timer = new ManualTimer();
+    private final Random random;
+
+    /** Whether the schedule is a series of planned stops, so that holders return quickly. */
+    private final boolean onlyStops;
+
+    private final MemoryStore store;
+    private final List<Entry> entries = new ArrayList<>();
+    private final List<Received> received = new ArrayList<>();
+    private final EventLog log = EventLog.silent();
+
+    World(long seed) {
+      random = new Random(seed);
+      onlyStops = seed % 4 == 0;
+      store = new MemoryStore(timer, random);
+    }
+
+    void boot(Entry entry) {
+      entry.boots++;
+      entry.life = new ProcessLife();
+      TimerService time = entry.life.timer(timer);
+      entry.usage = UsageCounts.of(WINDOW_MILLIS, timer::wallMillis);
+      entry.running = true;
+      entry.loop =
+          DutyLoop.of(
+              new DutyLoop.Identity(
+                  entry.name,
+                  "b" + entry.boots,
+                  new InetSocketAddress("127.0.0.1", 1),
+                  SETTLE_MILLIS),
+              store.through(entry.life),
+              calls(entry.life),
+              entry.usage,
+              Members.of(time),
+              PeerBook.of(time),
+              time,
+              log);
+      entry.loop.start();
+    }
+
+    private DutyCalls calls(ProcessLife life) {
+      return new DutyCalls() {
+        @Override
+        public CompletableFuture<DutyReply> reportUsage(
+            String holder, long fence, long window, Map<String, Long> counts) {
+          CompletableFuture<DutyReply> reply = new CompletableFuture<>();
+          if (life.isDead()) {
+            return reply;
+          }
+          String figures = new TreeMap<>(counts).toString();
+          received.add(new Received(holder, fence, window, figures, timer.nowMillis()));
+          boolean lost = random.nextInt(10) == 0;
+          timer.after(
+              5,
+              () ->
+                  life.run(
+                      () ->
+                          reply.complete(
+                              lost ? new DutyReply.Unknown("lost") : new DutyReply.Taken())));
+          return reply;
+        }
+
+        @Override
+        public CompletableFuture<DutyReply> orderUpstreams(
+            String holder, long fence, String service, String zone, int wanted) {
+          throw new UnsupportedOperationException("not needed");
+        }
+      };
+    }
+
+    void trouble(Entry entry) {
+      if (onlyStops) {
+        stop(entry);
+        return;
+      }
+      switch (random.nextInt(12)) {
+        case 0 -> entry.life.cut = !entry.life.cut;
+        case 1 -> entry.life.lostShare = random.nextInt(3) * 0.3;
+        case 2 -> freeze(entry);
+        case 3 -> stop(entry);
+        case 4 -> restartKilled(entry);
+        default -> entry.life.cut = entry.life.cut && random.nextInt(4) != 0;
+      }
+    }
+
+    private void freeze(Entry entry) {
+      ProcessLife life = entry.life;
+      if (!life.isFrozen()) {
+        life.freeze();
+        timer.after(1_000 + random.nextInt(9_000), life::thaw);
+      }
+    }
+
+    private void stop(Entry entry) {
+      if (entry.running && !entry.life.isFrozen()) {
+        entry.running = false;
+        ProcessLife ending = entry.life;
+        entry.loop.stop().thenAccept(done -> ending.kill());
+        timer.after(200 + random.nextInt(1_500), () -> boot(entry));
+      }
+    }
+
+    private void restartKilled(Entry entry) {
+      if (entry.running) {
+        entry.running = false;
+        entry.life.kill();
+        timer.after(1_000 + random.nextInt(3_000), () -> boot(entry));
+      }
+    }
+  }
+
+  @Test
+  void noWindowHasTwoFiguresAndNoTwoHoldersShareAFence() {
+    int reports = 0;
+    for (long seed = 0; seed < SCHEDULES; seed++) {
+      World world = play(seed);
+      check(world.received, seed);
+      reports += world.received.size();
+    }
+    assertThat(reports).isGreaterThan(SCHEDULES);
+  }
+
+  private static World play(long seed) {
+    World world = new World(seed);
+    for (int i = 0; i < 2 + world.random.nextInt(3); i++) {
+      Entry entry = new Entry("edge-" + i);
+      world.entries.add(entry);
+      world.boot(entry);
+    }
+    for (long at = 0; at < DAY_MILLIS; at += STEP_MILLIS) {
+      Entry entry = world.entries.get(world.random.nextInt(world.entries.size()));
+      entry.usage.began("w" + world.random.nextInt(2));
+      if (world.random.nextInt(3) == 0) {
+        world.trouble(entry);
+      }
+      world.timer.advance(STEP_MILLIS);
+    }
+    return world;
+  }
+
+  private static void check(List<Received> received, long seed) {
+    Map<Long, String> figures = new HashMap<>();
+    Map<Long, String> holders = new HashMap<>();
+    long highest = 0;
+    for (Received each : received) {
+      assertThat(figures.getOrDefault(each.window(), each.counts()))
+          .as("figures of window %d, seed %d", each.window(), seed)
+          .isEqualTo(each.counts());
+      figures.put(each.window(), each.counts());
+      assertThat(holders.getOrDefault(each.fence(), each.holder()))
+          .as("holder of fence %d, seed %d", each.fence(), seed)
+          .isEqualTo(each.holder());
+      holders.put(each.fence(), each.holder());
+      assertThat(each.fence())
+          .as("fence at %d, seed %d", each.atMillis(), seed)
+          .isGreaterThanOrEqualTo(highest);
+      highest = each.fence();
+    }
+    noQuickReturn(received, seed);
+  }
+
+  /** No holder acts again within the platform's bound after another has acted in between. */
+  private static void noQuickReturn(List<Received> received, long seed) {
+    Map<String, Long> lastActMillis = new HashMap<>();
+    String previous = "";
+    for (Received each : received) {
+      Long last = lastActMillis.get(each.holder());
+      if (last != null && !previous.equals(each.holder())) {
+        assertThat(each.atMillis() - last)
+            .as("return of %s, seed %d", each.holder(), seed)
+            .isGreaterThanOrEqualTo(SETTLE_MILLIS);
+      }
+      lastActMillis.put(each.holder(), each.atMillis());
+      previous = each.holder();
+    }
+  }
+
+  @Test
+  void theCheckFindsTwoFiguresOfOneWindow() {
+    List<Received> wrong =
+        List.of(new Received("a", 1, 7, "{w=1}", 0), new Received("a", 1, 7, "{w=2}", 9));
+    org.assertj.core.api.Assertions.assertThatThrownBy(() -> check(wrong, 0))
+        .isInstanceOf(AssertionError.class);
+  }
+
+  @Test
+  void theCheckFindsAQuickReturn() {
+    List<Received> wrong =
+        List.of(
+            new Received("a", 1, 7, "{}", 0),
+            new Received("b", 2, 8, "{}", 1_000),
+            new Received("a", 3, 9, "{}", 2_000));
+    org.assertj.core.api.Assertions.assertThatThrownBy(() -> check(wrong, 0))
+        .isInstanceOf(AssertionError.class);
+  }
+}
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigKeeperTest.java
@@ -0,0 +1,97 @@
+package org.limpetvale.forward.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.fleet.CallerLimits;
+import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.fleet.RouteTable;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.spi.RowDecoder;
+import org.limpetvale.forward.spi.StoredRow;
+import org.limpetvale.forward.testing.ManualTimer;
+
+final class ConfigKeeperTest {
+  private static final long REVOKE_MILLIS = 5_000;
+
+  private final ManualTimer timer = new ManualTimer();
+  private final ConfigKeeper keeper =
+      ConfigKeeper.of(new VersionDecoder(), timer, EventLog.silent(), REVOKE_MILLIS);
+
+  /** Reads the version of a configuration from the text of its row. */
+  private static final class VersionDecoder implements RowDecoder {
+    @Override
+    public boolean isConfig(StoredRow row) {
+      return row.key().equals("config");
+    }
+
+    @Override
+    public Decoded<FleetConfig> config(StoredRow row) {
+      return row.text().equals("odd")
+          ? new Decoded.Unusable<>("odd")
+          : new Decoded.Value<>(
+              new FleetConfig(
+                  Long.parseLong(row.text()),
+                  RouteTable.empty(),
+                  Map.of(),
+                  CallerLimits.DEFAULT,
+                  true,
+                  Map.of()));
+    }
+
+    @Override
+    public Decoded<Upstream> upstream(StoredRow row) {
+      return new Decoded.Unusable<>("none");
+    }
+  }
+
+  private void take(String text) {
+    keeper.changed(List.of(new StoredRow("config", text, 1, false)));
+  }
+
+  private long version() {
+    return keeper.config().map(FleetConfig::version).orElse(-1L);
+  }
+
+  @Test
+  void versionsNeverGoBack() {
+    take("7");
+    take("5");
+    assertThat(version()).isEqualTo(7);
+    take("9");
+    assertThat(version()).isEqualTo(9);
+  }
+
+  @Test
+  void anUnusableConfigurationLeavesTheOldOneInForce() {
+    take("7");
+    take("odd");
+    assertThat(version()).isEqualTo(7);
+  }
+
+  @Test
+  void keysAreCurrentOnlyWithinTheBoundOnWithdrawnKeys() {
+    assertThat(keeper.keysAreCurrent()).isFalse();
+    keeper.confirmed(timer.nowMillis());
+    assertThat(keeper.keysAreCurrent()).isTrue();
+    timer.advance(REVOKE_MILLIS - 1);
+    assertThat(keeper.keysAreCurrent()).isFalse();
+    keeper.confirmed(timer.nowMillis() - 1_000);
+    assertThat(keeper.keysAreCurrent()).isTrue();
+  }
+
+  @Test
+  void aSuspendedVmTrustsItsKeysOnlyAfterTheNextConfirmation() {
+    boolean[] asked = new boolean[1];
+    keeper.onSuspicion(() -> asked[0] = true);
+    keeper.confirmed(timer.nowMillis());
+    timer.stepWall(4_000);
+    assertThat(keeper.keysAreCurrent()).isFalse();
+    assertThat(asked[0]).isTrue();
+    keeper.confirmed(timer.nowMillis());
+    assertThat(keeper.keysAreCurrent()).isTrue();
+  }
+}
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamKeeperTest.java
@@ -0,0 +1,81 @@
+package org.limpetvale.forward.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.spi.RowDecoder;
+import org.limpetvale.forward.spi.StoredRow;
+import org.limpetvale.forward.testing.ManualTimer;
+
+final class UpstreamKeeperTest {
+  private final ManualTimer timer = new ManualTimer();
+  private final UpstreamKeeper keeper =
+      UpstreamKeeper.of(new TextDecoder(), timer, EventLog.silent());
+
+  /** Reads the state of an upstream from the text of its row. */
+  private static final class TextDecoder implements RowDecoder {
+    @Override
+    public boolean isConfig(StoredRow row) {
+      return false;
+    }
+
+    @Override
+    public Decoded<FleetConfig> config(StoredRow row) {
+      return new Decoded.Unusable<>("none");
+    }
+
+    @Override
+    public Decoded<Upstream> upstream(StoredRow row) {
+      return row.text().equals("odd")
+          ? new Decoded.Unusable<>("odd")
+          : new Decoded.Value<>(
+              new Upstream(
+                  row.key(), "s", "10.0.0.1", 80, "z", 6, row.text().equals("draining"), 1));
+    }
+  }
+
+  private static StoredRow row(String id, String text) {
+    return new StoredRow(id, text, 1, text.isEmpty());
+  }
+
+  private List<String> ready() {
+    return keeper.view().ready("s").stream().map(Upstream::id).toList();
+  }
+
+  @Test
+  void drainingAndRemovedUpstreamsAreNotReadyAtOnce() {
+    keeper.whole(List.of(row("a", "ready"), row("b", "ready"), row("c", "ready")));
+    keeper.changed(List.of(row("a", "draining"), row("b", "")));
+    assertThat(ready()).containsExactly("c");
+  }
+
+  @Test
+  void anUpstreamMissingFromAWholeReadIsGone() {
+    keeper.whole(List.of(row("a", "ready"), row("b", "ready")));
+    keeper.whole(List.of(row("b", "ready")));
+    assertThat(ready()).containsExactly("b");
+  }
+
+  @Test
+  void descriptionsThatLapsedDuringAnOutageAreWaitedForAndThenTakenAsGone() {
+    keeper.whole(List.of(row("a", "ready"), row("b", "ready")));
+    keeper.regained();
+    keeper.whole(List.of());
+    assertThat(ready()).containsExactly("a", "b");
+    timer.advance(1_000);
+    keeper.changed(List.of(row("a", "ready")));
+    timer.advance(1_500);
+    assertThat(ready()).containsExactly("a");
+  }
+
+  @Test
+  void aDescriptionThatTurnsOddNamesNoUpstream() {
+    keeper.whole(List.of(row("a", "ready"), row("b", "ready")));
+    keeper.changed(List.of(row("a", "odd")));
+    assertThat(ready()).containsExactly("b");
+  }
+}
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -0,0 +1,56 @@
+package org.limpetvale.forward.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.forward.testing.ManualTimer;
+
+final class PeerBookTest {
+  private final ManualTimer timer = new ManualTimer();
+  private final PeerBook book = PeerBook.of(timer);
+
+  private static PeerReport report(String writer, long number, long count, int requests) {
+    return new PeerReport(
+        writer,
+        number,
+        6,
+        Map.of(7L, Map.of("w", count)),
+        Map.of("u", new PeerReport.Load(requests, 100 * requests, 1)));
+  }
+
+  @Test
+  void aReportSurvivesItsJson() {
+    PeerReport report = report("a.1", 3, 5, 2);
+    assertThat(PeerReport.parse(report.toJson())).contains(report);
+    assertThat(PeerReport.parse("no report")).isEmpty();
+    assertThat(PeerReport.parse("{\"w\": 1}")).isEmpty();
+  }
+
+  @Test
+  void reportsThatArriveOutOfOrderDoNotTakeCountsBack() {
+    book.take(report("a.1", 4, 9, 1));
+    book.take(report("a.1", 3, 5, 1));
+    assertThat(book.usage(7)).containsEntry("a.1", Map.of("w", 9L));
+  }
+
+  @Test
+  void loadsOfAllOthersAddUpWhileTheyAreFresh() {
+    book.take(report("a.1", 1, 0, 2));
+    book.take(report("b.1", 1, 0, 3));
+    assertThat(book.othersAt("u")).isEqualTo(new PeerReport.Load(5, 500, 2));
+    timer.advance(1_500);
+    assertThat(book.hasFresh()).isFalse();
+    assertThat(book.othersAt("u")).isEqualTo(new PeerReport.Load(0, 0, 0));
+  }
+
+  @Test
+  void countsOutliveTheEntryThatToldThem() {
+    book.take(report("a.1", 1, 5, 0));
+    timer.advance(10_000);
+    assertThat(book.live()).isEmpty();
+    assertThat(book.usage(7)).containsKey("a.1");
+    assertThat(book.closedBy(6)).containsExactly("a.1");
+    assertThat(book.closedBy(7)).isEmpty();
+  }
+}
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/testing/MemoryStore.java
@@ -0,0 +1,136 @@
+package org.limpetvale.forward.testing;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.spi.FleetStore;
+import org.limpetvale.forward.spi.RowPage;
+import org.limpetvale.forward.spi.RowTable;
+import org.limpetvale.forward.spi.RowTransaction;
+import org.limpetvale.forward.spi.StoreCommit;
+import org.limpetvale.forward.spi.StoreRead;
+import org.limpetvale.forward.spi.StoredRow;
+
+/** A store in memory whose answers come late, get lost, or do not come, as a seed says. */
+public final class MemoryStore {
+  private static final long ANSWER_TIMEOUT_MILLIS = 1_500;
+  private static final long LONGEST_LATE_MILLIS = 6_000;
+
+  private final TimerService timer;
+  private final Random random;
+  private final TreeMap<String, StoredRow> rows = new TreeMap<>();
+  private long version;
+
+  /** Creates an empty store. */
+  public MemoryStore(TimerService timer, Random random) {
+    this.timer = timer;
+    this.random = random;
+  }
+
+  /** Returns the store as one entry reaches it. */
+  public FleetStore through(ProcessLife life) {
+    return new Client(life);
+  }
+
+  private final class Client implements FleetStore {
+    private final ProcessLife life;
+
+    Client(ProcessLife life) {
+      this.life = life;
+    }
+
+    @Override
+    public CompletableFuture<StoreRead> read(RowTable table, String fromKey, String toKey) {
+      CompletableFuture<StoreRead> answer = new CompletableFuture<>();
+      if (life.cut) {
+        later(answer, 10, new StoreRead.Failed("cut"));
+        return answer;
+      }
+      timer.after(
+          delayMillis(),
+          () -> {
+            List<StoredRow> present = rows.values().stream().filter(row -> !row.removed()).toList();
+            later(
+                answer,
+                delayMillis(),
+                new StoreRead.Page(new RowPage(present, version, timer.nowMillis())));
+          });
+      return answer;
+    }
+
+    @Override
+    public CompletableFuture<StoreRead> changes(
+        RowTable table, long sinceVersion, long waitMillis) {
+      throw new UnsupportedOperationException("not needed");
+    }
+
+    @Override
+    public CompletableFuture<StoreCommit> commit(RowTransaction transaction) {
+      CompletableFuture<StoreCommit> answer = new CompletableFuture<>();
+      if (life.isDead()) {
+        return answer;
+      }
+      if (life.cut) {
+        later(answer, 10, new StoreCommit.Refused("cut"));
+        return answer;
+      }
+      boolean lost = random.nextDouble() < life.lostShare;
+      long arriveMillis =
+          lost && random.nextBoolean()
+              ? 1_000 + random.nextLong(LONGEST_LATE_MILLIS - 1_000)
+              : delayMillis();
+      timer.after(
+          arriveMillis,
+          () -> {
+            StoreCommit outcome = apply(transaction);
+            if (!lost) {
+              later(answer, delayMillis(), outcome);
+            }
+          });
+      if (lost) {
+        later(answer, ANSWER_TIMEOUT_MILLIS, new StoreCommit.Unknown("lost"));
+      }
+      return answer;
+    }
+
+    private <T> void later(CompletableFuture<T> answer, long millis, T value) {
+      timer.after(millis, () -> life.run(() -> answer.complete(value)));
+    }
+  }
+
+  private long delayMillis() {
+    return 1 + random.nextInt(20);
+  }
+
+  private StoreCommit apply(RowTransaction transaction) {
+    for (RowTransaction.Condition condition : transaction.conditions()) {
+      long found =
+          Optional.ofNullable(rows.get(condition.key()))
+              .filter(row -> !row.removed())
+              .map(StoredRow::version)
+              .orElse(0L);
+      if (found != condition.version()) {
+        return new StoreCommit.Conflict(List.of());
+      }
+    }
+    version++;
+    for (RowTransaction.Write write : transaction.writes()) {
+      rows.put(write.key(), new StoredRow(write.key(), write.text(), version, false));
+    }
+    for (String key : transaction.removals()) {
+      rows.computeIfPresent(key, (same, row) -> new StoredRow(key, "", version, true));
+    }
+    return new StoreCommit.Committed(version, timer.nowMillis());
+  }
+
+  /** Returns the texts of the rows by key. */
+  public Map<String, String> texts() {
+    Map<String, String> texts = new TreeMap<>();
+    rows.forEach((key, row) -> texts.put(key, row.text()));
+    return texts;
+  }
+}
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Time and a store for tests without waiting. */
+package org.limpetvale.forward.testing;
