Prompts wait at the entry while their engine has enough to read

Change: core.admission.BacklogLimit (12,000 unread tokens, 18,000 for short targets) and WaitOrder (on time before late, by rank; overdue first), forward.admit.WaitingRequests.

--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
@@ -0,0 +1,43 @@
+package org.limpetvale.core.admission;
+
+import java.util.Objects;
+import org.limpetvale.core.fleet.Route;
+import org.limpetvale.core.placement.Choice;
+
+/**
+ * Decides whether a model request goes to its engine now or waits at the entry.
+ *
+ * <p>The load that it answers: bursts of long prompts. An engine reads what it was given in the
+ * order that it came, keeps all of it in memory, and cannot give it back; so a request that waits
+ * there delays more urgent ones that come later and pushes cached prefixes out. What waits at the
+ * entry does neither.
+ */
+public final class BacklogLimit {
+  /** Unread prompt tokens that an engine is given by requests with a usual latency target. */
+  private static final int USUAL_TOKENS = 12_000;
+
+  /** The same for requests with a short latency target. */
+  private static final int URGENT_TOKENS = 18_000;
+
+  private static final long URGENT_TARGET_MILLIS = 600;
+
+  private BacklogLimit() {}
+
+  /**
+   * Tells whether a request may go to the engine that was chosen for it.
+   *
+   * @param route the request's route
+   * @param promptTokens tokens of its prompt
+   * @param choice the engine, with what is known of it
+   */
+  public static boolean admits(Route route, int promptTokens, Choice choice) {
+    Objects.requireNonNull(route, "route is null");
+    int pending = choice.load().pendingPromptTokens();
+    if (pending == 0) {
+      return true;
+    }
+    int fresh = Math.max(0, promptTokens - choice.load().cachedTokens());
+    boolean urgent = route.targetLatencyMillis() <= URGENT_TARGET_MILLIS;
+    return pending + fresh <= (urgent ? URGENT_TOKENS : USUAL_TOKENS);
+  }
+}
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -36,6 +36,12 @@
    */
   private static final double GAP_BREAKING_TOKENS = 5_000;
 
+  /**
+   * The same for what other requests add; lower, as other entries may add some before they are
+   * heard of.
+   */
+  private static final double ADDED_TOKENS = 3_000;
+
   private static final double HARM_MILLIS_PER_STREAM = 120;
 
   /** Cost of a stream with a short gap target where its gaps are likely to break. */
@@ -129,11 +135,11 @@
 
   /** Returns the cost of the gaps that break where the engine has too much to read. */
   private static double gapMillis(Route route, UpstreamLoad load, int freshTokens) {
-    if (load.pendingPromptTokens() + freshTokens <= GAP_BREAKING_TOKENS) {
-      return 0;
+    double unread = (double) load.pendingPromptTokens() + freshTokens;
+    if (isTight(route)) {
+      return unread > GAP_BREAKING_TOKENS ? BROKEN_GAP_MILLIS : 0;
     }
-    double own = isTight(route) ? BROKEN_GAP_MILLIS : 0;
-    return own + HARM_MILLIS_PER_STREAM * load.tightStreams();
+    return unread > ADDED_TOKENS ? HARM_MILLIS_PER_STREAM * load.tightStreams() : 0;
   }
 
   /** Tells whether the streams of a route have a short gap target. */
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
@@ -19,7 +19,7 @@
   public static final long TIGHT_GAP_MILLIS = 200;
 
   /** Streams with short gap targets that one engine carries with room for a burst. */
-  private static final double STREAMS_PER_ENGINE = 24;
+  private static final double STREAMS_PER_ENGINE = 36;
 
   /** Largest share of the engines that are set apart. */
   private static final double LARGEST_SHARE = 0.4;
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
@@ -0,0 +1,96 @@
+package org.limpetvale.forward.admit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import org.limpetvale.core.admission.WaitOrder;
+import org.limpetvale.core.time.TimerService;
+
+/** Requests that wait for room at an engine; for the event loop only. */
+public final class WaitingRequests {
+  /** Time after which waiting requests are tried again, also without news. */
+  private static final long RETRY_PERIOD_MILLIS = 20;
+
+  /** Requests that are tried in one go. */
+  private static final int MOST_TRIES = 24;
+
+  /** A request that waits. */
+  public interface Waiter {
+    /** Returns its place in the order. */
+    WaitOrder.Place place();
+
+    /**
+     * Tries to place it.
+     *
+     * @return whether it waits no more
+     */
+    boolean tryAgain();
+  }
+
+  private final TimerService timer;
+  private final List<Waiter> waiting = new ArrayList<>();
+  private boolean scheduled;
+  private boolean trying;
+
+  private WaitingRequests(TimerService timer) {
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+  }
+
+  /** Returns an empty list. */
+  public static WaitingRequests of(TimerService timer) {
+    return new WaitingRequests(timer);
+  }
+
+  /** Lets a request wait. */
+  public void add(Waiter waiter) {
+    waiting.add(Objects.requireNonNull(waiter, "waiter is null"));
+    schedule();
+  }
+
+  /** Takes a request out that waits no more. */
+  public void remove(Waiter waiter) {
+    waiting.remove(waiter);
+  }
+
+  /** Returns the number of requests that wait. */
+  public int size() {
+    return waiting.size();
+  }
+
+  /** Tries the waiting requests in their order, as there may be room. */
+  public void wake() {
+    if (waiting.isEmpty() || trying) {
+      return;
+    }
+    trying = true;
+    long nowMillis = timer.nowMillis();
+    Comparator<WaitOrder.Place> order = WaitOrder.at(nowMillis);
+    List<Waiter> first =
+        waiting.stream()
+            .sorted(Comparator.comparing(Waiter::place, order))
+            .limit(MOST_TRIES)
+            .toList();
+    for (Waiter waiter : first) {
+      if (waiter.tryAgain()) {
+        waiting.remove(waiter);
+      }
+    }
+    trying = false;
+  }
+
+  private void schedule() {
+    if (!scheduled) {
+      scheduled = true;
+      timer.after(RETRY_PERIOD_MILLIS, this::tick);
+    }
+  }
+
+  private void tick() {
+    scheduled = false;
+    wake();
+    if (!waiting.isEmpty()) {
+      schedule();
+    }
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -41,6 +41,9 @@
 
   /** The exchange that the attempt belongs to. */
   interface Listener {
+    /** The upstream has read the prompt or has dropped it. */
+    void roomAtUpstream();
+
     /** The request began to run. */
     void ranFirstToken();
 
@@ -248,18 +251,20 @@
   }
 
   private void begun() {
-    if (promptPending) {
-      promptPending = false;
-      state.promptRead(freshTokens);
-    }
     listener.ranFirstToken();
+    promptRead();
   }
 
   private void leave() {
+    state.end(this, tight);
+    promptRead();
+  }
+
+  private void promptRead() {
     if (promptPending) {
       promptPending = false;
       state.promptRead(freshTokens);
+      listener.roomAtUpstream();
     }
-    state.end(this, tight);
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -19,6 +19,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import org.limpetvale.core.admission.BacklogLimit;
+import org.limpetvale.core.admission.WaitOrder;
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.Choice;
@@ -31,6 +33,7 @@
 import org.limpetvale.forward.accept.Exchanges;
 import org.limpetvale.forward.accept.ProblemAnswers;
 import org.limpetvale.forward.accept.RequestInput;
+import org.limpetvale.forward.admit.WaitingRequests;
 import org.limpetvale.forward.metrics.ForwardMetrics.Counter;
 import org.limpetvale.forward.place.UpstreamState;
 import org.limpetvale.forward.route.RequestPlan;
@@ -41,7 +44,8 @@
  * One request from its arrival to the end of its answer: plan, place, send, relay, and send again
  * where that is allowed.
  */
-final class Exchange implements Exchanges.Running, Attempt.Listener {
+final class Exchange
+    implements Exchanges.Running, Attempt.Listener, WaitingRequests.Waiter {
   /** Time below which another attempt is of no use. */
   private static final long LEAST_RETRY_MILLIS = 40;
 
@@ -100,7 +104,9 @@
         endMillis = input.arrivedMillis() + allowed;
         timeout = parts.timer().after(Math.max(0, leftMillis()), this::timedOut);
         parts.budgets().request(plan.service());
-        place();
+        if (!tryAgain()) {
+          parts.waiting().add(this);
+        }
       }
     }
   }
@@ -120,8 +126,34 @@
 
   // -- placing
 
-  private void place() {
+  @Override
+  public WaitOrder.Place place() {
+    return new WaitOrder.Place(
+        plan.rank(), input.arrivedMillis(), route().targetLatencyMillis(), endMillis);
+  }
+
+  @Override
+  public boolean tryAgain() {
+    if (ended) {
+      return true;
+    }
     Optional<Choice> choice = parts.placer().place(plan, head.shape(), tried);
+    boolean waits =
+        choice.isPresent()
+            && head.shape().isModelRequest()
+            && !BacklogLimit.admits(route(), head.shape().promptTokens(), choice.get());
+    if (!waits) {
+      go(choice);
+    }
+    return !waits;
+  }
+
+  /** Places the request without waiting for room, as after a failed attempt. */
+  private void placeNow() {
+    go(parts.placer().place(plan, head.shape(), tried));
+  }
+
+  private void go(Optional<Choice> choice) {
     if (choice.isEmpty()) {
       giveUp(ResultCode.NO_UPSTREAM, "no upstream of " + plan.service() + " can take it");
       return;
@@ -147,6 +179,7 @@
             field("requestsThere", choice.load().requests()),
             field("pendingTokens", choice.load().pendingPromptTokens()),
             field("promptTokens", head.shape().promptTokens()),
+            field("waitedMillis", parts.timer().nowMillis() - input.arrivedMillis()),
             field("cachedTokens", choice.load().cachedTokens()),
             field("attempt", sentAttempts + 1));
   }
@@ -171,7 +204,7 @@
         if (ended || !stillReady(upstream)) {
           connection.close();
           if (!ended) {
-            place();
+            placeNow();
           }
           return;
         }
@@ -185,7 +218,7 @@
     if (connectFailures >= MOST_CONNECT_FAILURES || leftMillis() < LEAST_RETRY_MILLIS) {
       giveUp(ResultCode.NO_UPSTREAM, "no connection to any upstream tried");
     } else {
-      place();
+      placeNow();
     }
   }
 
@@ -248,6 +281,11 @@
 
   // -- what attempts tell
 
+  @Override
+  public void roomAtUpstream() {
+    parts.waiting().wake();
+  }
+
   @Override
   public void ranFirstToken() {
     if (!counted) {
@@ -352,7 +390,7 @@
       retryTaken = false;
       parts.metrics().count(headPassedOn ? Counter.RESUMES : Counter.RETRIES);
       mayHaveRun |= ran;
-      place();
+      placeNow();
       return;
     }
     mayHaveRun |= ran;
@@ -461,6 +499,7 @@
     ended = true;
     attempt = null;
     timeout.cancel();
+    parts.waiting().remove(this);
     long millis = parts.timer().nowMillis() - input.arrivedMillis();
     parts.metrics().whole(millis);
     parts
--- a/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
@@ -9,6 +9,7 @@
 import org.limpetvale.forward.accept.RequestInput;
 import org.limpetvale.forward.account.RetryBudgets;
 import org.limpetvale.forward.account.UsageCounts;
+import org.limpetvale.forward.admit.WaitingRequests;
 import org.limpetvale.forward.http.Transport;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.metrics.ForwardMetrics;
@@ -22,6 +23,7 @@
   /** The filters and books that an exchange uses. */
   record Parts(
       Planner planner,
+      WaitingRequests waiting,
       Placer placer,
       UpstreamPool pool,
       RequestDialect dialect,
@@ -57,7 +59,7 @@
       TimerService timer) {
     UpstreamPool pool = new UpstreamPool(transport, dialect, timer);
     return new Forwarder(
-        new Parts(planner, placer, pool, dialect, fleet, budgets, usage, metrics, log, timer));
+        new Parts(planner, WaitingRequests.of(timer), placer, pool, dialect, fleet, budgets, usage, metrics, log, timer));
   }
 
   @Override
@@ -74,9 +76,15 @@
     return running;
   }
 
+  /** Tries the requests that wait, as there may be room at an upstream. */
+  public void wakeWaiting() {
+    parts.waiting().wake();
+  }
+
   /** Lets go of what belongs to upstreams that are gone. */
   public void fleetChanged(FleetView view) {
     parts.pool().keepOnly(view);
     parts.placer().loads().keepOnly(view);
+    parts.waiting().wake();
   }
 }
