--- a/core/src/main/java/org/limpetvale/core/admission/WaitOrder.java
+++ b/core/src/main/java/org/limpetvale/core/admission/WaitOrder.java
@@ -6,10 +6,10 @@
 /**
  * The order in which requests that wait at an entry are tried.
  *
- * <p>The load that it answers: more requests than can be served within their targets. Those that can
- * still meet their target come first, by rank and arrival; those that cannot fill the places that
- * are left, so that a burst does not make everyone late. A request that has waited for a large part
- * of its time comes before all, so that none starves.
+ * <p>The load that it answers: more requests than can be served within their targets. Those that
+ * can still meet their target come first, by rank and arrival; those that cannot fill the places
+ * that are left, so that a burst does not make everyone late. A request that has waited for a large
+ * part of its time comes before all, so that none starves.
  */
 public final class WaitOrder {
   /** Share of a request's time after which it is tried before all others. */
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -42,6 +42,12 @@
    */
   private static final double ADDED_TOKENS = 3_000;
 
+  /**
+   * Weight of the time to read a shared prefix again, which also delays all that come after it on
+   * that engine.
+   */
+  private static final double SHARED_AGAIN_WEIGHT = 2;
+
   private static final double HARM_MILLIS_PER_STREAM = 120;
 
   /** Cost of a stream with a short gap target where its gaps are likely to break. */
@@ -67,6 +73,7 @@
    * @param shape its size
    * @param zone availability zone of the entry
    * @param pools the split of the engines
+   * @param patient whether it can still wait for an engine that has its prefix
    * @param candidates engines that may take it
    * @return the choice; empty without candidates
    */
@@ -75,11 +82,12 @@
       PromptShape shape,
       String zone,
       EnginePools pools,
+      boolean patient,
       List<UpstreamLoad> candidates) {
     Objects.requireNonNull(route, "route is null");
     Objects.requireNonNull(shape, "shape is null");
     return candidates.stream()
-        .map(load -> rate(route, shape, zone, pools, load))
+        .map(load -> rate(route, shape, zone, pools, patient, load))
         .min(Comparator.comparingDouble(Choice::costMillis));
   }
 
@@ -91,7 +99,12 @@
   }
 
   private static Choice rate(
-      Route route, PromptShape shape, String zone, EnginePools pools, UpstreamLoad load) {
+      Route route,
+      PromptShape shape,
+      String zone,
+      EnginePools pools,
+      boolean patient,
+      UpstreamLoad load) {
     int fresh = Math.max(0, shape.promptTokens() - load.cachedTokens());
     double ownMillis = prefillMillis(shape.promptTokens(), load.cachedTokens()) / load.speed();
     double predicted = BASE_MILLIS + queueMillis(load) + ownMillis;
@@ -100,6 +113,9 @@
             + riskMillis(load)
             + poolMillis(route, pools, load, fresh)
             + gapMillis(route, load, fresh);
+    if (patient) {
+      cost += SHARED_AGAIN_WEIGHT * prefillMillis(shape.sharedTokens(), load.cachedTokens());
+    }
     if (!load.upstream().zone().equals(zone)) {
       cost += OTHER_ZONE_MILLIS;
     }
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -53,7 +53,7 @@
   }
 
   private static String chosen(Route route, PromptShape shape, UpstreamLoad... loads) {
-    return EnginePlacement.choose(route, shape, "z", NO_POOLS, List.of(loads))
+    return EnginePlacement.choose(route, shape, "z", NO_POOLS, false, List.of(loads))
         .orElseThrow()
         .upstream()
         .id();
@@ -61,7 +61,8 @@
 
   @Test
   void withoutCandidatesThereIsNoChoice() {
-    assertThat(EnginePlacement.choose(LOOSE, prompt(10, 10), "z", NO_POOLS, List.of())).isEmpty();
+    assertThat(EnginePlacement.choose(LOOSE, prompt(10, 10), "z", NO_POOLS, true, List.of()))
+        .isEmpty();
   }
 
   @Test
@@ -75,6 +76,18 @@
         .isEqualTo("empty");
   }
 
+  @Test
+  void aRequestThatCanWaitDoesNotReadItsSharedPrefixAgainElsewhere() {
+    Upstream cached = upstream("cached", "z");
+    Upstream empty = upstream("empty", "z");
+    PromptShape shape = prompt(6_000, 1_000);
+    List<UpstreamLoad> loads = List.of(load(cached, 12_000, 0, 6_000), load(empty, 0, 0, 0));
+    assertThat(EnginePlacement.choose(LOOSE, shape, "z", NO_POOLS, true, loads))
+        .hasValueSatisfying(choice -> assertThat(choice.upstream()).isEqualTo(cached));
+    assertThat(EnginePlacement.choose(LOOSE, shape, "z", NO_POOLS, false, loads))
+        .hasValueSatisfying(choice -> assertThat(choice.upstream()).isEqualTo(empty));
+  }
+
   @Test
   void longPromptsKeepAwayFromStreamsWithShortGapTargets() {
     assertThat(
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -25,6 +25,9 @@
   /** Weight of a new count of streams in the smoothed count. */
   private static final double STREAMS_WEIGHT = 0.05;
 
+  /** Share of its target that a request waits for an engine that has its prefix. */
+  private static final double PATIENT_SHARE = 0.3;
+
   private final String zone;
   private final Supplier<FleetView> fleet;
   private final PeerBook peers;
@@ -59,9 +62,11 @@
    *
    * @param plan its plan
    * @param shape its size
+   * @param waitedMillis time that it has waited
    * @param excluded ids of upstreams that it must not go to
    */
-  public Optional<Choice> place(RequestPlan plan, PromptShape shape, Set<String> excluded) {
+  public Optional<Choice> place(
+      RequestPlan plan, PromptShape shape, long waitedMillis, Set<String> excluded) {
     long nowMillis = timer.nowMillis();
     List<Upstream> ready = fleet.get().ready(plan.service());
     List<Upstream> candidates =
@@ -76,7 +81,8 @@
         candidates.stream()
             .map(each -> rated(each, shape, each.id().equals(preferred), nowMillis))
             .toList();
-    return EnginePlacement.choose(plan.route(), shape, zone, pools, rated);
+    boolean patient = waitedMillis < PATIENT_SHARE * plan.route().targetLatencyMillis();
+    return EnginePlacement.choose(plan.route(), shape, zone, pools, patient, rated);
   }
 
   /** Notes that an engine reads a prompt. */
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -44,8 +44,7 @@
  * One request from its arrival to the end of its answer: plan, place, send, relay, and send again
  * where that is allowed.
  */
-final class Exchange
-    implements Exchanges.Running, Attempt.Listener, WaitingRequests.Waiter {
+final class Exchange implements Exchanges.Running, Attempt.Listener, WaitingRequests.Waiter {
   /** Time below which another attempt is of no use. */
   private static final long LEAST_RETRY_MILLIS = 40;
 
@@ -137,7 +136,7 @@
     if (ended) {
       return true;
     }
-    Optional<Choice> choice = parts.placer().place(plan, head.shape(), tried);
+    Optional<Choice> choice = choose();
     boolean waits =
         choice.isPresent()
             && head.shape().isModelRequest()
@@ -148,9 +147,17 @@
     return !waits;
   }
 
+  private Optional<Choice> choose() {
+    return parts.placer().place(plan, head.shape(), waitedMillis(), tried);
+  }
+
+  private long waitedMillis() {
+    return parts.timer().nowMillis() - input.arrivedMillis();
+  }
+
   /** Places the request without waiting for room, as after a failed attempt. */
   private void placeNow() {
-    go(parts.placer().place(plan, head.shape(), tried));
+    go(choose());
   }
 
   private void go(Optional<Choice> choice) {
@@ -179,7 +186,7 @@
             field("requestsThere", choice.load().requests()),
             field("pendingTokens", choice.load().pendingPromptTokens()),
             field("promptTokens", head.shape().promptTokens()),
-            field("waitedMillis", parts.timer().nowMillis() - input.arrivedMillis()),
+            field("waitedMillis", waitedMillis()),
             field("cachedTokens", choice.load().cachedTokens()),
             field("attempt", sentAttempts + 1));
   }
@@ -427,7 +434,7 @@
     if (ran && !route().mayRepeat()) {
       return false;
     }
-    return parts.placer().place(plan, head.shape(), tried).isPresent();
+    return choose().isPresent();
   }
 
   // -- ends
--- a/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
@@ -59,7 +59,18 @@
       TimerService timer) {
     UpstreamPool pool = new UpstreamPool(transport, dialect, timer);
     return new Forwarder(
-        new Parts(planner, WaitingRequests.of(timer), placer, pool, dialect, fleet, budgets, usage, metrics, log, timer));
+        new Parts(
+            planner,
+            WaitingRequests.of(timer),
+            placer,
+            pool,
+            dialect,
+            fleet,
+            budgets,
+            usage,
+            metrics,
+            log,
+            timer));
   }
 
   @Override
