--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.InetSocketAddress;
@@ -20,6 +21,12 @@
 
 /** Connections to upstreams, kept between requests; for the event loop only. */
 final class UpstreamPool {
+  /**
+   * Time for a new connection to an upstream. An upstream in reach accepts within a few round
+   * trips; one that has gone dark must not hold a request for a large part of its target.
+   */
+  private static final int CONNECT_TIMEOUT_MILLIS = 350;
+
   private static final int LARGEST_HEADER_BYTES = 65_536;
   private static final int LARGEST_CHUNK_BYTES = 65_536;
 
@@ -82,6 +89,7 @@
     ChannelFuture connecting =
         transport
             .client()
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(
                 new ChannelInitializer<>() {
                   @Override
