--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigKeeper.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigKeeper.java
@@ -85,6 +85,11 @@
     return timer.nowMillis() - confirmedAtMillis < revokeMillis - MARGIN_MILLIS;
   }
 
+  @Override
+  public long confirmedAgeMillis() {
+    return timer.nowMillis() - confirmedAtMillis;
+  }
+
   // -- subscription
 
   @Override
@@ -133,9 +138,16 @@
         field("to", next.version()),
         field("routes", next.routes().size()),
         field("keys", next.workspacesByKey().size()),
+        field("scaledServices", scaledServices(next)),
         field("ownPriorities", ownPriorities(next)));
   }
 
+  private static long scaledServices(FleetConfig config) {
+    return config.services().values().stream()
+        .filter(service -> service.scaling().isPresent())
+        .count();
+  }
+
   /** Returns the priorities that workspaces have of their own, in order. */
   private static String ownPriorities(FleetConfig config) {
     return config.workspacesByKey().values().stream()
--- a/forward/src/main/java/org/limpetvale/forward/route/Planner.java
+++ b/forward/src/main/java/org/limpetvale/forward/route/Planner.java
@@ -22,6 +22,9 @@
     /** Returns the newest configuration, if one is known. */
     Optional<FleetConfig> config();
 
+    /** Returns the time since the configuration was known to be the newest. */
+    long confirmedAgeMillis();
+
     /** Tells whether the configuration is recent enough for its keys to be trusted. */
     boolean keysAreCurrent();
   }
@@ -54,7 +57,8 @@
     if (route.isEmpty()) {
       return known.keysAreCurrent()
           ? Result.err(ResultCode.ROUTE_UNKNOWN, "no route for this host and path")
-          : refuse(ResultCode.CONFIG_STALE, "the configuration may be out of date");
+          : refuse(
+              ResultCode.CONFIG_STALE, staleness(known, "the configuration may be out of date"));
     }
     return workspace(known, config.get(), route.get(), head)
         .flatMap(workspace -> Result.ok(plan(config.get(), route.get(), workspace)));
@@ -71,7 +75,8 @@
       return Result.ok(Optional.empty());
     }
     if (!known.keysAreCurrent()) {
-      return refuse(ResultCode.CONFIG_STALE, "the keys cannot be confirmed to be current");
+      return refuse(
+          ResultCode.CONFIG_STALE, staleness(known, "the keys cannot be confirmed to be current"));
     }
     if (head.key().isEmpty()) {
       return Result.err(ResultCode.KEY_MISSING, "the route needs a key");
@@ -82,6 +87,10 @@
         .orElseGet(() -> Result.err(ResultCode.KEY_UNKNOWN, "the key is not known"));
   }
 
+  private static String staleness(Knowledge known, String what) {
+    return what + "; last confirmed " + known.confirmedAgeMillis() + " ms ago";
+  }
+
   private static <T> Result<T> refuse(ResultCode code, String detail) {
     long spread = ThreadLocalRandom.current().nextLong(ELSEWHERE_MILLIS);
     return Result.err(Refusal.of(code, detail, ELSEWHERE_MILLIS + spread));
