--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -188,6 +188,8 @@
             field("promptTokens", head.shape().promptTokens()),
             field("waitedMillis", waitedMillis()),
             field("cachedTokens", choice.load().cachedTokens()),
+            field("sharedTokens", head.shape().sharedTokens()),
+            field("prefix", head.shape().affinityKey().orElse("")),
             field("attempt", sentAttempts + 1));
   }
 
