Sessions stay with their first two engines; an entry fills at most half of an engine's backlog

Change: the place in the rendezvous order is part of an upstream's load; an engine after the second pays for reading a shared prefix also when the request cannot wait; an entry's own unread tokens are bounded at half of the backlog.

--- a/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
+++ b/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
@@ -21,6 +21,12 @@
 
   private static final long URGENT_TARGET_MILLIS = 600;
 
+  /**
+   * Share of the tokens that one entry may have there; entries hear of each other's requests late,
+   * and all see the same room.
+   */
+  private static final double OWN_SHARE = 0.5;
+
   private BacklogLimit() {}
 
   /**
@@ -38,6 +44,8 @@
     }
     int fresh = Math.max(0, promptTokens - choice.load().cachedTokens());
     boolean urgent = route.targetLatencyMillis() <= URGENT_TARGET_MILLIS;
-    return pending + fresh <= (urgent ? URGENT_TOKENS : USUAL_TOKENS);
+    int most = urgent ? URGENT_TOKENS : USUAL_TOKENS;
+    int own = choice.load().ownPendingPromptTokens();
+    return pending + fresh <= most && (own == 0 || own + fresh <= OWN_SHARE * most);
   }
 }
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -44,10 +44,13 @@
 
   /**
    * Weight of the time to read a shared prefix again, which also delays all that come after it on
-   * that engine.
+   * that engine and takes cache from others.
    */
   private static final double SHARED_AGAIN_WEIGHT = 2;
 
+  /** The same on the engine that is second in the order, for a request that cannot wait. */
+  private static final double SHARED_AGAIN_SECOND_WEIGHT = 0.3;
+
   private static final double HARM_MILLIS_PER_STREAM = 120;
 
   /** Cost of a stream with a short gap target where its gaps are likely to break. */
@@ -113,9 +116,9 @@
             + riskMillis(load)
             + poolMillis(route, pools, load, fresh)
             + gapMillis(route, load, fresh);
-    if (patient) {
-      cost += SHARED_AGAIN_WEIGHT * prefillMillis(shape.sharedTokens(), load.cachedTokens());
-    }
+    boolean second = !patient && load.affinityRank() <= 1;
+    double weight = second ? SHARED_AGAIN_SECOND_WEIGHT : SHARED_AGAIN_WEIGHT;
+    cost += weight * prefillMillis(shape.sharedTokens(), load.cachedTokens());
     if (!load.upstream().zone().equals(zone)) {
       cost += OTHER_ZONE_MILLIS;
     }
--- a/core/src/main/java/org/limpetvale/core/placement/PrefixBook.java
+++ b/core/src/main/java/org/limpetvale/core/placement/PrefixBook.java
@@ -17,8 +17,8 @@
   /** Time after which a part that was not used again is no longer counted on. */
   private static final long KEPT_MILLIS = 20_000;
 
-  /** Share of a prefix that is counted on at the engine where all entries send it first. */
-  private static final double SHARED_CONFIDENCE = 0.7;
+  /** Shares of a prefix that are counted on at the engines where all entries send it first. */
+  private static final double[] SHARED_CONFIDENCE = {0.8, 0.4};
 
   private final Map<String, Long> seenAtMillis =
       new LinkedHashMap<>(16, 0.75f, true) {
@@ -47,14 +47,16 @@
    *
    * @param upstream the engine
    * @param shape the prompt
-   * @param preferred whether all entries send this prefix to the engine first
+   * @param affinityRank the engine's place in the order in which all entries prefer engines for it
    * @param nowMillis monotonic time in milliseconds
    */
   public int expectedTokens(
-      Upstream upstream, PromptShape shape, boolean preferred, long nowMillis) {
+      Upstream upstream, PromptShape shape, int affinityRank, long nowMillis) {
     Objects.requireNonNull(shape, "shape is null");
     int known = knownTokens(upstream, shape.parts(), nowMillis);
-    int assumed = preferred ? (int) (SHARED_CONFIDENCE * shape.sharedTokens()) : 0;
+    double confidence =
+        affinityRank < SHARED_CONFIDENCE.length ? SHARED_CONFIDENCE[affinityRank] : 0;
+    int assumed = (int) (confidence * shape.sharedTokens());
     return Math.max(known, assumed);
   }
 
--- a/core/src/main/java/org/limpetvale/core/placement/UpstreamLoad.java
+++ b/core/src/main/java/org/limpetvale/core/placement/UpstreamLoad.java
@@ -11,8 +11,11 @@
  * @param otherRequests requests of other entries there, as last told by the upstream
  * @param pendingPromptTokens prompt tokens that it has yet to read, for requests without a first
  *     event
- * @param tightStreams streams of this entry there with a short gap target
+ * @param ownPendingPromptTokens the part of them that is this entry's
+ * @param tightStreams streams there with a short gap target
  * @param cachedTokens tokens of the request's prompt that are expected in its cache
+ * @param affinityRank its place in the order in which all entries prefer engines for the request's
+ *     prefix, 0 the first
  * @param speed its speed against its peers; 1 for the usual one
  * @param failureShare share of recent requests that it failed
  * @param silent whether it has left requests unanswered for longer than its peers ever do
@@ -22,8 +25,10 @@
     int ownRequests,
     int otherRequests,
     int pendingPromptTokens,
+    int ownPendingPromptTokens,
     int tightStreams,
     int cachedTokens,
+    int affinityRank,
     double speed,
     double failureShare,
     boolean silent) {
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -42,7 +42,9 @@
 
   private static UpstreamLoad load(
       Upstream upstream, int pendingTokens, int tightStreams, int cachedTokens) {
-    return new UpstreamLoad(upstream, 0, 0, pendingTokens, tightStreams, cachedTokens, 1, 0, false);
+    int rank = cachedTokens > 0 ? 0 : 1;
+    return new UpstreamLoad(
+        upstream, 0, 0, pendingTokens, 0, tightStreams, cachedTokens, rank, 1, 0, false);
   }
 
   private static PromptShape prompt(int shared, int own) {
@@ -113,7 +115,7 @@
   @Test
   void aSilentUpstreamIsTheLastResort() {
     Upstream silent = upstream("silent", "z");
-    UpstreamLoad dead = new UpstreamLoad(silent, 1, 0, 0, 0, 0, 1, 0, true);
+    UpstreamLoad dead = new UpstreamLoad(silent, 1, 0, 0, 0, 0, 0, 0, 1, 0, true);
     assertThat(chosen(LOOSE, prompt(10, 500), dead, load(upstream("busy", "z"), 60_000, 0, 0)))
         .isEqualTo("busy");
     assertThat(chosen(LOOSE, prompt(10, 500), dead)).isEqualTo("silent");
@@ -165,10 +167,10 @@
     PrefixBook book = PrefixBook.empty();
     Upstream upstream = upstream("u", "z");
     PromptShape shape = prompt(600, 100);
-    assertThat(book.expectedTokens(upstream, shape, false, 0)).isZero();
+    assertThat(book.expectedTokens(upstream, shape, 9, 0)).isZero();
     book.note(upstream, shape, 1_000);
-    assertThat(book.expectedTokens(upstream, shape, false, 2_000)).isEqualTo(700);
-    assertThat(book.expectedTokens(upstream, shape, false, 60_000)).isZero();
-    assertThat(book.expectedTokens(upstream, shape, true, 60_000)).isBetween(1, 600);
+    assertThat(book.expectedTokens(upstream, shape, 9, 2_000)).isEqualTo(700);
+    assertThat(book.expectedTokens(upstream, shape, 9, 60_000)).isZero();
+    assertThat(book.expectedTokens(upstream, shape, 0, 60_000)).isBetween(1, 600);
   }
 }
--- a/core/src/test/java/org/limpetvale/core/placement/ServicePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/ServicePlacementTest.java
@@ -9,7 +9,7 @@
 final class ServicePlacementTest {
   private static UpstreamLoad load(String id, String zone, int own, int others, double failures) {
     Upstream upstream = new Upstream(id, "s", "10.0.0.1", 80, zone, 6, false, 1);
-    return new UpstreamLoad(upstream, own, others, 0, 0, 0, 1, failures, false);
+    return new UpstreamLoad(upstream, own, others, 0, 0, 0, 0, 0, 1, failures, false);
   }
 
   private static String chosen(UpstreamLoad... loads) {
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -73,14 +73,12 @@
         ready.stream().filter(each -> usable(each, excluded, nowMillis)).toList();
     if (!shape.isModelRequest()) {
       return ServicePlacement.choose(
-          zone, candidates.stream().map(each -> load(each, 0, nowMillis)).toList());
+          zone, candidates.stream().map(each -> load(each, 0, 0, nowMillis)).toList());
     }
     EnginePools pools = pools(ready);
-    String preferred = preferred(plan, shape, pools, ready);
+    List<String> preferred = preferred(plan, shape, pools, ready);
     List<UpstreamLoad> rated =
-        candidates.stream()
-            .map(each -> rated(each, shape, each.id().equals(preferred), nowMillis))
-            .toList();
+        candidates.stream().map(each -> rated(each, shape, preferred, nowMillis)).toList();
     boolean patient = waitedMillis < PATIENT_SHARE * plan.route().targetLatencyMillis();
     return EnginePlacement.choose(plan.route(), shape, zone, pools, patient, rated);
   }
@@ -102,15 +100,17 @@
   }
 
   private UpstreamLoad rated(
-      Upstream upstream, PromptShape shape, boolean preferred, long nowMillis) {
-    int cached = prefixes.expectedTokens(upstream, shape, preferred, nowMillis);
-    return load(upstream, cached, nowMillis);
+      Upstream upstream, PromptShape shape, List<String> preferred, long nowMillis) {
+    int place = preferred.indexOf(upstream.id());
+    int affinityRank = place < 0 ? Integer.MAX_VALUE : place;
+    int cached = prefixes.expectedTokens(upstream, shape, affinityRank, nowMillis);
+    return load(upstream, cached, affinityRank, nowMillis);
   }
 
-  private UpstreamLoad load(Upstream upstream, int cachedTokens, long nowMillis) {
+  private UpstreamLoad load(Upstream upstream, int cachedTokens, int affinityRank, long nowMillis) {
     Optional<PeerReport.Load> others =
         peers.hasFresh() ? Optional.of(peers.othersAt(upstream.id())) : Optional.empty();
-    return loads.state(upstream).load(cachedTokens, others, nowMillis);
+    return loads.state(upstream).load(cachedTokens, affinityRank, others, nowMillis);
   }
 
   private EnginePools pools(List<Upstream> ready) {
@@ -119,15 +119,15 @@
     return EnginePools.split(ready, tightStreams);
   }
 
-  private static String preferred(
+  /** Returns the engines of a request's pool in the order in which all entries prefer them. */
+  private static List<String> preferred(
       RequestPlan plan, PromptShape shape, EnginePools pools, List<Upstream> ready) {
     boolean tight = EnginePlacement.isTight(plan.route());
     List<Upstream> pool =
         ready.stream().filter(each -> pools.tight().contains(each.id()) == tight).toList();
     return shape
         .affinityKey()
-        .flatMap(key -> Rendezvous.order(key, pool).stream().findFirst())
-        .map(Upstream::id)
-        .orElse("");
+        .map(key -> Rendezvous.order(key, pool).stream().map(Upstream::id).toList())
+        .orElse(List.of());
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -113,17 +113,22 @@
   /**
    * Returns what is known of the upstream.
    *
+   * @param cachedTokens tokens of the request's prompt that are expected in its cache
+   * @param affinityRank its place in the order of preference for the request's prefix
    * @param peers what the other entries have told of it; empty when they have not been heard
    */
-  UpstreamLoad load(int cachedTokens, Optional<PeerReport.Load> peers, long nowMillis) {
+  UpstreamLoad load(
+      int cachedTokens, int affinityRank, Optional<PeerReport.Load> peers, long nowMillis) {
     PeerReport.Load others = peers.orElse(new PeerReport.Load(othersTold(nowMillis), 0, 0));
     return new UpstreamLoad(
         upstream,
         sent.size(),
         others.requests(),
         Math.max(0, pendingPromptTokens) + others.pendingPromptTokens(),
+        Math.max(0, pendingPromptTokens),
         tightStreams + others.tightStreams(),
         cachedTokens,
+        affinityRank,
         1,
         failureShare,
         silent(nowMillis));
