Usage is counted by the time that the fleet agrees on

Change: TrueClock runs on the store's steady clock; the offset to the time of day is noted at the first answer, the median of all entries' offsets holds; suspensions and stores that count anew are told apart by the VM's own clocks.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -32,6 +32,7 @@
 import org.limpetvale.forward.spi.RowDecoder;
 import org.limpetvale.forward.spi.RowTable;
 import org.limpetvale.forward.time.LoopTimer;
+import org.limpetvale.forward.time.TrueClock;
 
 /** A forwarding daemon: its parts, its start and its stop. */
 public final class ForwardDaemon {
@@ -110,7 +111,8 @@
     Members members = Members.of(timer);
     PeerBook peerBook = PeerBook.of(timer);
     LoadBook loads = LoadBook.empty();
-    UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), timer::wallMillis);
+    TrueClock clock = TrueClock.of(timer);
+    UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
     Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::sharers, timer);
     this.forwarder =
@@ -133,20 +135,24 @@
             settings.peers(),
             settings.bounds().leaseMillis());
     this.duties =
-        DutyLoop.of(self, platform.store(), platform.calls(), usage, members, peerBook, timer, log);
+        DutyLoop.of(
+            self, platform.store(), platform.calls(), usage, members, peerBook, clock, timer, log);
     this.peers =
         PeerLink.of(
             transport,
             settings.peers(),
             peerBook,
             () -> members.addressesBut(settings.peers()),
-            number ->
-                new PeerReport(
-                    self.writer(),
-                    number,
-                    finished ? usage.currentWindow() : usage.closedWindow(),
-                    usage.newest(WINDOWS_TOLD),
-                    loads.own()),
+            number -> {
+              clock.others(peerBook.clockOffsets());
+              return new PeerReport(
+                  self.writer(),
+                  number,
+                  clock.ownOffsetMillis(),
+                  finished ? usage.currentWindow() : usage.closedWindow(),
+                  usage.newest(WINDOWS_TOLD),
+                  loads.own());
+            },
             timer,
             log);
   }
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -25,6 +25,7 @@
 import org.limpetvale.forward.spi.StoreCommit;
 import org.limpetvale.forward.spi.StoreRead;
 import org.limpetvale.forward.spi.StoredRow;
+import org.limpetvale.forward.time.TrueClock;
 
 /**
  * Writes this entry's rows, reads those of the others, and does the duties while it holds their
@@ -59,6 +60,7 @@
   private final FleetStore store;
   private final UsageCounts usage;
   private final Members members;
+  private final TrueClock clock;
   private final UsageDuty usageDuty;
   private final TimerService timer;
   private final EventLog log;
@@ -77,12 +79,14 @@
       UsageCounts usage,
       Members members,
       PeerBook peers,
+      TrueClock clock,
       TimerService timer,
       EventLog log) {
     this.self = Objects.requireNonNull(self, "self is null");
     this.store = Objects.requireNonNull(store, "store is null");
     this.usage = Objects.requireNonNull(usage, "usage is null");
     this.members = Objects.requireNonNull(members, "members is null");
+    this.clock = Objects.requireNonNull(clock, "clock is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.log = Objects.requireNonNull(log, "log is null");
     this.usageDuty = new UsageDuty(self, store, calls, usage, members, peers, log);
@@ -96,9 +100,10 @@
       UsageCounts usage,
       Members members,
       PeerBook peers,
+      TrueClock clock,
       TimerService timer,
       EventLog log) {
-    return new DutyLoop(self, store, calls, usage, members, peers, timer, log);
+    return new DutyLoop(self, store, calls, usage, members, peers, clock, timer, log);
   }
 
   /** Begins. */
@@ -240,6 +245,7 @@
   }
 
   private void took(RowPage page) {
+    clock.sync(page.storeMillis());
     Map<String, Members.Row> rows = new HashMap<>();
     Optional<LeaseRow> leaseRow = Optional.empty();
     long leaseVersion = 0;
@@ -289,7 +295,8 @@
 
   private boolean written(StoreCommit commit, LeaseRow row, long sentMillis) {
     return switch (commit) {
-      case StoreCommit.Committed(long version, long ignored) -> {
+      case StoreCommit.Committed(long version, long storeMillis) -> {
+        clock.sync(storeMillis);
         if (lease.epoch() != row.epoch()) {
           begin(row, sentMillis);
         }
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -82,6 +83,16 @@
     return nowMillis - heard.atMillis() <= FRESH_MILLIS;
   }
 
+  // -- clocks
+
+  /** Returns the differences between their time of day and the store's clock that others noted. */
+  public List<Long> clockOffsets() {
+    return reports.values().stream()
+        .map(each -> each.report().clockOffsetMillis())
+        .filter(offset -> offset != 0)
+        .toList();
+  }
+
   // -- usage
 
   /** Returns the entries that have reported lately. */
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -15,6 +15,7 @@
  *
  * @param writer id of the entry's process
  * @param number number of the report; later ones have higher numbers
+ * @param clockOffsetMillis difference between its time of day and the store's clock; 0 when unknown
  * @param closedWindow newest usage window whose counts do not grow any more
  * @param usage requests that began to run, by window and workspace; totals so far
  * @param loads what the entry has sent to upstreams and not yet seen answered, by upstream
@@ -22,6 +23,7 @@
 public record PeerReport(
     String writer,
     long number,
+    long clockOffsetMillis,
     long closedWindow,
     Map<Long, Map<String, Long>> usage,
     Map<String, Load> loads) {
@@ -47,6 +49,7 @@
     ObjectNode node = JSON.createObjectNode();
     node.put("w", writer);
     node.put("n", number);
+    node.put("o", clockOffsetMillis);
     node.put("c", closedWindow);
     ObjectNode windows = node.putObject("u");
     usage.forEach(
@@ -76,6 +79,7 @@
           new PeerReport(
               node.path("w").asText(),
               node.path("n").asLong(),
+              node.path("o").asLong(),
               node.path("c").asLong(),
               usage(node.path("u")),
               loads(node.path("l"))));
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
@@ -20,6 +20,7 @@
 import org.limpetvale.forward.testing.ManualTimer;
 import org.limpetvale.forward.testing.MemoryStore;
 import org.limpetvale.forward.testing.ProcessLife;
+import org.limpetvale.forward.time.TrueClock;
 
 /**
  * Seeded schedules of several entries with cuts, lost and late answers, freezes, stops and
@@ -85,6 +86,7 @@
               entry.usage,
               Members.of(time),
               PeerBook.of(time),
+              TrueClock.of(time),
               time,
               log);
       entry.loop.start();
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -14,6 +14,7 @@
     return new PeerReport(
         writer,
         number,
+        1_700_000_000_000L,
         6,
         Map.of(7L, Map.of("w", count)),
         Map.of("u", new PeerReport.Load(requests, 100 * requests, 1)));
