--- /dev/null
+++ b/core/src/test/java/org/limpetvale/core/admission/BacklogLimitTest.java
@@ -0,0 +1,62 @@
+package org.limpetvale.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.fleet.Route;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.Choice;
+import org.limpetvale.core.placement.UpstreamLoad;
+
+final class BacklogLimitTest {
+  private static final Route USUAL = route(1_500);
+  private static final Route URGENT = route(500);
+
+  private static Route route(long targetMillis) {
+    return new Route(
+        "r",
+        "h",
+        "/",
+        Route.Kind.STREAMING,
+        6_000,
+        targetMillis,
+        600,
+        1,
+        List.of(new Route.Split("s", 1)),
+        1,
+        false,
+        false);
+  }
+
+  private static Choice choice(int pending, int ownPending, int cached) {
+    Upstream upstream = new Upstream("u", "s", "10.0.0.1", 80, "z", 64, false, 1);
+    UpstreamLoad load =
+        new UpstreamLoad(upstream, 0, 0, pending, ownPending, 0, cached, 0, 1, 0, false);
+    return new Choice(upstream, 1, 1, load);
+  }
+
+  @Test
+  void anIdleEngineTakesAPromptOfAnySize() {
+    assertThat(BacklogLimit.admits(USUAL, 40_000, choice(0, 0, 0))).isTrue();
+  }
+
+  @Test
+  void aPromptWaitsWhileItsEngineHasEnoughToRead() {
+    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(6_000, 0, 0))).isTrue();
+    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(8_000, 0, 0))).isFalse();
+    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(8_000, 0, 2_000))).isTrue();
+  }
+
+  @Test
+  void urgentPromptsAreGivenMoreRoom() {
+    assertThat(BacklogLimit.admits(URGENT, 5_000, choice(12_000, 0, 0))).isTrue();
+    assertThat(BacklogLimit.admits(URGENT, 5_000, choice(14_000, 0, 0))).isFalse();
+  }
+
+  @Test
+  void oneEntryFillsAtMostHalfOfTheRoom() {
+    assertThat(BacklogLimit.admits(USUAL, 3_000, choice(3_000, 3_000, 0))).isTrue();
+    assertThat(BacklogLimit.admits(USUAL, 3_500, choice(3_000, 3_000, 0))).isFalse();
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -3,11 +3,8 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -75,9 +72,7 @@
   private boolean retryTaken;
 
   private boolean counted;
-  private long firstMillis;
-  private long lastContentMillis;
-  private long longestGapMillis;
+  private final AnswerPace pace;
   private boolean headPassedOn;
   private boolean ended;
   private Optional<String> resumeAfter = Optional.empty();
@@ -88,6 +83,7 @@
     this.link = link;
     this.onEnd = onEnd;
     this.head = parts.dialect().decodeRequest(input.head().headers());
+    this.pace = new AnswerPace(input.arrivedMillis());
   }
 
   // -- beginning
@@ -253,39 +249,12 @@
     parts.metrics().count(Counter.ATTEMPTS);
     parts.placer().sent(upstream, head.shape());
     attempt = new Attempt(this, plan, head, choice, state, connection, parts.timer());
-    attempt.send(request(upstream, left));
+    attempt.send(UpstreamRequest.of(parts.dialect(), input, grant(upstream, left)));
   }
 
-  private FullHttpRequest request(Upstream upstream, long left) {
-    HttpHeaders headers = HopHeaders.passedOn(input.head().headers());
-    Optional<Integer> priority = plan.forEngine() ? Optional.of(plan.rank()) : Optional.empty();
-    parts
-        .dialect()
-        .stamp(
-            headers,
-            new RequestDialect.Grant(upstream, plan.workspace(), left, priority, resumeAfter));
-    HttpMethod method = input.head().method();
-    FullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            method,
-            input.head().uri(),
-            Unpooled.wrappedBuffer(input.body()),
-            headers,
-            DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-    boolean hasBody = input.body().length > 0 || carriedLength();
-    if (hasBody) {
-      HttpUtil.setContentLength(request, input.body().length);
-    } else {
-      headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-    }
-    return request;
-  }
-
-  private boolean carriedLength() {
-    HttpHeaders headers = input.head().headers();
-    return headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-        || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+  private RequestDialect.Grant grant(Upstream upstream, long left) {
+    Optional<Integer> rank = plan.forEngine() ? Optional.of(plan.rank()) : Optional.empty();
+    return new RequestDialect.Grant(upstream, plan.workspace(), left, rank, resumeAfter);
   }
 
   // -- what attempts tell
@@ -340,23 +309,13 @@
 
   @Override
   public void passContent(byte[] bytes) {
-    noteGap();
+    pace.content(parts.timer().nowMillis());
     link.writeContent(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
     if (!link.isWritable() && attempt != null) {
       attempt.setReading(false);
     }
   }
 
-  private void noteGap() {
-    long nowMillis = parts.timer().nowMillis();
-    if (firstMillis == 0) {
-      firstMillis = nowMillis - input.arrivedMillis();
-    } else {
-      longestGapMillis = Math.max(longestGapMillis, nowMillis - lastContentMillis);
-    }
-    lastContentMillis = nowMillis;
-  }
-
   @Override
   public void flush() {
     link.flush();
@@ -520,8 +479,8 @@
             field("status", status),
             field("route", plan == null ? "" : route().name()),
             field("attempts", sentAttempts),
-            field("firstMillis", firstMillis),
-            field("longestGapMillis", longestGapMillis),
+            field("firstMillis", pace.firstMillis()),
+            field("longestGapMillis", pace.longestGapMillis()),
             field("millis", millis));
     onEnd.run();
   }
