Three counters that nothing counted, an unused parameter and an unused getter are gone

Found by reading the change once more: limpetvale_store_calls, _store_failures and _duty_calls were shown as zeros for ever, which misleads whoever looks at them in an outage; Attempt.Listener's completed took a flag that no one read; EventLog.dropped() had no caller.

--- a/forward/src/main/java/org/limpetvale/forward/log/EventLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/log/EventLog.java
@@ -86,11 +86,6 @@
     }
   }
 
-  /** Returns the number of dropped lines that no line has told of yet. */
-  public long dropped() {
-    return dropped.get();
-  }
-
   /** Writes what is queued and stops. */
   @Override
   public void close() {
--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -25,10 +25,7 @@
     RETRIES_DENIED,
     RESUMES,
     CONNECTS_FAILED,
-    ANSWERS_SPOILED,
-    STORE_CALLS,
-    STORE_FAILURES,
-    DUTY_CALLS
+    ANSWERS_SPOILED
   }
 
   private final Map<Counter, LongAdder> counters = new EnumMap<>(Counter.class);
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -60,7 +60,7 @@
     void flush();
 
     /** The answer has been passed on in full. */
-    void completed(int status, boolean notRun);
+    void completed(int status);
 
     /** The attempt ended without an answer that was passed on in full. */
     void notServed(Failure failure, String detail);
@@ -229,7 +229,7 @@
         .map(EventBoundary::takeRest)
         .filter(rest -> rest.length > 0)
         .ifPresent(listener::passContent);
-    listener.completed(status, notRun);
+    listener.completed(status);
   }
 
   private Failure unwantedFailure() {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -329,7 +329,7 @@
   }
 
   @Override
-  public void completed(int status, boolean notRun) {
+  public void completed(int status) {
     boolean served = status < FIRST_REDIRECT;
     parts.metrics().count(served ? Counter.SERVED : Counter.FAILED);
     finish(served ? "served" : "passed_on", status);
