Long request bodies are passed on as they arrive; a header that stops half-way gets a 408

Cause: bodies were read whole before a request began (up to 24 MB in all were held, and a long body waited for its last byte), and a header that stopped half-way was closed at the idle timeout without an answer. Change: RequestAssembler puts requests together; a body above 128 KiB begins its request while it arrives. RequestBody gives the parts to one upstream at a time with back-pressure to the caller and keeps up to 512 KiB for another attempt. A body that stays away ends the upstream's connection before its last byte; 408 is said only if no upstream was sent a part. HeaderClock starts the header timeout at a header's first byte. Ruled out: passing on short bodies as they arrive; a slow caller would hold an upstream's connection and slot for a body that fits one segment.

--- a/core/src/main/java/org/limpetvale/core/result/ResultCode.java
+++ b/core/src/main/java/org/limpetvale/core/result/ResultCode.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Numbered results of requests and operations; the table in docs/RESULT-CODES.md lists them all.
@@ -52,6 +53,8 @@
   ORDER_BLOCKED(5002, 409, Ran.NOT_RUN, "An earlier order of the zone is unresolved."),
   INTERNAL(9001, 500, Ran.MAY_HAVE_RUN, "An unexpected fault inside limpetvale.");
 
+  private static final Set<Integer> INVITING_STATUSES = Set.of(408, 421, 429, 503);
+
   private final int number;
   private final int httpStatus;
   private final Ran ran;
@@ -79,6 +82,14 @@
     return ran;
   }
 
+  /**
+   * Tells whether the status invites the caller to send the request again, as it was not run; 408,
+   * 421, 429 and 503 do.
+   */
+  public boolean mayComeBack() {
+    return INVITING_STATUSES.contains(httpStatus);
+  }
+
   /** Returns one sentence on the meaning. */
   public String meaning() {
     return meaning;
--- a/forward/src/main/java/org/limpetvale/forward/accept/BodyMemory.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/BodyMemory.java
@@ -6,6 +6,7 @@
 
   private long heldBytes;
 
+  /** Counts bytes, unless too many are held. */
   boolean tryHold(int bytes) {
     if (heldBytes + bytes > MOST_BYTES) {
       return false;
@@ -14,6 +15,11 @@
     return true;
   }
 
+  /** Counts bytes in any case, as those of a body that is being sent on already. */
+  void hold(int bytes) {
+    heldBytes += bytes;
+  }
+
   void release(long bytes) {
     heldBytes -= bytes;
   }
--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerHandler.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerHandler.java
@@ -2,7 +2,6 @@
 
 import static org.limpetvale.forward.log.EventLog.field;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -21,40 +20,38 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Optional;
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.ResultCode;
 import org.limpetvale.core.time.TimerService;
 
-/** One connection of a caller: reads one request at a time and writes its answer. */
-final class CallerHandler extends ChannelInboundHandlerAdapter implements CallerLink {
+/** One connection of a caller: serves one request at a time and writes its answer. */
+final class CallerHandler extends ChannelInboundHandlerAdapter
+    implements CallerLink, RequestAssembler.Listener {
   private static final int MOST_QUEUED_OBJECTS = 16;
   private static final long LINGER_MILLIS = 1_000;
 
   private final CallerServer server;
+  private final RequestAssembler assembler;
   private final Deque<HttpObject> queued = new ArrayDeque<>();
   private Channel channel;
   private TimerService.Subscription idleCheck = () -> {};
 
-  /** The request being read, or null. */
-  private HttpRequest head;
+  /** Ends the wait for the rest of a header. */
+  private TimerService.Subscription headerTimeout = () -> {};
 
-  private ByteArrayOutputStream body;
-  private long heldBytes;
-  private long headMillis;
+  private boolean headerBegun;
   private long lastActiveMillis;
 
+  /** Body of the request being served, or null. */
+  private RequestBody body;
+
   /** The request being served, or null. */
   private Exchanges.Running running;
 
-  /** Whether an answer is owed for a request that was read. */
+  /** Whether an answer is owed for a request that has begun. */
   private boolean answering;
 
   /** Number of the request on this connection; tells a request from one that it let begin. */
@@ -68,6 +65,7 @@
 
   CallerHandler(CallerServer server) {
     this.server = server;
+    this.assembler = new RequestAssembler(server, this);
   }
 
   // -- connection
@@ -84,6 +82,8 @@
   public void channelInactive(ChannelHandlerContext context) {
     server.closed(this);
     idleCheck.cancel();
+    headerTimeout.cancel();
+    assembler.drop();
     releaseBody();
     queued.forEach(ReferenceCountUtil::release);
     queued.clear();
@@ -108,7 +108,7 @@
   }
 
   void closeIfIdle() {
-    if (!answering && head == null) {
+    if (!answering && !assembler.isReading()) {
       channel.close();
     }
   }
@@ -123,12 +123,13 @@
     }
     long limitMillis = server.limits().idleTimeoutMillis();
     long idleMillis = server.timer().nowMillis() - lastActiveMillis;
-    if (answering || idleMillis < limitMillis) {
-      scheduleIdleCheck(answering ? limitMillis : limitMillis - idleMillis);
+    boolean waitsForCaller = !answering || assembler.isBodyArriving() && !body.isFull();
+    if (!waitsForCaller || idleMillis < limitMillis) {
+      scheduleIdleCheck(waitsForCaller ? limitMillis - idleMillis : limitMillis);
       return;
     }
-    if (head != null) {
-      refuseAndEnd(Refusal.of(ResultCode.BODY_TOO_SLOW, "the body stopped for " + idleMillis));
+    if (assembler.isReading()) {
+      refused(Refusal.of(ResultCode.BODY_TOO_SLOW, "the body stopped for " + idleMillis + " ms"));
       return;
     }
     channel.close();
@@ -144,106 +145,65 @@
       ReferenceCountUtil.release(object);
       return;
     }
-    if (answering) {
+    if (answering && !assembler.isBodyArriving()) {
       queue(object);
       return;
     }
-    read(object);
+    assembler.take(object);
   }
 
   private void queue(HttpObject object) {
     queued.addLast(object);
-    if (queued.size() >= MOST_QUEUED_OBJECTS) {
-      channel.config().setAutoRead(false);
-    }
+    adjustReading();
   }
 
   private void readQueued() {
     while (!answering && !ending && !queued.isEmpty()) {
-      read(queued.removeFirst());
-    }
-    if (queued.size() < MOST_QUEUED_OBJECTS) {
-      channel.config().setAutoRead(true);
+      assembler.take(queued.removeFirst());
     }
+    adjustReading();
   }
 
-  private void read(HttpObject object) {
-    if (object.decoderResult().isFailure()) {
-      ReferenceCountUtil.release(object);
-      refuseAndEnd(malformed(object.decoderResult().cause()));
+  /** Reads from the caller while there is room for what comes. */
+  private void adjustReading() {
+    boolean bodyFull = assembler.isBodyArriving() && body.isFull();
+    channel.config().setAutoRead(ending || queued.size() < MOST_QUEUED_OBJECTS && !bodyFull);
+  }
+
+  /** Notes bytes that are not of a request that is being read. */
+  void headerBytes() {
+    if (headerBegun || answering || ending || assembler.isReading()) {
       return;
     }
-    if (object instanceof HttpRequest request) {
-      readHead(request);
-    }
-    if (object instanceof HttpContent content) {
-      readContent(content);
-    }
+    headerBegun = true;
+    headerTimeout =
+        server.timer().after(server.limits().headerTimeoutMillis(), this::headerTooSlow);
   }
 
-  private static Refusal malformed(Throwable cause) {
-    if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
-      return Refusal.of(ResultCode.HEADER_TOO_LARGE, "the header exceeds the limit");
+  private void headerTooSlow() {
+    if (headerBegun && !ending) {
+      refused(Refusal.of(ResultCode.HEADER_TOO_SLOW, "the header did not end in time"));
     }
-    return Refusal.of(ResultCode.REQUEST_MALFORMED, String.valueOf(cause.getMessage()));
   }
 
-  private void readHead(HttpRequest request) {
-    Optional<Refusal> fault = HeadCheck.fault(request, server.limits());
-    if (fault.isPresent()) {
-      refuseAndEnd(fault.get());
-      return;
-    }
-    head = request;
-    headMillis = server.timer().nowMillis();
-    body = new ByteArrayOutputStream(bodyCapacity(request));
-    keepAlive = HttpUtil.isKeepAlive(request);
-    if (HttpUtil.is100ContinueExpected(request)) {
+  @Override
+  public void headRead(HttpRequest head) {
+    headerBegun = false;
+    headerTimeout.cancel();
+    keepAlive = HttpUtil.isKeepAlive(head);
+    if (HttpUtil.is100ContinueExpected(head)) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
     }
   }
 
-  private static int bodyCapacity(HttpRequest request) {
-    long length = HttpUtil.getContentLength(request, 0L);
-    return (int) Math.min(length, 1 << 16);
-  }
-
-  private void readContent(HttpContent content) {
-    ByteBuf bytes = content.content();
-    try {
-      if (head == null || ending) {
-        return;
-      }
-      int size = bytes.readableBytes();
-      if (body.size() + (long) size > server.limits().maxBodyBytes()) {
-        refuseAndEnd(Refusal.of(ResultCode.BODY_TOO_LARGE, "the body exceeds the limit"));
-        return;
-      }
-      if (!server.memory().tryHold(size)) {
-        refuseAndEnd(
-            Refusal.of(ResultCode.MEMORY_SHORT, "too many bodies are held", LINGER_MILLIS));
-        return;
-      }
-      heldBytes += size;
-      byte[] copy = new byte[size];
-      bytes.readBytes(copy);
-      body.writeBytes(copy);
-    } finally {
-      content.release();
-    }
-    if (content instanceof LastHttpContent) {
-      beginExchange();
-    }
-  }
-
-  private void beginExchange() {
-    RequestInput input = new RequestInput(head, body.toByteArray(), headMillis);
-    head = null;
-    body = null;
+  @Override
+  public void begin(RequestInput input) {
     answering = true;
     headWritten = false;
+    body = input.body();
+    body.onRoom(this::adjustReading);
     long serial = ++requestSerial;
     Exchanges.Running begun = server.exchanges().begin(input, this);
     if (answering && serial == requestSerial) {
@@ -252,8 +212,10 @@
   }
 
   private void releaseBody() {
-    server.memory().release(heldBytes);
-    heldBytes = 0;
+    if (body != null) {
+      body.close();
+      body = null;
+    }
   }
 
   // -- writing
@@ -306,17 +268,24 @@
   }
 
   private void markClose(HttpResponse answer) {
-    if (server.stopping() || !keepAlive) {
+    if (server.stopping() || assembler.isBodyArriving() || !keepAlive) {
       keepAlive = false;
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
 
   private void completed() {
+    boolean bodyArriving = assembler.isBodyArriving();
     answering = false;
     running = null;
+    assembler.drop();
     releaseBody();
     lastActiveMillis = server.timer().nowMillis();
+    if (bodyArriving) {
+      channel.flush();
+      dropTheRest();
+      return;
+    }
     if (!keepAlive) {
       ending = true;
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -327,7 +296,12 @@
   }
 
   /** Refuses a request that was not read in full, then drops what still comes and closes. */
-  private void refuseAndEnd(Refusal refusal) {
+  @Override
+  public void refused(Refusal refusal) {
+    if (running != null) {
+      running.bodyFailed(refusal);
+      return;
+    }
     server
         .log()
         .decision(
@@ -336,12 +310,17 @@
             field("code", refusal.code().label()),
             field("detail", refusal.detail()),
             field("caller", String.valueOf(channel.remoteAddress())));
-    ending = true;
-    head = null;
-    releaseBody();
+    assembler.drop();
     FullHttpResponse answer = ProblemAnswers.of(refusal);
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     channel.writeAndFlush(answer);
+    dropTheRest();
+  }
+
+  /** Closes once the caller has had time to read its answer; what it sends is dropped. */
+  private void dropTheRest() {
+    ending = true;
+    adjustReading();
     server.timer().after(LINGER_MILLIS, () -> channel.close());
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerServer.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerServer.java
@@ -64,11 +64,13 @@
                 new ChannelInitializer<>() {
                   @Override
                   protected void initChannel(Channel channel) {
+                    CallerHandler handler = new CallerHandler(CallerServer.this);
                     channel
                         .pipeline()
+                        .addLast(new HeaderClock(handler::headerBytes))
                         .addLast(new StrictRequestDecoder(limits.get().maxHeaderBytes()))
                         .addLast(new HttpResponseEncoder())
-                        .addLast(new CallerHandler(CallerServer.this));
+                        .addLast(handler);
                   }
                 })
             .bind(address);
--- a/forward/src/main/java/org/limpetvale/forward/accept/Exchanges.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/Exchanges.java
@@ -1,5 +1,7 @@
 package org.limpetvale.forward.accept;
 
+import org.limpetvale.core.result.Refusal;
+
 /** Serves the requests that were read. */
 public interface Exchanges {
 
@@ -8,6 +10,13 @@
     /** Ends the request, as its caller has gone away. */
     void callerGone();
 
+    /**
+     * Ends the request, as the rest of its body will not come.
+     *
+     * @param refusal why
+     */
+    void bodyFailed(Refusal refusal);
+
     /** Goes on with an answer that waited for the caller to read. */
     void callerWritable();
   }
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/accept/HeaderClock.java
@@ -0,0 +1,32 @@
+package org.limpetvale.forward.accept;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/** Notes the first byte of each header before the decoder reads it. */
+final class HeaderClock extends ChannelInboundHandlerAdapter {
+  private final Runnable onHeaderBytes;
+
+  /**
+   * Creates a clock.
+   *
+   * @param onHeaderBytes is run for bytes other than line ends
+   */
+  HeaderClock(Runnable onHeaderBytes) {
+    this.onHeaderBytes = onHeaderBytes;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (message instanceof ByteBuf bytes && hasText(bytes)) {
+      onHeaderBytes.run();
+    }
+    context.fireChannelRead(message);
+  }
+
+  /** Line ends between requests begin no header. */
+  private static boolean hasText(ByteBuf bytes) {
+    return bytes.forEachByte(each -> each == '\r' || each == '\n') >= 0;
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/accept/RequestInput.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/RequestInput.java
@@ -4,14 +4,13 @@
 import java.util.Objects;
 
 /**
- * A request that was read in full.
+ * A request that may be served.
  *
  * @param head its request line and headers
- * @param body its body
+ * @param body its body, of which a long one may still be arriving
  * @param arrivedMillis monotonic time at which its header was read
  */
-@SuppressWarnings("ArrayRecordComponent")
-public record RequestInput(HttpRequest head, byte[] body, long arrivedMillis) {
+public record RequestInput(HttpRequest head, RequestBody body, long arrivedMillis) {
   public RequestInput {
     Objects.requireNonNull(head, "head is null");
     Objects.requireNonNull(body, "body is null");
--- a/forward/src/main/java/org/limpetvale/forward/relay/AnswerSink.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/AnswerSink.java
@@ -6,6 +6,9 @@
 
 /** Takes the answer of one attempt, on the event loop. */
 interface AnswerSink {
+  /** The request has been written in full. */
+  void requestSent();
+
   /** The header of the answer. */
   void head(HttpResponse response, AnswerHead head);
 
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -2,7 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
@@ -12,6 +12,7 @@
 import org.limpetvale.core.placement.Choice;
 import org.limpetvale.core.placement.EnginePlacement;
 import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.accept.RequestBody;
 import org.limpetvale.forward.place.UpstreamState;
 import org.limpetvale.forward.route.RequestPlan;
 import org.limpetvale.forward.spi.AnswerHead;
@@ -77,6 +78,7 @@
   private final int freshTokens;
   private final Optional<EventBoundary> events;
   private long lastSignMillis;
+  private boolean sent;
   private boolean promptPending;
   private int status;
   private boolean notRun;
@@ -107,11 +109,12 @@
     this.events = plan.route().resumable() ? Optional.of(new EventBoundary()) : Optional.empty();
   }
 
-  void send(FullHttpRequest message) {
+  /** Sends the request; its body may follow as it arrives. */
+  void send(HttpRequest message, RequestBody body) {
     lastSignMillis = timer.nowMillis();
     promptPending = true;
     state.begin(this, freshTokens, tight);
-    connection.send(message, request.requestId(), this);
+    connection.send(message, body, request.requestId(), this);
   }
 
   Upstream upstream() {
@@ -135,9 +138,16 @@
 
   // -- signs of life
 
+  @Override
+  public void requestSent() {
+    sent = true;
+    lastSignMillis = timer.nowMillis();
+  }
+
+  /** An upstream that has not been sent the whole request is not silent. */
   @Override
   public long lastSignMillis() {
-    return lastSignMillis;
+    return sent ? lastSignMillis : timer.nowMillis();
   }
 
   @Override
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/relay/BodyUpload.java
@@ -0,0 +1,61 @@
+package org.limpetvale.forward.relay;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.limpetvale.forward.accept.RequestBody;
+
+/** Passes the body of a request on to its upstream as it arrives and as the upstream takes it. */
+final class BodyUpload implements RequestBody.Reader {
+  private final Channel channel;
+  private final RequestBody body;
+  private final Runnable onWritten;
+
+  /**
+   * Creates an upload that has not begun.
+   *
+   * @param onWritten is run when the whole body has been written
+   */
+  BodyUpload(Channel channel, RequestBody body, Runnable onWritten) {
+    this.channel = channel;
+    this.body = body;
+    this.onWritten = onWritten;
+  }
+
+  void begin() {
+    body.readBy(this);
+  }
+
+  /** Goes on, as the upstream takes more. */
+  void goOn() {
+    body.pump();
+  }
+
+  /** Ends the upload; the body may be read by another. */
+  void stop() {
+    body.leave(this);
+  }
+
+  @Override
+  public boolean isReady() {
+    return channel.isActive() && channel.isWritable();
+  }
+
+  @Override
+  public void part(byte[] bytes) {
+    channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+  }
+
+  @Override
+  public void end() {
+    channel
+        .writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        .addListener(
+            written -> {
+              if (written.isSuccess()) {
+                onWritten.run();
+              }
+            });
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -245,11 +245,16 @@
       connection.close();
       return;
     }
+    if (!input.body().canReplay()) {
+      connection.close();
+      giveUp(ResultCode.UPSTREAM_LOST, "the beginning of the body is not kept");
+      return;
+    }
     sentAttempts++;
     parts.metrics().count(Counter.ATTEMPTS);
     parts.placer().sent(upstream, head.shape());
     attempt = new Attempt(this, plan, head, choice, state, connection, parts.timer());
-    attempt.send(UpstreamRequest.of(parts.dialect(), input, grant(upstream, left)));
+    attempt.send(UpstreamRequest.of(parts.dialect(), input, grant(upstream, left)), input.body());
   }
 
   private RequestDialect.Grant grant(Upstream upstream, long left) {
@@ -389,6 +394,9 @@
     if (sentAttempts >= route().maxAttempts() || leftMillis() < LEAST_RETRY_MILLIS) {
       return false;
     }
+    if (!input.body().canReplay()) {
+      return false;
+    }
     if (headPassedOn && !(route().kind() == Route.Kind.STREAMING && route().resumable())) {
       return false;
     }
@@ -420,6 +428,29 @@
     finish("caller_gone", 0);
   }
 
+  /**
+   * {@inheritDoc}
+   *
+   * <p>An upstream that was sent the beginning may have begun to run it, so the refusal must not
+   * say that it has not run.
+   */
+  @Override
+  public void bodyFailed(Refusal refusal) {
+    if (ended) {
+      return;
+    }
+    boolean begun = attempt != null || mayHaveRun;
+    cancelAttempt();
+    boolean promises = refusal.code().mayComeBack();
+    if (headPassedOn || begun && promises) {
+      parts.metrics().count(Counter.FAILED);
+      finish("broken_off", 0);
+      link.abort();
+      return;
+    }
+    refuse(begun ? new Refusal(refusal.code(), refusal.detail(), Ran.MAY_HAVE_RUN, 0) : refusal);
+  }
+
   private void cancelAttempt() {
     if (attempt != null) {
       attempt.cancel();
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -16,6 +17,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.accept.RequestBody;
 import org.limpetvale.forward.spi.AnswerHead;
 import org.limpetvale.forward.spi.RequestDialect;
 
@@ -48,6 +50,10 @@
   private boolean answerKeepsAlive;
   private boolean framedByLength;
   private boolean requestWritten;
+
+  /** Passes the body on; null when it was written with the header. */
+  private BodyUpload upload;
+
   private boolean answered;
   private boolean reset;
   private long idleSinceMillis;
@@ -71,22 +77,47 @@
 
   // -- use
 
-  /** Sends a request whose answer goes to a sink. */
-  void send(FullHttpRequest request, String id, AnswerSink answers) {
+  /**
+   * Sends a request whose answer goes to a sink.
+   *
+   * @param request header, with the body if that has arrived
+   * @param body the body
+   */
+  void send(HttpRequest request, RequestBody body, String id, AnswerSink answers) {
     sink = answers;
     requestId = id;
     skipping = false;
     answered = false;
     requestWritten = false;
+    boolean whole = request instanceof FullHttpRequest;
     channel
         .writeAndFlush(request)
         .addListener(
             written -> {
-              requestWritten = written.isSuccess();
               if (!written.isSuccess() && sink == answers) {
                 breakOff(AnswerSink.Break.CONNECTION_LOST, "not written: " + written.cause());
+              } else if (whole) {
+                written(answers);
               }
             });
+    if (!whole) {
+      upload = new BodyUpload(channel, body, () -> written(answers));
+      upload.begin();
+    }
+  }
+
+  private void written(AnswerSink answers) {
+    if (sink == answers) {
+      requestWritten = true;
+      answers.requestSent();
+    }
+  }
+
+  private void endUpload() {
+    if (upload != null) {
+      upload.stop();
+      upload = null;
+    }
   }
 
   /** Tells whether the connection can carry a request now. */
@@ -99,6 +130,7 @@
   /** Ends the request under way, if there is one, with its connection. */
   void cancel() {
     sink = null;
+    endUpload();
     channel.close();
   }
 
@@ -190,6 +222,7 @@
     }
     AnswerSink done = sink;
     sink = null;
+    endUpload();
     done.complete();
   }
 
@@ -215,6 +248,13 @@
     owner.reusable(this);
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (upload != null && channel.isWritable()) {
+      upload.goOn();
+    }
+  }
+
   // -- end
 
   @Override
@@ -233,6 +273,7 @@
   private void breakOff(AnswerSink.Break why, String detail) {
     AnswerSink broken = sink;
     sink = null;
+    endUpload();
     channel.close();
     if (broken != null) {
       broken.broken(why, detail);
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamRequest.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamRequest.java
@@ -3,9 +3,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.limpetvale.forward.accept.RequestInput;
@@ -17,28 +19,43 @@
 
   /**
    * Returns the request: method, path and body unchanged, the headers without those of the caller's
-   * connection and with those that the system sets.
+   * connection and with those that the system sets. It holds the body if that has arrived;
+   * otherwise the body follows.
    */
-  static FullHttpRequest of(
-      RequestDialect dialect, RequestInput input, RequestDialect.Grant grant) {
+  static HttpRequest of(RequestDialect dialect, RequestInput input, RequestDialect.Grant grant) {
     HttpHeaders headers = HopHeaders.passedOn(input.head().headers());
     dialect.stamp(headers, grant);
+    return input.body().isWhole() ? whole(input, headers) : beginning(input, headers);
+  }
+
+  private static HttpRequest whole(RequestInput input, HttpHeaders headers) {
+    byte[] body = input.body().bytes();
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             input.head().method(),
             input.head().uri(),
-            Unpooled.wrappedBuffer(input.body()),
+            Unpooled.wrappedBuffer(body),
             headers,
             DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-    if (input.body().length > 0 || carriesLength(input)) {
-      HttpUtil.setContentLength(request, input.body().length);
+    if (body.length > 0 || carriesLength(input)) {
+      HttpUtil.setContentLength(request, body.length);
     } else {
       headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     }
     return request;
   }
 
+  private static HttpRequest beginning(RequestInput input, HttpHeaders headers) {
+    HttpRequest request =
+        new DefaultHttpRequest(
+            HttpVersion.HTTP_1_1, input.head().method(), input.head().uri(), headers);
+    if (!HttpUtil.isContentLengthSet(request)) {
+      HttpUtil.setTransferEncodingChunked(request, true);
+    }
+    return request;
+  }
+
   private static boolean carriesLength(RequestInput input) {
     HttpHeaders headers = input.head().headers();
     return headers.contains(HttpHeaderNames.CONTENT_LENGTH)
