A request that has crashed three upstreams is not run again, at any entry

Cause: the forwarding path did not recognise such a request; each of its attempts has an id of its own, so it went on taking upstreams down. Change: core.crash.CrashSuspects counts, by digest of path, workspace and body, the upstream processes whose crash is confirmed (no connection, or gone from the list) after the connection of a running request was lost. A request that is served is no suspect, so bystanders clear themselves. Entries tell each other in their datagrams (only while there are suspects). Ruled out: counting lost connections alone (a lost or spoiled answer loses one too, without a crash); a digest for each request (nothing is hashed while no request is suspect).

--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
@@ -0,0 +1,172 @@
+package org.limpetvale.core.crash;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * Tells requests that crash their upstreams from those that ran beside them.
+ *
+ * <p>The load that it answers: a request that crashes each upstream that runs it comes again and
+ * again, at any entry, and takes an upstream and all that runs there with it each time. A request
+ * whose connection was lost is a suspect once its upstream is known to have crashed. One that has
+ * been served since is none. Requests are known by a digest, as each of their attempts has an id of
+ * its own.
+ *
+ * <p>Times are monotonic, in milliseconds.
+ */
+public final class CrashSuspects {
+  /** Crashes after which a request is not run again. */
+  public static final int MOST_CRASHES = 3;
+
+  /** Time in which a crash must be confirmed: an upstream's row stands for a few heartbeats. */
+  private static final long CONFIRM_MILLIS = 8_000;
+
+  /** Time for which crashes, and the news that a suspect was served, are remembered. */
+  private static final long KEPT_MILLIS = 60_000;
+
+  /** Suspects that are told to other entries. */
+  private static final int MOST_TOLD = 8;
+
+  /** Requests that wait for a confirmation; the oldest go first. */
+  private static final int MOST_PENDING = 512;
+
+  private final Map<Loss, Long> pending = new LinkedHashMap<>();
+  private final Map<String, Entry> own = new LinkedHashMap<>();
+  private final Map<String, Told> toldBy = new HashMap<>();
+
+  private record Loss(String digest, String process) {}
+
+  /** Crashes of one request that this entry has seen since it was last served. */
+  private record Entry(Set<String> processes, long atMillis) {}
+
+  private record Told(Map<String, Integer> crashes, long atMillis) {
+    int of(String digest) {
+      return crashes.getOrDefault(digest, 0);
+    }
+
+    boolean saysServed(String digest) {
+      return crashes.containsKey(digest) && of(digest) == 0;
+    }
+  }
+
+  private CrashSuspects() {}
+
+  /** Returns a book without suspects. */
+  public static CrashSuspects empty() {
+    return new CrashSuspects();
+  }
+
+  // -- what this entry sees
+
+  /**
+   * Notes that the connection of a running request was lost.
+   *
+   * @param digest the request
+   * @param process the upstream process that ran it
+   */
+  public void lost(String digest, String process, long nowMillis) {
+    Objects.requireNonNull(digest, "digest is null");
+    Objects.requireNonNull(process, "process is null");
+    pending.put(new Loss(digest, process), nowMillis);
+    if (pending.size() > MOST_PENDING) {
+      pending.remove(pending.keySet().iterator().next());
+    }
+  }
+
+  /** Notes that an upstream process is gone; what it last ran becomes suspect. */
+  public void crashed(String process, long nowMillis) {
+    forgetOld(nowMillis);
+    Set<Loss> confirmed = new HashSet<>();
+    for (Loss loss : pending.keySet()) {
+      if (loss.process().equals(process)) {
+        confirmed.add(loss);
+      }
+    }
+    confirmed.forEach(loss -> strike(loss, nowMillis));
+    pending.keySet().removeAll(confirmed);
+  }
+
+  private void strike(Loss loss, long nowMillis) {
+    Entry old = own.remove(loss.digest());
+    Set<String> processes = new HashSet<>(old == null ? Set.of() : old.processes());
+    processes.add(loss.process());
+    own.put(loss.digest(), new Entry(processes, nowMillis));
+  }
+
+  /** Notes that a request was served, so that it is no suspect any more. */
+  public void served(String digest, long nowMillis) {
+    pending.keySet().removeIf(loss -> loss.digest().equals(digest));
+    if (own.containsKey(digest) || isTold(digest)) {
+      own.remove(digest);
+      own.put(digest, new Entry(Set.of(), nowMillis));
+    }
+  }
+
+  // -- what entries tell each other
+
+  /** Returns the crashes of this entry's newest suspects by digest; 0 for those served since. */
+  public Map<String, Integer> toTell(long nowMillis) {
+    forgetOld(nowMillis);
+    Map<String, Integer> told = new HashMap<>();
+    int skip = Math.max(0, own.size() - MOST_TOLD);
+    own.entrySet().stream()
+        .skip(skip)
+        .forEach(each -> told.put(each.getKey(), each.getValue().processes().size()));
+    return told;
+  }
+
+  /** Notes what another entry tells of its suspects. */
+  public void heard(String peer, Map<String, Integer> crashes, long nowMillis) {
+    Told before = toldBy.get(peer);
+    crashes.forEach(
+        (digest, count) -> {
+          boolean news = before == null || !before.saysServed(digest);
+          if (count == 0 && news) {
+            own.remove(digest);
+          }
+        });
+    if (crashes.isEmpty()) {
+      toldBy.remove(peer);
+    } else {
+      toldBy.put(peer, new Told(Map.copyOf(crashes), nowMillis));
+    }
+  }
+
+  // -- judgement
+
+  /** Tells whether any request is suspect, so that digests matter. */
+  public boolean any(long nowMillis) {
+    forgetOld(nowMillis);
+    return !own.isEmpty() || !toldBy.isEmpty();
+  }
+
+  /** Returns the crashes of a request that are known of all entries. */
+  public int crashes(String digest, long nowMillis) {
+    forgetOld(nowMillis);
+    Entry entry = own.get(digest);
+    int crashes = entry == null ? 0 : entry.processes().size();
+    for (Told told : toldBy.values()) {
+      crashes += Math.max(0, told.of(digest));
+    }
+    return crashes;
+  }
+
+  /** Tells whether a request is not run again. */
+  public boolean condemned(String digest, long nowMillis) {
+    return crashes(digest, nowMillis) >= MOST_CRASHES;
+  }
+
+  private boolean isTold(String digest) {
+    return toldBy.values().stream().anyMatch(told -> told.crashes().containsKey(digest));
+  }
+
+  private void forgetOld(long nowMillis) {
+    pending.values().removeIf(at -> nowMillis - at > CONFIRM_MILLIS);
+    own.values().removeIf(entry -> nowMillis - entry.atMillis() > KEPT_MILLIS);
+    toldBy.values().removeIf(told -> nowMillis - told.atMillis() > KEPT_MILLIS);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/limpetvale/core/crash/CrashSuspectsTest.java
@@ -0,0 +1,93 @@
+package org.limpetvale.core.crash;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+final class CrashSuspectsTest {
+  private static final String BAD = "bad";
+  private static final String BYSTANDER = "bystander";
+
+  private final CrashSuspects suspects = CrashSuspects.empty();
+  private long nowMillis = 1_000;
+
+  private void crash(String process, String... running) {
+    for (String digest : running) {
+      suspects.lost(digest, process, nowMillis);
+    }
+    suspects.crashed(process, nowMillis += 500);
+  }
+
+  @Test
+  void aRequestThatCrashedThreeUpstreamsIsNotRunAgain() {
+    crash("a", BAD);
+    crash("b", BAD);
+    assertThat(suspects.condemned(BAD, nowMillis)).isFalse();
+    crash("c", BAD);
+    assertThat(suspects.condemned(BAD, nowMillis)).isTrue();
+  }
+
+  @Test
+  void aLostConnectionAloneMakesNoSuspect() {
+    suspects.lost(BAD, "a", nowMillis);
+    suspects.lost(BAD, "b", nowMillis);
+    suspects.lost(BAD, "c", nowMillis);
+    assertThat(suspects.any(nowMillis)).isFalse();
+  }
+
+  @Test
+  void aCrashLongAfterTheLossIsNotPutDownToIt() {
+    suspects.lost(BAD, "a", nowMillis);
+    suspects.crashed("a", nowMillis + 10_000);
+    assertThat(suspects.any(nowMillis + 10_000)).isFalse();
+  }
+
+  @Test
+  void twoLossesInOneCrashCountOnce() {
+    crash("a", BAD, BAD);
+    crash("a", BAD);
+    assertThat(suspects.crashes(BAD, nowMillis)).isEqualTo(1);
+  }
+
+  @Test
+  void aBystanderThatIsServedLaterIsNoSuspect() {
+    crash("a", BAD, BYSTANDER);
+    suspects.served(BYSTANDER, nowMillis);
+    crash("b", BAD, BYSTANDER);
+    suspects.served(BYSTANDER, nowMillis);
+    crash("c", BAD, BYSTANDER);
+    assertThat(suspects.condemned(BAD, nowMillis)).isTrue();
+    assertThat(suspects.condemned(BYSTANDER, nowMillis)).isFalse();
+  }
+
+  @Test
+  void crashesAtOtherEntriesCountToo() {
+    crash("a", BAD);
+    suspects.heard("edge-2", Map.of(BAD, 1), nowMillis);
+    suspects.heard("edge-3", Map.of(BAD, 1), nowMillis);
+    assertThat(suspects.condemned(BAD, nowMillis)).isTrue();
+    assertThat(suspects.toTell(nowMillis)).isEqualTo(Map.of(BAD, 1));
+  }
+
+  @Test
+  void thatARequestWasServedReachesTheOtherEntriesOnce() {
+    CrashSuspects other = CrashSuspects.empty();
+    crash("a", BYSTANDER);
+    other.heard("edge-1", suspects.toTell(nowMillis), nowMillis);
+    other.served(BYSTANDER, nowMillis);
+    suspects.heard("edge-2", other.toTell(nowMillis), nowMillis);
+    assertThat(suspects.crashes(BYSTANDER, nowMillis)).isZero();
+    crash("b", BYSTANDER);
+    suspects.heard("edge-2", other.toTell(nowMillis), nowMillis);
+    assertThat(suspects.crashes(BYSTANDER, nowMillis)).isEqualTo(1);
+  }
+
+  @Test
+  void suspectsAreForgottenInTheEnd() {
+    crash("a", BAD);
+    crash("b", BAD);
+    crash("c", BAD);
+    assertThat(suspects.any(nowMillis + 61_000)).isFalse();
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -9,6 +9,7 @@
 import org.limpetvale.forward.accept.CallerServer;
 import org.limpetvale.forward.account.RetryBudgets;
 import org.limpetvale.forward.account.UsageCounts;
+import org.limpetvale.forward.admit.CrashGuard;
 import org.limpetvale.forward.duty.DutyLoop;
 import org.limpetvale.forward.duty.Members;
 import org.limpetvale.forward.fleet.ConfigKeeper;
@@ -115,10 +116,13 @@
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
     Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::sharers, timer);
+    CrashGuard crashes = CrashGuard.of(timer, log);
+    peerBook.onReport(report -> crashes.heard(report.writer(), report.crashes()));
     this.forwarder =
         Forwarder.of(
             transport,
             Planner.of(() -> config),
+            crashes,
             placer,
             platform.dialect(),
             upstreams::view,
@@ -151,7 +155,8 @@
                   clock.ownOffsetMillis(),
                   finished ? usage.currentWindow() : usage.closedWindow(),
                   usage.newest(WINDOWS_TOLD),
-                  loads.own());
+                  loads.own(),
+                  crashes.toTell());
             },
             timer,
             log);
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -0,0 +1,134 @@
+package org.limpetvale.forward.admit;
+
+import static org.limpetvale.forward.log.EventLog.field;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.limpetvale.core.crash.CrashSuspects;
+import org.limpetvale.core.fleet.FleetView;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.accept.RequestInput;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.route.RequestPlan;
+
+/** Keeps requests that crash their upstreams from running again; for the event loop only. */
+public final class CrashGuard {
+  private static final int DIGEST_BYTES = 8;
+
+  private final CrashSuspects suspects = CrashSuspects.empty();
+  private final TimerService timer;
+  private final EventLog log;
+  private Set<String> processes = Set.of();
+
+  private CrashGuard(TimerService timer, EventLog log) {
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.log = Objects.requireNonNull(log, "log is null");
+  }
+
+  /** Returns a guard without suspects. */
+  public static CrashGuard of(TimerService timer, EventLog log) {
+    return new CrashGuard(timer, log);
+  }
+
+  // -- requests
+
+  /** Tells whether a request has crashed so many upstreams that it is not run again. */
+  public boolean condemned(RequestInput input, RequestPlan plan) {
+    if (!suspects.any(timer.nowMillis())) {
+      return false;
+    }
+    return digest(input, plan)
+        .filter(digest -> suspects.condemned(digest, timer.nowMillis()))
+        .isPresent();
+  }
+
+  /** Notes that the connection of a running request was lost. */
+  public void lost(RequestInput input, RequestPlan plan, Upstream upstream) {
+    digest(input, plan)
+        .ifPresent(digest -> suspects.lost(digest, process(upstream), timer.nowMillis()));
+  }
+
+  /** Notes that a request was served. */
+  public void served(RequestInput input, RequestPlan plan) {
+    if (suspects.any(timer.nowMillis())) {
+      digest(input, plan).ifPresent(digest -> suspects.served(digest, timer.nowMillis()));
+    }
+  }
+
+  // -- upstreams
+
+  /** Notes that no connection to an upstream could be made. */
+  public void unreachable(Upstream upstream) {
+    crashed(process(upstream));
+  }
+
+  /** Notes which upstreams there are. */
+  public void fleetChanged(FleetView view) {
+    Set<String> now = new HashSet<>();
+    view.all().forEach(upstream -> now.add(process(upstream)));
+    processes.stream().filter(process -> !now.contains(process)).forEach(this::crashed);
+    processes = Set.copyOf(now);
+  }
+
+  private void crashed(String process) {
+    long nowMillis = timer.nowMillis();
+    Map<String, Integer> before = suspects.toTell(nowMillis);
+    suspects.crashed(process, nowMillis);
+    Map<String, Integer> after = suspects.toTell(nowMillis);
+    after.forEach(
+        (digest, crashes) -> {
+          if (crashes > before.getOrDefault(digest, 0)) {
+            log.change(
+                "crash_suspect",
+                field("digest", digest),
+                field("process", process),
+                field("crashes", suspects.crashes(digest, nowMillis)));
+          }
+        });
+  }
+
+  // -- other entries
+
+  /** Returns what the other entries are told. */
+  public Map<String, Integer> toTell() {
+    return suspects.toTell(timer.nowMillis());
+  }
+
+  /** Notes what another entry tells. */
+  public void heard(String peer, Map<String, Integer> crashes) {
+    suspects.heard(peer, crashes, timer.nowMillis());
+  }
+
+  // -- parts
+
+  private static String process(Upstream upstream) {
+    return upstream.id() + "@" + upstream.bornMillis();
+  }
+
+  /** Returns a digest of path, workspace and body; empty when the body is not kept. */
+  private static Optional<String> digest(RequestInput input, RequestPlan plan) {
+    if (!input.body().isWhole()) {
+      return Optional.empty();
+    }
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      digest.update(input.head().uri().getBytes(StandardCharsets.UTF_8));
+      digest.update((byte) 0);
+      plan.workspace()
+          .ifPresent(each -> digest.update(each.name().getBytes(StandardCharsets.UTF_8)));
+      digest.update((byte) 0);
+      digest.update(input.body().bytes());
+      return Optional.of(HexFormat.of().formatHex(digest.digest(), 0, DIGEST_BYTES));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.limpetvale.core.time.TimerService;
 
 /** The newest reports of the other entries; for the event loop only. */
@@ -20,6 +21,7 @@
   private static final long KEPT_MILLIS = 60_000;
 
   private final TimerService timer;
+  private Consumer<PeerReport> onReport = report -> {};
   private final Map<String, Heard> reports = new HashMap<>();
 
   private record Heard(PeerReport report, long atMillis) {}
@@ -33,6 +35,11 @@
     return new PeerBook(timer);
   }
 
+  /** Sets what also takes each report. */
+  public void onReport(Consumer<PeerReport> action) {
+    onReport = Objects.requireNonNull(action, "action is null");
+  }
+
   /** Takes a report, unless a later one of the same entry is known. */
   public void take(PeerReport report) {
     Heard known = reports.get(report.writer());
@@ -42,6 +49,7 @@
     long nowMillis = timer.nowMillis();
     reports.put(report.writer(), new Heard(report, nowMillis));
     reports.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
+    onReport.accept(report);
   }
 
   // -- loads
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -19,6 +19,7 @@
  * @param closedWindow newest usage window whose counts do not grow any more
  * @param usage requests that began to run, by window and workspace; totals so far
  * @param loads what the entry has sent to upstreams and not yet seen answered, by upstream
+ * @param crashes upstreams that crashed on a request, by the request's digest; 0 when it was served
  */
 public record PeerReport(
     String writer,
@@ -26,7 +27,8 @@
     long clockOffsetMillis,
     long closedWindow,
     Map<Long, Map<String, Long>> usage,
-    Map<String, Load> loads) {
+    Map<String, Load> loads,
+    Map<String, Integer> crashes) {
   private static final ObjectMapper JSON = JsonMapper.builder().build();
 
   /**
@@ -42,6 +44,7 @@
     Objects.requireNonNull(writer, "writer is null");
     usage = Map.copyOf(Objects.requireNonNull(usage, "usage is null"));
     loads = Map.copyOf(Objects.requireNonNull(loads, "loads is null"));
+    crashes = Map.copyOf(Objects.requireNonNull(crashes, "crashes is null"));
   }
 
   /** Returns the report as JSON. */
@@ -65,6 +68,10 @@
                 .add(load.requests())
                 .add(load.pendingPromptTokens())
                 .add(load.tightStreams()));
+    if (!crashes.isEmpty()) {
+      ObjectNode suspects = node.putObject("x");
+      crashes.forEach(suspects::put);
+    }
     return node.toString();
   }
 
@@ -82,7 +89,8 @@
               node.path("o").asLong(),
               node.path("c").asLong(),
               usage(node.path("u")),
-              loads(node.path("l"))));
+              loads(node.path("l")),
+              crashes(node.path("x"))));
     } catch (JsonProcessingException | NumberFormatException e) {
       return Optional.empty();
     }
@@ -98,6 +106,12 @@
     return usage;
   }
 
+  private static Map<String, Integer> crashes(JsonNode node) {
+    Map<String, Integer> crashes = new HashMap<>();
+    node.properties().forEach(each -> crashes.put(each.getKey(), each.getValue().asInt()));
+    return crashes;
+  }
+
   private static Map<String, Load> loads(JsonNode node) {
     Map<String, Load> loads = new HashMap<>();
     for (Map.Entry<String, JsonNode> each : node.properties()) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -95,6 +95,13 @@
       case Result.Err<RequestPlan>(Refusal refusal) -> refuse(refusal);
       case Result.Ok<RequestPlan>(RequestPlan found) -> {
         plan = found;
+        if (parts.crashes().condemned(input, plan)) {
+          refuse(
+              Refusal.of(
+                  ResultCode.REQUEST_CRASHES_UPSTREAMS,
+                  "upstreams crashed each time that it was run"));
+          return;
+        }
         long allowed = Math.min(plan.route().timeoutMillis(), deadlineMillis());
         endMillis = input.arrivedMillis() + allowed;
         timeout = parts.timer().after(Math.max(0, leftMillis()), this::timedOut);
@@ -195,6 +202,7 @@
     switch (lease) {
       case UpstreamPool.Lease.Unreachable(String detail) -> {
         state.connectFailed(parts.timer().nowMillis());
+        parts.crashes().unreachable(upstream);
         parts.metrics().count(Counter.CONNECTS_FAILED);
         parts
             .log()
@@ -337,6 +345,9 @@
   public void completed(int status) {
     boolean served = status < FIRST_REDIRECT;
     parts.metrics().count(served ? Counter.SERVED : Counter.FAILED);
+    if (served) {
+      parts.crashes().served(input, plan);
+    }
     finish(served ? "served" : "passed_on", status);
     link.finish();
   }
@@ -358,6 +369,9 @@
             field("failure", failure),
             field("detail", detail),
             field("begun", headPassedOn));
+    if (failure == Attempt.Failure.LOST) {
+      parts.crashes().lost(input, plan, failed.upstream());
+    }
     resumeAfter = failed.lastEventId().or(() -> resumeAfter);
     if (takeRetry(ran)) {
       retryTaken = false;
--- a/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
@@ -9,6 +9,7 @@
 import org.limpetvale.forward.accept.RequestInput;
 import org.limpetvale.forward.account.RetryBudgets;
 import org.limpetvale.forward.account.UsageCounts;
+import org.limpetvale.forward.admit.CrashGuard;
 import org.limpetvale.forward.admit.WaitingRequests;
 import org.limpetvale.forward.http.Transport;
 import org.limpetvale.forward.log.EventLog;
@@ -23,6 +24,7 @@
   /** The filters and books that an exchange uses. */
   record Parts(
       Planner planner,
+      CrashGuard crashes,
       WaitingRequests waiting,
       Placer placer,
       UpstreamPool pool,
@@ -49,6 +51,7 @@
   public static Forwarder of(
       Transport transport,
       Planner planner,
+      CrashGuard crashes,
       Placer placer,
       RequestDialect dialect,
       Supplier<FleetView> fleet,
@@ -61,6 +64,7 @@
     return new Forwarder(
         new Parts(
             planner,
+            crashes,
             WaitingRequests.of(timer),
             placer,
             pool,
@@ -95,6 +99,7 @@
   /** Lets go of what belongs to upstreams that are gone. */
   public void fleetChanged(FleetView view) {
     parts.pool().keepOnly(view);
+    parts.crashes().fleetChanged(view);
     parts.placer().loads().keepOnly(view);
     parts.waiting().wake();
   }
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -17,7 +17,8 @@
         1_700_000_000_000L,
         6,
         Map.of(7L, Map.of("w", count)),
-        Map.of("u", new PeerReport.Load(requests, 100 * requests, 1)));
+        Map.of("u", new PeerReport.Load(requests, 100 * requests, 1)),
+        Map.of("digest", 1));
   }
 
   @Test
