--- a/entry/src/main/java/org/limpetvale/entry/request/Accounting.java
+++ b/entry/src/main/java/org/limpetvale/entry/account/Accounting.java
@@ -1,4 +1,4 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.account;
 
 import com.google.common.flogger.FluentLogger;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -9,6 +9,13 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.core.usage.UsageFigures;
 import org.limpetvale.core.usage.UsageRecord;
+import org.limpetvale.entry.route.DecisionBook;
+import org.limpetvale.entry.route.LengthEstimates;
+import org.limpetvale.entry.run.ModelRequest;
+import org.limpetvale.entry.run.ModelRun;
+import org.limpetvale.entry.run.ServiceRequest;
+import org.limpetvale.entry.run.ServiceRun;
+import org.limpetvale.entry.run.Step;
 import org.limpetvale.entry.usage.UsageLedger;
 
 /** Counts what became of requests and bills what callers have whole. */
--- a/entry/src/main/java/org/limpetvale/entry/request/Caller.java
+++ b/entry/src/main/java/org/limpetvale/entry/authenticate/Caller.java
@@ -1,4 +1,4 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.authenticate;
 
 import java.util.Objects;
 import java.util.Optional;
--- a/entry/src/main/java/org/limpetvale/entry/request/Claims.java
+++ b/entry/src/main/java/org/limpetvale/entry/claim/Claims.java
@@ -1,4 +1,4 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.claim;
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Map;
--- a/entry/src/main/java/org/limpetvale/entry/http/AdminResource.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/AdminResource.java
@@ -34,13 +34,13 @@
 import org.limpetvale.core.result.ResultCode;
 import org.limpetvale.daemon.Digests;
 import org.limpetvale.daemon.Ids;
+import org.limpetvale.entry.authenticate.Authenticator;
 import org.limpetvale.entry.config.ConfigHistory;
 import org.limpetvale.entry.config.ConfigHolder;
 import org.limpetvale.entry.config.ConfigWriter;
 import org.limpetvale.entry.control.Wish;
 import org.limpetvale.entry.control.Wishes;
-import org.limpetvale.entry.request.Authenticator;
-import org.limpetvale.entry.request.DecisionBook;
+import org.limpetvale.entry.route.DecisionBook;
 
 /** The operators' interface. */
 @Path("/v1/admin")
--- a/entry/src/main/java/org/limpetvale/entry/http/ChatAnswers.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/ChatAnswers.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.limpetvale.entry.request.ModelRequest;
-import org.limpetvale.entry.request.Step;
+import org.limpetvale.entry.run.ModelRequest;
+import org.limpetvale.entry.run.Step;
 
 /** The bodies of chat answers. */
 final class ChatAnswers {
--- a/entry/src/main/java/org/limpetvale/entry/http/ChatParser.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/ChatParser.java
@@ -14,8 +14,8 @@
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
 import org.limpetvale.daemon.Digests;
-import org.limpetvale.entry.request.Caller;
-import org.limpetvale.entry.request.ModelRequest;
+import org.limpetvale.entry.authenticate.Caller;
+import org.limpetvale.entry.run.ModelRequest;
 
 /** Checks chat requests and makes the engine's body of them. */
 final class ChatParser {
--- a/entry/src/main/java/org/limpetvale/entry/http/ChatResource.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/ChatResource.java
@@ -24,15 +24,15 @@
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
-import org.limpetvale.entry.request.Accounting;
-import org.limpetvale.entry.request.Authenticator;
-import org.limpetvale.entry.request.Caller;
-import org.limpetvale.entry.request.Claims;
-import org.limpetvale.entry.request.ModelRequest;
-import org.limpetvale.entry.request.ModelRun;
-import org.limpetvale.entry.request.ModelRuns;
-import org.limpetvale.entry.request.OpenRequests;
-import org.limpetvale.entry.request.Step;
+import org.limpetvale.entry.account.Accounting;
+import org.limpetvale.entry.authenticate.Authenticator;
+import org.limpetvale.entry.authenticate.Caller;
+import org.limpetvale.entry.claim.Claims;
+import org.limpetvale.entry.run.ModelRequest;
+import org.limpetvale.entry.run.ModelRun;
+import org.limpetvale.entry.run.ModelRuns;
+import org.limpetvale.entry.run.OpenRequests;
+import org.limpetvale.entry.run.Step;
 
 /** The callers' interface to models. */
 @Path("/v1")
--- a/entry/src/main/java/org/limpetvale/entry/http/ServiceResource.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/ServiceResource.java
@@ -24,14 +24,14 @@
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
-import org.limpetvale.entry.request.Accounting;
-import org.limpetvale.entry.request.Authenticator;
-import org.limpetvale.entry.request.Caller;
-import org.limpetvale.entry.request.Claims;
-import org.limpetvale.entry.request.Dispatcher;
-import org.limpetvale.entry.request.OpenRequests;
-import org.limpetvale.entry.request.ServiceRequest;
-import org.limpetvale.entry.request.ServiceRun;
+import org.limpetvale.entry.account.Accounting;
+import org.limpetvale.entry.authenticate.Authenticator;
+import org.limpetvale.entry.authenticate.Caller;
+import org.limpetvale.entry.claim.Claims;
+import org.limpetvale.entry.route.Dispatcher;
+import org.limpetvale.entry.run.OpenRequests;
+import org.limpetvale.entry.run.ServiceRequest;
+import org.limpetvale.entry.run.ServiceRun;
 import org.limpetvale.wire.ServiceAnswer;
 
 /** The callers' interface to plain services: method, path, headers and body are passed on. */
--- a/entry/src/main/java/org/limpetvale/entry/http/StatusReport.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/StatusReport.java
@@ -8,7 +8,7 @@
 import org.limpetvale.entry.config.ConfigHolder;
 import org.limpetvale.entry.config.Freshness;
 import org.limpetvale.entry.control.LeaseKeeper;
-import org.limpetvale.entry.request.OpenRequests;
+import org.limpetvale.entry.run.OpenRequests;
 import org.limpetvale.entry.upstream.SidecarLink;
 import org.limpetvale.entry.upstream.SidecarPool;
 
--- a/entry/src/main/java/org/limpetvale/entry/request/Dispatcher.java
+++ b/entry/src/main/java/org/limpetvale/entry/route/Dispatcher.java
@@ -1,4 +1,4 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.route;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.List;
@@ -64,7 +64,7 @@
    * @param excluded VMs that have refused or failed the request
    * @return the attempt, or empty when no sidecar is left
    */
-  Optional<RemoteAttempt> open(String poolName, Open.Builder open, Set<String> excluded) {
+  public Optional<RemoteAttempt> open(String poolName, Open.Builder open, Set<String> excluded) {
     List<SidecarLink> links =
         pool.serving(poolName).stream()
             .filter(link -> !excluded.contains(link.vm().name()))
@@ -101,13 +101,13 @@
   }
 
   /** Returns the most offers that one request may make. */
-  int mostOffers() {
+  public int mostOffers() {
     RoutingSettings routing = settings.routing();
     return routing.mostOffers();
   }
 
   /** Takes a retry from the budget; false when it is spent. */
-  boolean takeRetry() {
+  public boolean takeRetry() {
     RetryBudget before =
         retries.getAndUpdate(budget -> budget.allows() ? budget.afterRetry() : budget);
     metrics.counter("limpetvale.retries", "granted", String.valueOf(before.allows())).increment();
@@ -115,19 +115,19 @@
   }
 
   /** Notes a success, which earns part of a retry. */
-  void success() {
+  public void success() {
     retries.updateAndGet(RetryBudget::afterSuccess);
   }
 
-  DecisionBook decisions() {
+  public DecisionBook decisions() {
     return decisions;
   }
 
-  TimerService timer() {
+  public TimerService timer() {
     return timer;
   }
 
-  MeterRegistry metrics() {
+  public MeterRegistry metrics() {
     return metrics;
   }
 }
--- a/entry/src/main/java/org/limpetvale/entry/request/LengthEstimates.java
+++ b/entry/src/main/java/org/limpetvale/entry/route/LengthEstimates.java
@@ -1,4 +1,4 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.route;
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
--- a/entry/src/main/java/org/limpetvale/entry/request/ModelRequest.java
+++ b/entry/src/main/java/org/limpetvale/entry/run/ModelRequest.java
@@ -1,7 +1,8 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.run;
 
 import java.util.Objects;
 import org.limpetvale.core.config.RequestClass;
+import org.limpetvale.entry.authenticate.Caller;
 
 /**
  * A checked request for a model.
--- a/entry/src/main/java/org/limpetvale/entry/request/ModelRuns.java
+++ b/entry/src/main/java/org/limpetvale/entry/run/ModelRuns.java
@@ -1,6 +1,11 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.run;
 
 import java.util.Objects;
+import org.limpetvale.entry.account.Accounting;
+import org.limpetvale.entry.claim.SuspectBook;
+import org.limpetvale.entry.route.Budgets;
+import org.limpetvale.entry.route.Dispatcher;
+import org.limpetvale.entry.route.LengthEstimates;
 
 /** Starts model requests with what an entry's requests share. */
 public final class ModelRuns {
--- a/entry/src/main/java/org/limpetvale/entry/request/ServiceRequest.java
+++ b/entry/src/main/java/org/limpetvale/entry/run/ServiceRequest.java
@@ -1,8 +1,9 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.run;
 
 import java.util.List;
 import java.util.Objects;
 import org.limpetvale.core.config.RequestClass;
+import org.limpetvale.entry.authenticate.Caller;
 import org.limpetvale.wire.Header;
 
 /**
--- a/entry/src/main/java/org/limpetvale/entry/request/ServiceRun.java
+++ b/entry/src/main/java/org/limpetvale/entry/run/ServiceRun.java
@@ -1,4 +1,4 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.run;
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
@@ -10,6 +10,7 @@
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.entry.route.Dispatcher;
 import org.limpetvale.entry.upstream.Next;
 import org.limpetvale.entry.upstream.RemoteAttempt;
 import org.limpetvale.wire.Delivered;
--- a/entry/src/main/java/org/limpetvale/entry/request/Step.java
+++ b/entry/src/main/java/org/limpetvale/entry/run/Step.java
@@ -1,4 +1,4 @@
-package org.limpetvale.entry.request;
+package org.limpetvale.entry.run;
 
 import org.limpetvale.core.result.Refusal;
 
--- /dev/null
+++ b/entry/src/main/java/org/limpetvale/entry/run/package-info.java
@@ -0,0 +1,2 @@
+/** A request from its first attempt to the end of its answer. */
+package org.limpetvale.entry.run;
