Entries tell each other less the more they are, and only three look for the lease often

Cause: each entry's report went to all others every 150 ms, with the usage of three windows each time, and each entry read all shared rows every 2 s: the square of the entries. Change: the period of reports grows with the peers beyond 14 (150 ms up to 900 ms), usage goes with every n-th report (totals, so an old one stands); entries after the first three by name look at the lease every 4 s, not 2 s.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -3,6 +3,7 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import io.netty.channel.ChannelFuture;
+import java.util.Map;
 import java.util.Objects;
 import java.util.UUID;
 import org.limpetvale.core.time.TimerService;
@@ -162,14 +163,14 @@
             settings.peers(),
             peerBook,
             () -> members.addressesBut(settings.peers()),
-            number -> {
+            parts -> {
               clock.others(peerBook.clockOffsets());
               return new PeerReport(
                   self.writer(),
-                  number,
+                  parts.number(),
                   clock.ownOffsetMillis(),
                   finished ? usage.currentWindow() : usage.closedWindow(),
-                  usage.newest(WINDOWS_TOLD),
+                  parts.withUsage() ? usage.newest(WINDOWS_TOLD) : Map.of(),
                   loads.own(),
                   forwarder.waiting(),
                   crashes.toTell());
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -37,7 +37,14 @@
  */
 public final class DutyLoop {
   private static final long PERIOD_MILLIS = 1_000;
+
+  /** Rounds between two looks of an entry that would take the lease over. */
   private static final int CONTENDER_ROUNDS = 2;
+
+  /** Rounds between two looks of an entry that leaves that to others. */
+  private static final int BYSTANDER_ROUNDS = 4;
+
+  private static final int MOST_CONTENDERS = 3;
   private static final long LEASE_MILLIS = 4_000;
   private static final String DUTY = "duties";
 
@@ -149,8 +156,9 @@
 
   private void nextRound() {
     rounds++;
-    boolean turn = lease.held(timer.nowMillis()) || rounds % CONTENDER_ROUNDS == 0;
-    if (turn) {
+    boolean contends = members.before(self.writer()) < MOST_CONTENDERS;
+    int pause = contends ? CONTENDER_ROUNDS : BYSTANDER_ROUNDS;
+    if (lease.held(timer.nowMillis()) || rounds % pause == 0) {
       roundNow();
     }
   }
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -75,6 +75,11 @@
     return live;
   }
 
+  /** Returns the number of other entries thought to run whose names come before a name. */
+  int before(String name) {
+    return (int) live().stream().filter(each -> each.compareTo(name) < 0).count();
+  }
+
   /** Tells whether an entry has been silent for so long that its row may go. */
   boolean forgotten(String name) {
     Seen each = seen.get(name);
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -47,7 +47,9 @@
       return;
     }
     long nowMillis = timer.nowMillis();
-    reports.put(report.writer(), new Heard(report, nowMillis));
+    boolean keepsUsage = known != null && report.usage().isEmpty();
+    PeerReport whole = keepsUsage ? report.withUsageOf(known.report()) : report;
+    reports.put(report.writer(), new Heard(whole, nowMillis));
     reports.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
     onReport.accept(report);
   }
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerLink.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerLink.java
@@ -12,7 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Objects;
-import java.util.function.LongFunction;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.http.Transport;
@@ -24,7 +24,14 @@
  * <p>A report holds totals, so that a lost datagram is made good by the next one.
  */
 public final class PeerLink {
-  private static final long PERIOD_MILLIS = 150;
+  private static final long SHORTEST_PERIOD_MILLIS = 150;
+  private static final long LONGEST_PERIOD_MILLIS = 900;
+
+  /** Other entries up to which reports go out at the shortest period. */
+  private static final int FEW_PEERS = 14;
+
+  /** Other entries for each of which usage is left out of one more report. */
+  private static final int PEERS_PER_USAGE_PAUSE = 6;
 
   /** Largest datagram that fits a usual network without being split. */
   private static final int LARGEST_BYTES = 1_400;
@@ -33,19 +40,27 @@
   private final InetSocketAddress address;
   private final PeerBook book;
   private final Supplier<List<InetSocketAddress>> peers;
-  private final LongFunction<PeerReport> report;
+  private final Function<Parts, PeerReport> report;
   private final TimerService timer;
   private final EventLog log;
   private Channel channel;
   private long number;
   private boolean tooLargeLogged;
 
+  /**
+   * What a report is to hold.
+   *
+   * @param number its number
+   * @param withUsage whether it tells the usage
+   */
+  public record Parts(long number, boolean withUsage) {}
+
   private PeerLink(
       Transport transport,
       InetSocketAddress address,
       PeerBook book,
       Supplier<List<InetSocketAddress>> peers,
-      LongFunction<PeerReport> report,
+      Function<Parts, PeerReport> report,
       TimerService timer,
       EventLog log) {
     this.transport = Objects.requireNonNull(transport, "transport is null");
@@ -63,14 +78,14 @@
    * @param address address to send from and to listen at
    * @param book takes the reports of others
    * @param peers addresses of the others
-   * @param report makes this entry's report with a number
+   * @param report makes this entry's report
    */
   public static PeerLink of(
       Transport transport,
       InetSocketAddress address,
       PeerBook book,
       Supplier<List<InetSocketAddress>> peers,
-      LongFunction<PeerReport> report,
+      Function<Parts, PeerReport> report,
       TimerService timer,
       EventLog log) {
     return new PeerLink(transport, address, book, peers, report, timer, log);
@@ -86,7 +101,7 @@
             (io.netty.channel.ChannelFuture bound) -> {
               if (bound.isSuccess()) {
                 channel = bound.channel();
-                timer.every(PERIOD_MILLIS, this::send);
+                sendAndSchedule();
               } else {
                 log.change(
                     "not_listening",
@@ -96,13 +111,32 @@
             });
   }
 
-  /** Sends a report now. */
-  public void send() {
+  /**
+   * Sends reports at a period that grows with the number of entries, as each entry hears all
+   * others.
+   */
+  private void sendAndSchedule() {
     List<InetSocketAddress> others = peers.get();
+    send(others, number % (1 + others.size() / PEERS_PER_USAGE_PAUSE) == 0);
+    timer.after(periodMillis(others.size()), this::sendAndSchedule);
+  }
+
+  static long periodMillis(int peers) {
+    long period = SHORTEST_PERIOD_MILLIS * Math.max(1, peers) / FEW_PEERS;
+    return Math.clamp(period, SHORTEST_PERIOD_MILLIS, LONGEST_PERIOD_MILLIS);
+  }
+
+  /** Sends a whole report now. */
+  public void send() {
+    send(peers.get(), true);
+  }
+
+  private void send(List<InetSocketAddress> others, boolean withUsage) {
     if (channel == null || others.isEmpty()) {
       return;
     }
-    byte[] bytes = report.apply(++number).toJson().getBytes(StandardCharsets.UTF_8);
+    byte[] bytes =
+        report.apply(new Parts(++number, withUsage)).toJson().getBytes(StandardCharsets.UTF_8);
     if (bytes.length > LARGEST_BYTES && !tooLargeLogged) {
       tooLargeLogged = true;
       log.change("peer_report_large", field("bytes", bytes.length));
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -17,7 +17,8 @@
  * @param number number of the report; later ones have higher numbers
  * @param clockOffsetMillis difference between its time of day and the store's clock; 0 when unknown
  * @param closedWindow newest usage window whose counts do not grow any more
- * @param usage requests that began to run, by window and workspace; totals so far
+ * @param usage requests that began to run, by window and workspace; totals so far; empty when the
+ *     report does not tell them
  * @param loads what the entry has sent to upstreams and not yet seen answered, by upstream
  * @param waiting requests that wait at the entry, by service
  * @param crashes upstreams that crashed on a request, by the request's digest; 0 when it was served
@@ -50,6 +51,12 @@
     crashes = Map.copyOf(Objects.requireNonNull(crashes, "crashes is null"));
   }
 
+  /** Returns this report with the usage of another. */
+  PeerReport withUsageOf(PeerReport other) {
+    return new PeerReport(
+        writer, number, clockOffsetMillis, closedWindow, other.usage, loads, waiting, crashes);
+  }
+
   /** Returns the report as JSON. */
   public String toJson() {
     ObjectNode node = JSON.createObjectNode();
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -37,6 +37,22 @@
     assertThat(book.usage(7)).containsEntry("a.1", Map.of("w", 9L));
   }
 
+  @Test
+  void aReportWithoutUsageLeavesTheUsageAsItWasTold() {
+    book.take(report("a.1", 1, 9, 1));
+    book.take(new PeerReport("a.1", 2, 0, 6, Map.of(), Map.of(), Map.of(), Map.of()));
+    assertThat(book.usage(7)).containsEntry("a.1", Map.of("w", 9L));
+    assertThat(book.othersAt("u").requests()).isZero();
+  }
+
+  @Test
+  void reportsGoOutLessOftenTheMoreEntriesHearThem() {
+    assertThat(PeerLink.periodMillis(0)).isEqualTo(150);
+    assertThat(PeerLink.periodMillis(4)).isEqualTo(150);
+    assertThat(PeerLink.periodMillis(29)).isBetween(290L, 320L);
+    assertThat(PeerLink.periodMillis(340)).isEqualTo(900);
+  }
+
   @Test
   void loadsOfAllOthersAddUpWhileTheyAreFresh() {
     book.take(report("a.1", 1, 0, 2));
