Failures of an upstream are told between entries, and fade

Cause: each entry learned of a failing upstream by its own requests alone (with 30 entries some 100 lost requests before all know), and what it had learned never faded: an upstream that failed for a while was avoided by cost until the load pushed requests there again. Change: the failure share halves every 5 s without news, a failed connection counts, entries tell it with their loads, and the mean of the others' counts when it is above the own. Ruled out: the maximum of the others' (one entry with a bad path would speak for all).

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -171,7 +171,7 @@
                   clock.ownOffsetMillis(),
                   finished ? usage.currentWindow() : usage.closedWindow(),
                   parts.withUsage() ? usage.newest(WINDOWS_TOLD) : Map.of(),
-                  loads.own(),
+                  loads.own(timer.nowMillis()),
                   forwarder.waiting(),
                   crashes.toTell());
             },
--- a/forward/src/main/java/org/limpetvale/forward/duty/Demand.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Demand.java
@@ -30,13 +30,12 @@
   }
 
   /** Returns the demand for a service now. */
-  int of(String service) {
-    Map<String, PeerReport.Load> own = loads.own();
+  int of(String service, long nowMillis) {
+    Map<String, PeerReport.Load> own = loads.own(nowMillis);
     int requests = waiting.get().getOrDefault(service, 0) + peers.waiting(service);
     for (Upstream upstream : fleet.get().all()) {
       if (upstream.service().equals(service)) {
-        PeerReport.Load mine = own.get(upstream.id());
-        requests += mine == null ? 0 : mine.requests();
+        requests += own.getOrDefault(upstream.id(), PeerReport.Load.NONE).requests();
         requests += peers.othersAt(upstream.id()).requests();
       }
     }
--- a/forward/src/main/java/org/limpetvale/forward/duty/ScalingDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/ScalingDuty.java
@@ -102,7 +102,7 @@
             (service, bounds) -> {
               windows
                   .computeIfAbsent(service, name -> DemandWindow.empty())
-                  .note(demand.of(service), nowMillis);
+                  .note(demand.of(service, nowMillis), nowMillis);
               for (Upstream upstream : fleet.get().ready(service)) {
                 seenAtMillis.put(new Subject(service, upstream.zone()), nowMillis);
               }
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -62,21 +62,29 @@
     return reports.values().stream().anyMatch(each -> isFresh(each, nowMillis));
   }
 
-  /** Returns what the other entries have at an upstream, as far as they have reported lately. */
+  /**
+   * Returns what the other entries have at an upstream, as far as they have reported lately: sums,
+   * and the mean of their failure shares, so that one with a bad path does not speak for all.
+   */
   public PeerReport.Load othersAt(String upstreamId) {
     long nowMillis = timer.nowMillis();
     int requests = 0;
     int pendingPromptTokens = 0;
     int tightStreams = 0;
+    int failurePercents = 0;
+    int witnesses = 0;
     for (Heard each : reports.values()) {
       PeerReport.Load load = each.report().loads().get(upstreamId);
       if (load != null && isFresh(each, nowMillis)) {
         requests += load.requests();
         pendingPromptTokens += load.pendingPromptTokens();
         tightStreams += load.tightStreams();
+        failurePercents += load.failurePercent();
+        witnesses++;
       }
     }
-    return new PeerReport.Load(requests, pendingPromptTokens, tightStreams);
+    int failurePercent = witnesses == 0 ? 0 : failurePercents / witnesses;
+    return new PeerReport.Load(requests, pendingPromptTokens, tightStreams, failurePercent);
   }
 
   /** Returns the streams with a short gap target that other entries have open. */
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -40,8 +40,12 @@
    * @param requests requests under way
    * @param pendingPromptTokens prompt tokens of requests without a first event
    * @param tightStreams streams with a short gap target
+   * @param failurePercent share of recent requests that the upstream failed
    */
-  public record Load(int requests, int pendingPromptTokens, int tightStreams) {}
+  public record Load(int requests, int pendingPromptTokens, int tightStreams, int failurePercent) {
+    /** Nothing at an upstream that fails nothing. */
+    public static final Load NONE = new Load(0, 0, 0, 0);
+  }
 
   public PeerReport {
     Objects.requireNonNull(writer, "writer is null");
@@ -77,7 +81,8 @@
                 .putArray(id)
                 .add(load.requests())
                 .add(load.pendingPromptTokens())
-                .add(load.tightStreams()));
+                .add(load.tightStreams())
+                .add(load.failurePercent()));
     putCounts(node, "q", waiting);
     putCounts(node, "x", crashes);
     return node.toString();
@@ -134,7 +139,11 @@
       JsonNode values = each.getValue();
       loads.put(
           each.getKey(),
-          new Load(values.path(0).asInt(), values.path(1).asInt(), values.path(2).asInt()));
+          new Load(
+              values.path(0).asInt(),
+              values.path(1).asInt(),
+              values.path(2).asInt(),
+              values.path(3).asInt()));
     }
     return loads;
   }
--- a/forward/src/main/java/org/limpetvale/forward/place/LoadBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/LoadBook.java
@@ -34,13 +34,14 @@
     states.keySet().removeIf(id -> view.find(id).isEmpty());
   }
 
-  /** Returns what this entry has at each upstream where it has anything, by id. */
-  public Map<String, PeerReport.Load> own() {
+  /** Returns what this entry knows of each upstream where it has or had anything, by id. */
+  public Map<String, PeerReport.Load> own(long nowMillis) {
     Map<String, PeerReport.Load> own = new HashMap<>();
     states.forEach(
         (id, state) -> {
-          if (state.requests() > 0) {
-            own.put(id, state.own());
+          PeerReport.Load load = state.own(nowMillis);
+          if (!load.equals(PeerReport.Load.NONE)) {
+            own.put(id, load);
           }
         });
     return own;
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -12,6 +12,11 @@
 /** What this entry knows of one upstream process; for the event loop only. */
 public final class UpstreamState {
   private static final double FAILURE_WEIGHT = 0.15;
+
+  /** Time after which an upstream that nobody tried is trusted half as much again. */
+  private static final double FAILURE_HALF_LIFE_MILLIS = 5_000;
+
+  private static final double PERCENT = 100;
   private static final double OTHERS_HALF_LIFE_MILLIS = 1_500;
   private static final long FIRST_PAUSE_MILLIS = 500;
   private static final long LONGEST_PAUSE_MILLIS = 4_000;
@@ -32,6 +37,7 @@
   private double others;
   private long othersAtMillis;
   private double failureShare;
+  private long failureAtMillis;
   private long pauseMillis;
   private long pausedUntilMillis;
 
@@ -85,8 +91,15 @@
   }
 
   /** Notes whether a request failed there through the upstream's fault. */
-  public void outcome(boolean failed) {
-    failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureShare);
+  public void outcome(boolean failed, long nowMillis) {
+    double now = failureShare(nowMillis);
+    failureShare = now + FAILURE_WEIGHT * ((failed ? 1 : 0) - now);
+    failureAtMillis = nowMillis;
+  }
+
+  private double failureShare(long nowMillis) {
+    double age = Math.max(0, nowMillis - failureAtMillis);
+    return failureShare * Math.pow(0.5, age / FAILURE_HALF_LIFE_MILLIS);
   }
 
   // -- connections
@@ -95,6 +108,7 @@
   public void connectFailed(long nowMillis) {
     pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, Math.max(FIRST_PAUSE_MILLIS, pauseMillis * 2));
     pausedUntilMillis = nowMillis + pauseMillis;
+    outcome(true, nowMillis);
   }
 
   /** Notes a connection that was made. */
@@ -119,7 +133,7 @@
    */
   UpstreamLoad load(
       int cachedTokens, int affinityRank, Optional<PeerReport.Load> peers, long nowMillis) {
-    PeerReport.Load others = peers.orElse(new PeerReport.Load(othersTold(nowMillis), 0, 0));
+    PeerReport.Load others = peers.orElse(new PeerReport.Load(othersTold(nowMillis), 0, 0, 0));
     return new UpstreamLoad(
         upstream,
         sent.size(),
@@ -130,7 +144,7 @@
         cachedTokens,
         affinityRank,
         1,
-        failureShare,
+        Math.max(failureShare(nowMillis), others.failurePercent() / PERCENT),
         silent(nowMillis));
   }
 
@@ -139,8 +153,10 @@
   }
 
   /** Returns what this entry has there, for the other entries. */
-  PeerReport.Load own() {
-    return new PeerReport.Load(sent.size(), Math.max(0, pendingPromptTokens), tightStreams);
+  PeerReport.Load own(long nowMillis) {
+    int failurePercent = (int) Math.round(failureShare(nowMillis) * PERCENT);
+    return new PeerReport.Load(
+        sent.size(), Math.max(0, pendingPromptTokens), tightStreams, failurePercent);
   }
 
   private int othersTold(long nowMillis) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -166,7 +166,7 @@
     if (!notRun && plan.route().kind() != Route.Kind.STREAMING) {
       begun();
     }
-    state.outcome(status >= FIRST_SERVER_ERROR && !notRun);
+    state.outcome(status >= FIRST_SERVER_ERROR && !notRun, lastSignMillis);
     wanted = listener.wants(status, head.signed(), notRun);
     if (!wanted) {
       return;
@@ -256,7 +256,7 @@
       listener.notServed(Failure.NOT_RUN, "status " + status);
       return;
     }
-    state.outcome(true);
+    state.outcome(true, timer.nowMillis());
     listener.notServed(why == Break.SPOILED ? Failure.SPOILED : Failure.LOST, detail);
   }
 
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -17,7 +17,7 @@
         1_700_000_000_000L,
         6,
         Map.of(7L, Map.of("w", count)),
-        Map.of("u", new PeerReport.Load(requests, 100 * requests, 1)),
+        Map.of("u", new PeerReport.Load(requests, 100 * requests, 1, 10 * requests)),
         Map.of("service", 2),
         Map.of("digest", 1));
   }
@@ -57,10 +57,10 @@
   void loadsOfAllOthersAddUpWhileTheyAreFresh() {
     book.take(report("a.1", 1, 0, 2));
     book.take(report("b.1", 1, 0, 3));
-    assertThat(book.othersAt("u")).isEqualTo(new PeerReport.Load(5, 500, 2));
+    assertThat(book.othersAt("u")).isEqualTo(new PeerReport.Load(5, 500, 2, 25));
     timer.advance(1_500);
     assertThat(book.hasFresh()).isFalse();
-    assertThat(book.othersAt("u")).isEqualTo(new PeerReport.Load(0, 0, 0));
+    assertThat(book.othersAt("u")).isEqualTo(PeerReport.Load.NONE);
   }
 
   @Test
