--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -41,9 +41,10 @@
 /** A forwarding daemon: its parts, its start and its stop. */
 public final class ForwardDaemon {
   /** Short waits confirm the configuration often enough for withdrawn keys. */
-  private static final TableFollower.Pace CONFIG_PACE = new TableFollower.Pace(1_500, 8_000);
+  private static final TableFollower.Pace CONFIG_PACE = new TableFollower.Pace(1_500, 8_000, 0);
 
-  private static final TableFollower.Pace UPSTREAM_PACE = new TableFollower.Pace(4_000, 12_000);
+  private static final TableFollower.Pace UPSTREAM_PACE =
+      new TableFollower.Pace(4_000, 12_000, 250);
 
   /** Time in which the balancer notices that the daemon is leaving. */
   private static final long NOTICE_MILLIS = 2_600;
--- a/forward/src/main/java/org/limpetvale/forward/fleet/TableFollower.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/TableFollower.java
@@ -28,8 +28,10 @@
    *
    * @param waitMillis time that the store holds a call without changes
    * @param wholeReadMillis time after which the table is read whole again
+   * @param restMillis time after a change in which others are left to gather, as a fleet that
+   *     starts changes row by row
    */
-  public record Pace(long waitMillis, long wholeReadMillis) {}
+  public record Pace(long waitMillis, long wholeReadMillis, long restMillis) {}
 
   /** Takes what is read, on the event loop. */
   public interface Subscriber {
@@ -132,6 +134,20 @@
         .thenAccept(read -> tookChanges(mine, sentMillis, read));
   }
 
+  private void goOn(long mine, boolean changed) {
+    if (!changed || pace.restMillis() == 0) {
+      waitForChanges(mine);
+      return;
+    }
+    timer.after(
+        pace.restMillis(),
+        () -> {
+          if (mine == chain) {
+            waitForChanges(mine);
+          }
+        });
+  }
+
   private void tookChanges(long mine, long sentMillis, StoreRead read) {
     if (mine != chain) {
       return;
@@ -144,7 +160,7 @@
           subscriber.changed(page.rows());
         }
         subscriber.confirmed(sentMillis);
-        waitForChanges(mine);
+        goOn(mine, !page.rows().isEmpty());
       }
       case StoreRead.Page(RowPage page) ->
           failed(mine, "an old state: " + page.version() + " after " + version);
--- a/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
@@ -22,14 +22,17 @@
   private final ManualTimer timer = new ManualTimer();
   private final List<String> seen = new ArrayList<>();
   private final Deque<CompletableFuture<StoreRead>> calls = new ArrayDeque<>();
-  private final TableFollower follower =
-      TableFollower.of(
-          new ScriptedStore(),
-          RowTable.CONFIG,
-          new TableFollower.Pace(1_500, 8_000),
-          new Recorder(),
-          timer,
-          EventLog.silent());
+  private final TableFollower follower = follower(0);
+
+  private TableFollower follower(long restMillis) {
+    return TableFollower.of(
+        new ScriptedStore(),
+        RowTable.CONFIG,
+        new TableFollower.Pace(1_500, 8_000, restMillis),
+        new Recorder(),
+        timer,
+        EventLog.silent());
+  }
 
   private final class ScriptedStore implements FleetStore {
     @Override
@@ -107,6 +110,20 @@
             "changes since 7");
   }
 
+  @Test
+  void withARestOtherChangesGatherBeforeTheNextCall() {
+    TableFollower resting = follower(250);
+    resting.restart();
+    answer(page(5, 2));
+    answer(page(7, 1));
+    timer.advance(249);
+    assertThat(seen).endsWith("changed 1", "confirmed");
+    timer.advance(1);
+    assertThat(seen).endsWith("changes since 7");
+    answer(page(7, 0));
+    assertThat(seen).endsWith("confirmed", "changes since 7");
+  }
+
   @Test
   void droppedHistoryLeadsToAWholeRead() {
     follower.restart();
