A suspension during a read of the configuration is noticed

A read that was under way while the VM stood still was confirmed as of its question on the monotonic clock, which does not count the suspension, and the drift of the clocks was measured only from the answer on. So a withdrawn key was trusted for up to 4.6 s beyond its bound if the store did not answer after the thaw. Change: a confirmation carries both clocks as of the question (core.time.Moment). Members count 64 sharers of the retry budget before their first read, not 8.

--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -20,7 +20,7 @@
   /** Time without a read after which the fleet may have grown unseen. */
   private static final long UNSEEN_MILLIS = 5_000;
 
-  private static final int ASSUMED_BEFORE_FIRST_READ = 8;
+  private static final int ASSUMED_BEFORE_FIRST_READ = 64;
   private static final int UNSEEN_FACTOR = 2;
 
   private final TimerService timer;
--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigKeeper.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigKeeper.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import org.limpetvale.core.fleet.CallerLimits;
 import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.route.Planner;
@@ -31,9 +32,10 @@
       new AtomicReference<>(Optional.empty());
   private Runnable refresh = () -> {};
   private Runnable onRegained = () -> {};
-  private boolean confirmedOnce;
-  private long confirmedAtMillis;
-  private long wallOffsetMillis;
+
+  /** When the question was asked whose answer last showed the newest configuration. */
+  private Optional<Moment> confirmedAsOf = Optional.empty();
+
   private boolean suspicious;
 
   private ConfigKeeper(RowDecoder decoder, TimerService timer, EventLog log, long revokeMillis) {
@@ -75,19 +77,20 @@
 
   @Override
   public boolean keysAreCurrent() {
-    if (!confirmedOnce) {
+    if (confirmedAsOf.isEmpty()) {
       return false;
     }
-    if (Math.abs(wallOffset() - wallOffsetMillis) > SUSPENSION_MILLIS) {
-      suspect();
+    long driftMillis = Moment.now(timer).driftSinceMillis(confirmedAsOf.get());
+    if (Math.abs(driftMillis) > SUSPENSION_MILLIS) {
+      suspect(driftMillis);
       return false;
     }
-    return timer.nowMillis() - confirmedAtMillis < revokeMillis - MARGIN_MILLIS;
+    return confirmedAgeMillis() < revokeMillis - MARGIN_MILLIS;
   }
 
   @Override
   public long confirmedAgeMillis() {
-    return timer.nowMillis() - confirmedAtMillis;
+    return timer.nowMillis() - confirmedAsOf.map(Moment::steadyMillis).orElse(0L);
   }
 
   // -- subscription
@@ -103,10 +106,8 @@
   }
 
   @Override
-  public void confirmed(long asOfMillis) {
-    confirmedOnce = true;
-    confirmedAtMillis = asOfMillis;
-    wallOffsetMillis = wallOffset();
+  public void confirmed(Moment asOf) {
+    confirmedAsOf = Optional.of(asOf);
     suspicious = false;
   }
 
@@ -158,15 +159,11 @@
         .collect(Collectors.joining(","));
   }
 
-  private void suspect() {
+  private void suspect(long driftMillis) {
     if (!suspicious) {
       suspicious = true;
-      log.change("clock_drift", field("millis", wallOffset() - wallOffsetMillis));
+      log.change("clock_drift", field("millis", driftMillis));
       refresh.run();
     }
   }
-
-  private long wallOffset() {
-    return timer.wallMillis() - timer.nowMillis();
-  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/fleet/TableFollower.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/TableFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.spi.FleetStore;
@@ -44,9 +45,9 @@
     /**
      * All changes up to a moment have been handed over.
      *
-     * @param asOfMillis that moment, on this process's monotonic clock
+     * @param asOf that moment
      */
-    void confirmed(long asOfMillis);
+    void confirmed(Moment asOf);
 
     /** The store answers again after failures. */
     void regained();
@@ -99,21 +100,21 @@
   }
 
   private void readWhole(long mine) {
-    long sentMillis = timer.nowMillis();
-    store.read(table, "", "").thenAccept(read -> tookWhole(mine, sentMillis, read));
+    Moment sent = Moment.now(timer);
+    store.read(table, "", "").thenAccept(read -> tookWhole(mine, sent, read));
   }
 
-  private void tookWhole(long mine, long sentMillis, StoreRead read) {
+  private void tookWhole(long mine, Moment sent, StoreRead read) {
     if (mine != chain) {
       return;
     }
     switch (read) {
       case StoreRead.Page(RowPage page) when page.version() >= version -> {
         version = page.version();
-        wholeReadAtMillis = sentMillis;
+        wholeReadAtMillis = sent.steadyMillis();
         answered();
         subscriber.whole(page.rows());
-        subscriber.confirmed(sentMillis);
+        subscriber.confirmed(sent);
         waitForChanges(mine);
       }
       case StoreRead.Page(RowPage page) ->
@@ -124,14 +125,14 @@
   }
 
   private void waitForChanges(long mine) {
-    long sentMillis = timer.nowMillis();
-    if (sentMillis - wholeReadAtMillis >= pace.wholeReadMillis()) {
+    Moment sent = Moment.now(timer);
+    if (sent.steadyMillis() - wholeReadAtMillis >= pace.wholeReadMillis()) {
       readWhole(mine);
       return;
     }
     store
         .changes(table, version, pace.waitMillis())
-        .thenAccept(read -> tookChanges(mine, sentMillis, read));
+        .thenAccept(read -> tookChanges(mine, sent, read));
   }
 
   private void goOn(long mine, boolean changed) {
@@ -148,7 +149,7 @@
         });
   }
 
-  private void tookChanges(long mine, long sentMillis, StoreRead read) {
+  private void tookChanges(long mine, Moment sent, StoreRead read) {
     if (mine != chain) {
       return;
     }
@@ -159,7 +160,7 @@
         if (!page.rows().isEmpty()) {
           subscriber.changed(page.rows());
         }
-        subscriber.confirmed(sentMillis);
+        subscriber.confirmed(sent);
         goOn(mine, !page.rows().isEmpty());
       }
       case StoreRead.Page(RowPage page) ->
--- a/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamKeeper.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamKeeper.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.spi.RowDecoder;
@@ -96,7 +97,7 @@
   }
 
   @Override
-  public void confirmed(long asOfMillis) {}
+  public void confirmed(Moment asOf) {}
 
   @Override
   public void regained() {
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigExplorationTest.java
@@ -0,0 +1,298 @@
+package org.limpetvale.forward.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.fleet.CallerLimits;
+import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.fleet.RouteTable;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.time.Moment;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.spi.FleetStore;
+import org.limpetvale.forward.spi.RowDecoder;
+import org.limpetvale.forward.spi.RowPage;
+import org.limpetvale.forward.spi.RowTable;
+import org.limpetvale.forward.spi.RowTransaction;
+import org.limpetvale.forward.spi.StoreCommit;
+import org.limpetvale.forward.spi.StoreRead;
+import org.limpetvale.forward.spi.StoredRow;
+import org.limpetvale.forward.testing.ManualTimer;
+
+/**
+ * Seeded schedules of changes, outages, slow and lost answers, dropped history and suspensions: no
+ * version goes back, and while keys are trusted the configuration in force is no older than the
+ * bound on withdrawn keys allows.
+ */
+final class ConfigExplorationTest {
+  private static final int SCHEDULES = 10_000;
+  private static final int MUTANT_SCHEDULES = 400;
+  private static final long REVOKE_MILLIS = 5_000;
+  private static final long DAY_MILLIS = 30_000;
+  private static final long STEP_MILLIS = 100;
+
+  /** What a broken daemon would do otherwise. */
+  private enum Mutant {
+    NONE,
+    /** Takes a confirmation as of its answer instead of its question. */
+    CONFIRMED_AT_ANSWER,
+    /** Does not notice that the VM stood still. */
+    BLIND_TO_SUSPENSION
+  }
+
+  /** The newest version that the operator was told is in force, with the true time of that. */
+  private record Acknowledged(long version, long trueMillis) {}
+
+  private static final class World implements FleetStore {
+    private final Random random;
+    private final ManualTimer timer = new ManualTimer();
+    private final List<Acknowledged> history = new ArrayList<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private final ConfigKeeper keeper;
+    private final TableFollower follower;
+    private final Mutant mutant;
+    private long suspendedMillis;
+    private long version = 1;
+    private long historyFrom;
+    private boolean down;
+    private long slowMillis;
+    private long highestSeen;
+    private boolean violated;
+
+    World(long seed, Mutant mutant) {
+      this.random = new Random(seed);
+      this.mutant = mutant;
+      TimerService time = mutant == Mutant.BLIND_TO_SUSPENSION ? new WallAsSteady(timer) : timer;
+      history.add(new Acknowledged(1, trueMillis()));
+      keeper = ConfigKeeper.of(new VersionDecoder(), time, EventLog.silent(), REVOKE_MILLIS);
+      follower =
+          TableFollower.of(
+              this,
+              RowTable.CONFIG,
+              new TableFollower.Pace(1_500, 8_000, 0),
+              new Watch(),
+              time,
+              EventLog.silent());
+      keeper.onSuspicion(follower::restart);
+      follower.restart();
+    }
+
+    private long trueMillis() {
+      return timer.nowMillis() + suspendedMillis;
+    }
+
+    // -- the store
+
+    @Override
+    public CompletableFuture<StoreRead> read(RowTable table, String fromKey, String toKey) {
+      return answer(this::page);
+    }
+
+    @Override
+    public CompletableFuture<StoreRead> changes(RowTable table, long since, long waitMillis) {
+      if (since < historyFrom) {
+        return answer(StoreRead.HistoryGone::new);
+      }
+      if (since < version) {
+        return answer(this::page);
+      }
+      CompletableFuture<StoreRead> reply = new CompletableFuture<>();
+      boolean[] done = new boolean[1];
+      Runnable change =
+          () -> {
+            if (!done[0]) {
+              done[0] = true;
+              answer(this::page).thenAccept(reply::complete);
+            }
+          };
+      waiting.add(change);
+      timer.after(waitMillis, change);
+      return reply;
+    }
+
+    private StoreRead page() {
+      StoredRow row = new StoredRow("config", Long.toString(version), version, false);
+      return new StoreRead.Page(new RowPage(List.of(row), version, 0));
+    }
+
+    private CompletableFuture<StoreRead> answer(java.util.function.Supplier<StoreRead> read) {
+      CompletableFuture<StoreRead> reply = new CompletableFuture<>();
+      if (down) {
+        timer.after(5 + random.nextInt(900), () -> reply.complete(new StoreRead.Failed("down")));
+        return reply;
+      }
+      StoreRead now = read.get();
+      timer.after(4 + slowMillis + random.nextInt(4), () -> reply.complete(now));
+      return reply;
+    }
+
+    @Override
+    public CompletableFuture<StoreCommit> commit(RowTransaction transaction) {
+      throw new UnsupportedOperationException("not needed");
+    }
+
+    // -- what happens
+
+    void step() {
+      switch (random.nextInt(60)) {
+        case 0, 1, 2 -> change();
+        case 3 -> down = !down;
+        case 4 -> down = false;
+        case 5 -> slowMillis = random.nextInt(2) * random.nextInt(3_000);
+        case 6 -> historyFrom = version;
+        case 7 -> suspend(200 + random.nextInt(9_000));
+        default -> {}
+      }
+      timer.advance(STEP_MILLIS);
+      check();
+    }
+
+    private void change() {
+      version += 1 + random.nextInt(3);
+      history.add(new Acknowledged(version, trueMillis()));
+      List<Runnable> woken = List.copyOf(waiting);
+      waiting.clear();
+      woken.forEach(Runnable::run);
+    }
+
+    /** The VM stands still while the operator goes on; its steady clock does not count that. */
+    private void suspend(long millis) {
+      suspendedMillis += millis / 2;
+      if (random.nextBoolean()) {
+        version++;
+        history.add(new Acknowledged(version, trueMillis()));
+      }
+      suspendedMillis += millis - millis / 2;
+      timer.stepWall(millis);
+    }
+
+    private void check() {
+      long inForce = keeper.config().map(FleetConfig::version).orElse(-1L);
+      violated |= inForce < highestSeen;
+      highestSeen = Math.max(highestSeen, inForce);
+      if (keeper.keysAreCurrent()) {
+        violated |= inForce < newestAt(trueMillis() - REVOKE_MILLIS);
+      }
+    }
+
+    private long newestAt(long trueMillis) {
+      long newest = -1;
+      for (Acknowledged each : history) {
+        if (each.trueMillis() <= trueMillis) {
+          newest = each.version();
+        }
+      }
+      return newest;
+    }
+
+    /** Passes on to the keeper what the follower tells, as the mutant does. */
+    private final class Watch implements TableFollower.Subscriber {
+      @Override
+      public void whole(List<StoredRow> rows) {
+        keeper.whole(rows);
+      }
+
+      @Override
+      public void changed(List<StoredRow> rows) {
+        keeper.changed(rows);
+      }
+
+      @Override
+      public void confirmed(Moment asOf) {
+        keeper.confirmed(mutant == Mutant.CONFIRMED_AT_ANSWER ? Moment.now(timer) : asOf);
+      }
+
+      @Override
+      public void regained() {
+        keeper.regained();
+      }
+    }
+  }
+
+  /** A timer whose time of day does not tell that the VM stood still. */
+  private record WallAsSteady(TimerService timer) implements TimerService {
+    @Override
+    public long nowMillis() {
+      return timer.nowMillis();
+    }
+
+    @Override
+    public long wallMillis() {
+      return timer.nowMillis();
+    }
+
+    @Override
+    public boolean pause(long millis) {
+      return timer.pause(millis);
+    }
+
+    @Override
+    public Subscription every(long periodMillis, Runnable task) {
+      return timer.every(periodMillis, task);
+    }
+
+    @Override
+    public Subscription after(long delayMillis, Runnable task) {
+      return timer.after(delayMillis, task);
+    }
+  }
+
+  private static final class VersionDecoder implements RowDecoder {
+    @Override
+    public boolean isConfig(StoredRow row) {
+      return true;
+    }
+
+    @Override
+    public Decoded<FleetConfig> config(StoredRow row) {
+      return new Decoded.Value<>(
+          new FleetConfig(
+              Long.parseLong(row.text()),
+              RouteTable.empty(),
+              Map.of(),
+              CallerLimits.DEFAULT,
+              true,
+              Map.of()));
+    }
+
+    @Override
+    public Decoded<Upstream> upstream(StoredRow row) {
+      return new Decoded.Unusable<>("none");
+    }
+  }
+
+  private static Optional<Long> firstViolation(int schedules, Mutant mutant) {
+    for (long seed = 0; seed < schedules; seed++) {
+      World world = new World(seed, mutant);
+      for (long at = 0; at < DAY_MILLIS; at += STEP_MILLIS) {
+        world.step();
+      }
+      if (world.violated) {
+        return Optional.of(seed);
+      }
+    }
+    return Optional.empty();
+  }
+
+  @Test
+  void noVersionGoesBackAndNoWithdrawnKeyOutlivesItsBound() {
+    assertThat(firstViolation(SCHEDULES, Mutant.NONE)).as("seed of a violation").isEmpty();
+  }
+
+  @Test
+  void theCheckFindsADaemonThatTakesConfirmationsAsOfTheirAnswer() {
+    assertThat(firstViolation(MUTANT_SCHEDULES, Mutant.CONFIRMED_AT_ANSWER)).isPresent();
+  }
+
+  @Test
+  void theCheckFindsADaemonThatDoesNotNoticeASuspension() {
+    assertThat(firstViolation(MUTANT_SCHEDULES, Mutant.BLIND_TO_SUSPENSION)).isPresent();
+  }
+}
--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigKeeperTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigKeeperTest.java
@@ -9,6 +9,7 @@
 import org.limpetvale.core.fleet.FleetConfig;
 import org.limpetvale.core.fleet.RouteTable;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.spi.RowDecoder;
 import org.limpetvale.forward.spi.StoredRow;
@@ -75,11 +76,11 @@
   @Test
   void keysAreCurrentOnlyWithinTheBoundOnWithdrawnKeys() {
     assertThat(keeper.keysAreCurrent()).isFalse();
-    keeper.confirmed(timer.nowMillis());
+    keeper.confirmed(Moment.now(timer));
     assertThat(keeper.keysAreCurrent()).isTrue();
     timer.advance(REVOKE_MILLIS - 1);
     assertThat(keeper.keysAreCurrent()).isFalse();
-    keeper.confirmed(timer.nowMillis() - 1_000);
+    keeper.confirmed(new Moment(timer.nowMillis() - 1_000, timer.wallMillis() - 1_000));
     assertThat(keeper.keysAreCurrent()).isTrue();
   }
 
@@ -87,11 +88,11 @@
   void aSuspendedVmTrustsItsKeysOnlyAfterTheNextConfirmation() {
     boolean[] asked = new boolean[1];
     keeper.onSuspicion(() -> asked[0] = true);
-    keeper.confirmed(timer.nowMillis());
+    keeper.confirmed(Moment.now(timer));
     timer.stepWall(4_000);
     assertThat(keeper.keysAreCurrent()).isFalse();
     assertThat(asked[0]).isTrue();
-    keeper.confirmed(timer.nowMillis());
+    keeper.confirmed(Moment.now(timer));
     assertThat(keeper.keysAreCurrent()).isTrue();
   }
 }
--- a/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.spi.FleetStore;
 import org.limpetvale.forward.spi.RowPage;
@@ -72,7 +73,7 @@
     }
 
     @Override
-    public void confirmed(long asOfMillis) {
+    public void confirmed(Moment asOf) {
       seen.add("confirmed");
     }
 
