A lease does not stand across a suspension of its holder's VM

Change: the holder compares both clocks with those at its last renewal and acts only after another renewal when they have moved apart by over 300 ms.

--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.limpetvale.core.lease.LeaseRow;
 import org.limpetvale.core.lease.LeaseView;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.account.UsageCounts;
 import org.limpetvale.forward.log.EventLog;
@@ -45,6 +46,10 @@
   private static final int BYSTANDER_ROUNDS = 4;
 
   private static final int MOST_CONTENDERS = 3;
+
+  /** Drift of the two clocks that hints at a suspended VM, whose lease may have lapsed. */
+  private static final long SUSPENSION_MILLIS = 300;
+
   private static final long LEASE_MILLIS = 4_000;
   private static final String DUTY = "duties";
 
@@ -73,6 +78,10 @@
   private final TimerService timer;
   private final EventLog log;
   private LeaseView lease = LeaseView.empty();
+
+  /** When the lease was last asked for. */
+  private Moment leaseAsOf = new Moment(0, 0);
+
   private long actsFromMillis;
   private long beat;
   private long rounds;
@@ -158,7 +167,7 @@
     rounds++;
     boolean contends = members.before(self.writer()) < MOST_CONTENDERS;
     int pause = contends ? CONTENDER_ROUNDS : BYSTANDER_ROUNDS;
-    if (lease.held(timer.nowMillis()) || rounds % pause == 0) {
+    if (holds() || rounds % pause == 0) {
       roundNow();
     }
   }
@@ -166,7 +175,7 @@
   private void round() {
     busy = true;
     CompletableFuture<Void> steps =
-        lease.held(timer.nowMillis())
+        holds()
             ? holderRound()
             : writeOwn().thenCompose(commit -> readAll()).thenCompose(this::contend);
     steps.whenComplete(
@@ -200,7 +209,7 @@
   /** Does the duties; usage only with the rows of all entries. */
   private CompletableFuture<Void> actOn(Optional<RowPage> page) {
     long nowMillis = timer.nowMillis();
-    if (nowMillis < actsFromMillis || !lease.held(nowMillis)) {
+    if (nowMillis < actsFromMillis || !holds()) {
       return done();
     }
     DutyRight right = new DutyRight(lease.revision(), lease.epoch(), this::mayAct);
@@ -210,7 +219,16 @@
   }
 
   private boolean mayAct() {
-    return !stopped && lease.held(timer.nowMillis());
+    return !stopped && holds();
+  }
+
+  /**
+   * Tells whether the lease is held. The monotonic clock does not count a suspension of the VM, so
+   * a lease on it does not stand across one until it has been renewed.
+   */
+  private boolean holds() {
+    long driftMillis = Moment.now(timer).driftSinceMillis(leaseAsOf);
+    return lease.held(timer.nowMillis()) && Math.abs(driftMillis) <= SUSPENSION_MILLIS;
   }
 
   // -- rows
@@ -301,7 +319,7 @@
     if (row.isEmpty()) {
       return CompletableFuture.completedFuture(false);
     }
-    long sentMillis = timer.nowMillis();
+    Moment sent = Moment.now(timer);
     List<RowTransaction.Write> writes = new ArrayList<>(others);
     writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.lease(row.get())));
     RowTransaction transaction =
@@ -309,17 +327,18 @@
             List.of(new RowTransaction.Condition(FleetRows.LEASE_KEY, lease.revision())),
             writes,
             List.of());
-    return store.commit(transaction).thenApply(commit -> written(commit, row.get(), sentMillis));
+    return store.commit(transaction).thenApply(commit -> written(commit, row.get(), sent));
   }
 
-  private boolean written(StoreCommit commit, LeaseRow row, long sentMillis) {
+  private boolean written(StoreCommit commit, LeaseRow row, Moment sent) {
     return switch (commit) {
       case StoreCommit.Committed(long version, long storeMillis) -> {
         clock.sync(storeMillis);
         if (lease.epoch() != row.epoch()) {
-          begin(row, sentMillis);
+          begin(row, sent.steadyMillis());
         }
-        lease = lease.afterWrite(row, version, sentMillis);
+        lease = lease.afterWrite(row, version, sent.steadyMillis());
+        leaseAsOf = sent;
         yield true;
       }
       case StoreCommit.Conflict ignored -> notWritten("conflict");
