--- a/it/src/test/java/org/limpetvale/it/ConfigurationTest.java
+++ b/it/src/test/java/org/limpetvale/it/ConfigurationTest.java
@@ -17,6 +17,7 @@
 import org.limpetvale.fakes.fleet.FleetPlan;
 import org.limpetvale.fakes.fleet.Http;
 import org.limpetvale.fakes.fleet.Samples;
+import org.limpetvale.platform.standin.FaultProxy;
 
 /** An accepted configuration is in force everywhere within seconds and never reverts. */
 final class ConfigurationTest {
--- a/it/src/test/java/org/limpetvale/it/CrashTest.java
+++ b/it/src/test/java/org/limpetvale/it/CrashTest.java
@@ -15,6 +15,7 @@
 import org.limpetvale.fakes.fleet.Fleet;
 import org.limpetvale.fakes.fleet.FleetPlan;
 import org.limpetvale.fakes.fleet.Http;
+import org.limpetvale.platform.standin.FaultProxy;
 
 /** Crashes of engines and silent connections: every caller gets its whole answer or an error. */
 final class CrashTest {
