Requests that may not be repeated use no connection that has rested over 200 ms

Cause: an upstream may drop a resting connection without notice, and what is sent next on it is reset: a booking lost with may_have_run, a stream lost. Change: such requests take a connection that answered within the last 200 ms or a new one; at most six idle connections are kept to an upstream.

--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -176,7 +176,7 @@
     Upstream upstream = choice.get().upstream();
     logPlacement(choice.get());
     tried.add(upstream.id());
-    parts.pool().acquire(upstream, lease -> connected(choice.get(), lease));
+    parts.pool().acquire(upstream, route().mayRepeat(), lease -> connected(choice.get(), lease));
   }
 
   private void logPlacement(Choice choice) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -122,9 +122,12 @@
 
   /** Tells whether the connection can carry a request now. */
   boolean usable() {
-    return channel.isActive()
-        && sink == null
-        && timer.nowMillis() - idleSinceMillis <= safeIdleMillis;
+    return channel.isActive() && sink == null && idleMillis() <= safeIdleMillis;
+  }
+
+  /** Returns the time since its last answer. */
+  long idleMillis() {
+    return timer.nowMillis() - idleSinceMillis;
   }
 
   /** Ends the request under way, if there is one, with its connection. */
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
@@ -27,6 +27,15 @@
    */
   private static final int CONNECT_TIMEOUT_MILLIS = 350;
 
+  /**
+   * Idle time of a connection within which a request that may not be repeated is sent on it: an
+   * upstream may have dropped it meanwhile, and what is sent next is lost.
+   */
+  private static final long SURE_IDLE_MILLIS = 200;
+
+  /** Idle connections that are kept to one upstream; it bounds those of all entries together. */
+  private static final int MOST_IDLE = 6;
+
   private static final int LARGEST_HEADER_BYTES = 65_536;
   private static final int LARGEST_CHUNK_BYTES = 65_536;
 
@@ -54,16 +63,17 @@
    * Hands out a connection to an upstream.
    *
    * @param upstream the upstream
+   * @param mayRepeat whether the request may be sent again if the connection turns out to be gone
    * @param then takes the outcome, now or later
    */
-  void acquire(Upstream upstream, Consumer<Lease> then) {
+  void acquire(Upstream upstream, boolean mayRepeat, Consumer<Lease> then) {
     Kept own = kept.computeIfAbsent(upstream.id(), id -> new Kept(upstream));
     if (!own.upstream.sameProcess(upstream)) {
       own.closeAll();
       own = new Kept(upstream);
       kept.put(upstream.id(), own);
     }
-    UpstreamConnection idle = own.take();
+    UpstreamConnection idle = own.take(mayRepeat ? Long.MAX_VALUE : SURE_IDLE_MILLIS);
     if (idle != null) {
       then.accept(new Lease.Open(idle));
       return;
@@ -126,9 +136,14 @@
       this.upstream = upstream;
     }
 
-    UpstreamConnection take() {
+    /** Takes the newest idle connection, if it has not rested for longer than a time. */
+    UpstreamConnection take(long mostIdleMillis) {
       while (!idle.isEmpty()) {
-        UpstreamConnection connection = idle.removeLast();
+        UpstreamConnection connection = idle.getLast();
+        if (connection.usable() && connection.idleMillis() > mostIdleMillis) {
+          return null;
+        }
+        idle.removeLast();
         if (connection.usable()) {
           return connection;
         }
@@ -147,8 +162,11 @@
     public void reusable(UpstreamConnection connection) {
       if (closed) {
         connection.close();
-      } else {
-        idle.addLast(connection);
+        return;
+      }
+      idle.addLast(connection);
+      if (idle.size() > MOST_IDLE) {
+        idle.removeFirst().close();
       }
     }
 
