--- a/core/src/main/java/org/limpetvale/core/placement/PrefixBook.java
+++ b/core/src/main/java/org/limpetvale/core/placement/PrefixBook.java
@@ -7,7 +7,12 @@
 import org.limpetvale.core.fleet.Upstream;
 
 /**
- * What an entry expects in the caches of the engines, from the prompts that it sent there.
+ * What an entry expects in the caches of the engines, from the prompts that it and the other
+ * entries sent there.
+ *
+ * <p>The load that it answers: a few requests a second for each of hundreds of prefixes, spread
+ * over many entries. None of them sees enough of a prefix to know where it lies; so they tell each
+ * other.
  *
  * <p>Not safe for use by several threads.
  */
@@ -28,6 +33,15 @@
         }
       };
 
+  /** When each part was last sent to any engine. */
+  private final Map<String, Long> sentAtMillis =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MOST_ENTRIES;
+        }
+      };
+
   private PrefixBook() {}
 
   /** Returns a book without notes. */
@@ -38,10 +52,16 @@
   /** Notes that an engine has read a prompt. */
   public void note(Upstream upstream, PromptShape shape, long nowMillis) {
     for (PromptShape.Part part : shape.parts()) {
-      seenAtMillis.put(key(upstream, part), nowMillis);
+      noteRead(upstream, part.id(), nowMillis);
     }
   }
 
+  /** Notes that an engine has read a part of a prompt. */
+  public void noteRead(Upstream upstream, String partId, long nowMillis) {
+    seenAtMillis.put(key(upstream, partId), nowMillis);
+    sentAtMillis.put(partId, nowMillis);
+  }
+
   /**
    * Estimates the tokens of a prompt that an engine has in its cache.
    *
@@ -54,16 +74,28 @@
       Upstream upstream, PromptShape shape, int affinityRank, long nowMillis) {
     Objects.requireNonNull(shape, "shape is null");
     int known = knownTokens(upstream, shape.parts(), nowMillis);
+    if (isKnownSomewhere(shape, nowMillis)) {
+      return known;
+    }
     double confidence =
         affinityRank < SHARED_CONFIDENCE.length ? SHARED_CONFIDENCE[affinityRank] : 0;
     int assumed = (int) (confidence * shape.sharedTokens());
     return Math.max(known, assumed);
   }
 
+  private boolean isKnownSomewhere(PromptShape shape, long nowMillis) {
+    List<PromptShape.Part> shared = shape.sharedParts();
+    if (shared.isEmpty()) {
+      return false;
+    }
+    Long at = sentAtMillis.get(shared.getLast().id());
+    return at != null && nowMillis - at <= KEPT_MILLIS;
+  }
+
   private int knownTokens(Upstream upstream, List<PromptShape.Part> parts, long nowMillis) {
     int tokens = 0;
     for (PromptShape.Part part : parts) {
-      Long at = seenAtMillis.get(key(upstream, part));
+      Long at = seenAtMillis.get(key(upstream, part.id()));
       if (at == null || nowMillis - at > KEPT_MILLIS) {
         return tokens;
       }
@@ -72,7 +104,7 @@
     return tokens;
   }
 
-  private static String key(Upstream upstream, PromptShape.Part part) {
-    return upstream.id() + '/' + upstream.bornMillis() + '/' + part.id();
+  private static String key(Upstream upstream, String partId) {
+    return upstream.id() + '/' + upstream.bornMillis() + '/' + partId;
   }
 }
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -170,6 +170,18 @@
     return Rendezvous.order(key, upstreams).getFirst().id();
   }
 
+  @Test
+  void aPrefixThatLiesElsewhereIsNotAssumedWhereItIsPreferred() {
+    PrefixBook book = PrefixBook.empty();
+    Upstream preferred = upstream("preferred", "z");
+    Upstream other = upstream("other", "z");
+    PromptShape shape = prompt(600, 100);
+    assertThat(book.expectedTokens(preferred, shape, 0, 0)).isPositive();
+    book.noteRead(other, "s", 0);
+    assertThat(book.expectedTokens(preferred, shape, 0, 1_000)).isZero();
+    assertThat(book.expectedTokens(other, shape, 1, 1_000)).isEqualTo(600);
+  }
+
   @Test
   void prefixesAreExpectedWhereTheyWereSentUntilTheyAreOld() {
     PrefixBook book = PrefixBook.empty();
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -121,7 +121,11 @@
     Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::sharers, timer);
     CrashGuard crashes = CrashGuard.of(timer, log);
-    peerBook.onReport(report -> crashes.heard(report.writer(), report.crashes()));
+    peerBook.onReport(
+        report -> {
+          crashes.heard(report.writer(), report.crashes());
+          placer.heard(report);
+        });
     this.forwarder =
         Forwarder.of(
             transport,
@@ -173,6 +177,7 @@
                   finished ? usage.currentWindow() : usage.closedWindow(),
                   parts.withUsage() ? usage.newest(WINDOWS_TOLD) : Map.of(),
                   loads.own(timer.nowMillis()),
+                  placer.recentPlacements(),
                   forwarder.waiting(),
                   crashes.toTell());
             },
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -6,9 +6,11 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * What one entry tells the others at a moment. Later reports replace earlier ones.
@@ -20,6 +22,7 @@
  * @param usage requests that began to run, by window and workspace; totals so far; empty when the
  *     report does not tell them
  * @param loads what the entry has sent to upstreams and not yet seen answered, by upstream
+ * @param placements shared prompt parts that it has lately sent to upstreams, by upstream
  * @param waiting requests that wait at the entry, by service
  * @param crashes upstreams that crashed on a request, by the request's digest; 0 when it was served
  */
@@ -30,6 +33,7 @@
     long closedWindow,
     Map<Long, Map<String, Long>> usage,
     Map<String, Load> loads,
+    Map<String, Set<String>> placements,
     Map<String, Integer> waiting,
     Map<String, Integer> crashes) {
   private static final ObjectMapper JSON = JsonMapper.builder().build();
@@ -51,6 +55,7 @@
     Objects.requireNonNull(writer, "writer is null");
     usage = Map.copyOf(Objects.requireNonNull(usage, "usage is null"));
     loads = Map.copyOf(Objects.requireNonNull(loads, "loads is null"));
+    placements = Map.copyOf(Objects.requireNonNull(placements, "placements is null"));
     waiting = Map.copyOf(Objects.requireNonNull(waiting, "waiting is null"));
     crashes = Map.copyOf(Objects.requireNonNull(crashes, "crashes is null"));
   }
@@ -58,7 +63,15 @@
   /** Returns this report with the usage of another. */
   PeerReport withUsageOf(PeerReport other) {
     return new PeerReport(
-        writer, number, clockOffsetMillis, closedWindow, other.usage, loads, waiting, crashes);
+        writer,
+        number,
+        clockOffsetMillis,
+        closedWindow,
+        other.usage,
+        loads,
+        placements,
+        waiting,
+        crashes);
   }
 
   /** Returns the report as JSON. */
@@ -83,6 +96,10 @@
                 .add(load.pendingPromptTokens())
                 .add(load.tightStreams())
                 .add(load.failurePercent()));
+    if (!placements.isEmpty()) {
+      ObjectNode sent = node.putObject("p");
+      placements.forEach((id, partIds) -> partIds.forEach(sent.withArray(id)::add));
+    }
     putCounts(node, "q", waiting);
     putCounts(node, "x", crashes);
     return node.toString();
@@ -103,6 +120,7 @@
               node.path("c").asLong(),
               usage(node.path("u")),
               loads(node.path("l")),
+              placements(node.path("p")),
               counts(node.path("q")),
               counts(node.path("x"))));
     } catch (JsonProcessingException | NumberFormatException e) {
@@ -120,6 +138,16 @@
     return usage;
   }
 
+  private static Map<String, Set<String>> placements(JsonNode node) {
+    Map<String, Set<String>> placements = new HashMap<>();
+    for (Map.Entry<String, JsonNode> each : node.properties()) {
+      Set<String> partIds = new HashSet<>();
+      each.getValue().forEach(partId -> partIds.add(partId.asText()));
+      placements.put(each.getKey(), partIds);
+    }
+    return placements;
+  }
+
   private static void putCounts(ObjectNode node, String name, Map<String, Integer> counts) {
     if (!counts.isEmpty()) {
       ObjectNode inner = node.putObject(name);
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -1,6 +1,7 @@
 package org.limpetvale.forward.place;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -34,6 +35,7 @@
   private final LoadBook loads;
   private final TimerService timer;
   private final PrefixBook prefixes = PrefixBook.empty();
+  private final RecentPlacements recent = new RecentPlacements();
   private double tightStreams;
 
   private Placer(
@@ -87,9 +89,28 @@
   public void sent(Upstream upstream, PromptShape shape) {
     if (shape.isModelRequest()) {
       prefixes.note(upstream, shape, timer.nowMillis());
+      recent.note(upstream.id(), shape, timer.nowMillis());
     }
   }
 
+  /** Returns the prompt parts that this entry has lately sent to engines, for the other entries. */
+  public Map<String, Set<String>> recentPlacements() {
+    return recent.toTell(timer.nowMillis());
+  }
+
+  /** Notes where another entry has sent prompts. */
+  public void heard(PeerReport report) {
+    report
+        .placements()
+        .forEach(
+            (id, partIds) ->
+                fleet.get().find(id).ifPresent(upstream -> noteRead(upstream, partIds)));
+  }
+
+  private void noteRead(Upstream upstream, Set<String> partIds) {
+    partIds.forEach(partId -> prefixes.noteRead(upstream, partId, timer.nowMillis()));
+  }
+
   /** Returns the load book. */
   public LoadBook loads() {
     return loads;
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.forward.testing.ManualTimer;
 
@@ -18,6 +19,7 @@
         6,
         Map.of(7L, Map.of("w", count)),
         Map.of("u", new PeerReport.Load(requests, 100 * requests, 1, 10 * requests)),
+        Map.of("u", Set.of("part-1", "part-2")),
         Map.of("service", 2),
         Map.of("digest", 1));
   }
@@ -40,7 +42,7 @@
   @Test
   void aReportWithoutUsageLeavesTheUsageAsItWasTold() {
     book.take(report("a.1", 1, 9, 1));
-    book.take(new PeerReport("a.1", 2, 0, 6, Map.of(), Map.of(), Map.of(), Map.of()));
+    book.take(new PeerReport("a.1", 2, 0, 6, Map.of(), Map.of(), Map.of(), Map.of(), Map.of()));
     assertThat(book.usage(7)).containsEntry("a.1", Map.of("w", 9L));
     assertThat(book.othersAt("u").requests()).isZero();
   }
