Pools for short gaps follow a burst by time, not by the requests that an entry sees

Cause: the count of tight streams was smoothed by 0.05 a placement: over 1.2 s at an entry of the small sites, over 3 s at one of 28. The list of upstreams rests 500 ms.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -44,7 +44,7 @@
   private static final TableFollower.Pace CONFIG_PACE = new TableFollower.Pace(1_500, 8_000, 0);
 
   private static final TableFollower.Pace UPSTREAM_PACE =
-      new TableFollower.Pace(4_000, 12_000, 250);
+      new TableFollower.Pace(4_000, 12_000, 500);
 
   /** Time in which the balancer notices that the daemon is leaving. */
   private static final long NOTICE_MILLIS = 2_600;
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -15,6 +15,7 @@
 import org.limpetvale.core.placement.PromptShape;
 import org.limpetvale.core.placement.Rendezvous;
 import org.limpetvale.core.placement.ServicePlacement;
+import org.limpetvale.core.placement.StreamEstimate;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.peer.PeerBook;
@@ -23,9 +24,6 @@
 
 /** Places requests on upstreams; for the event loop only. */
 public final class Placer {
-  /** Weight of a new count of streams in the smoothed count. */
-  private static final double STREAMS_WEIGHT = 0.05;
-
   /** Share of its target that a request waits for an engine that has its prefix. */
   private static final double PATIENT_SHARE = 0.3;
 
@@ -36,7 +34,7 @@
   private final TimerService timer;
   private final PrefixBook prefixes = PrefixBook.empty();
   private final RecentPlacements recent = new RecentPlacements();
-  private double tightStreams;
+  private final StreamEstimate tightStreams = StreamEstimate.empty();
 
   private Placer(
       String zone, Supplier<FleetView> fleet, PeerBook peers, LoadBook loads, TimerService timer) {
@@ -136,8 +134,7 @@
 
   private EnginePools pools(List<Upstream> ready) {
     int now = loads.tightStreams() + peers.tightStreams();
-    tightStreams += STREAMS_WEIGHT * (now - tightStreams);
-    return EnginePools.split(ready, tightStreams);
+    return EnginePools.split(ready, tightStreams.note(now, timer.nowMillis()));
   }
 
   /** Returns the engines of a request's pool in the order in which all entries prefer them. */
