--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -5,9 +5,11 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.CandidateSample;
 import org.limpetvale.core.placement.Choice;
 import org.limpetvale.core.placement.EnginePlacement;
 import org.limpetvale.core.placement.EnginePools;
@@ -24,6 +26,12 @@
 
 /** Places requests on upstreams; for the event loop only. */
 public final class Placer {
+  /** Shared tokens from which an engine that has them is worth looking at. */
+  private static final int LONG_PREFIX_TOKENS = 1_000;
+
+  /** Engines in the order of preference that are always looked at. */
+  private static final int PREFERRED = 2;
+
   /** Share of its target that a request waits for an engine that has its prefix. */
   private static final double PATIENT_SHARE = 0.3;
 
@@ -77,8 +85,14 @@
     }
     EnginePools pools = pools(ready);
     List<String> preferred = preferred(plan, shape, pools, ready);
+    List<Upstream> sample =
+        CandidateSample.of(
+            candidates,
+            1 + peers.live().size(),
+            each -> mayHavePrefix(each, shape, preferred, nowMillis),
+            ThreadLocalRandom.current()::nextDouble);
     List<UpstreamLoad> rated =
-        candidates.stream().map(each -> rated(each, shape, preferred, nowMillis)).toList();
+        sample.stream().map(each -> rated(each, shape, preferred, nowMillis)).toList();
     boolean patient = waitedMillis < PATIENT_SHARE * plan.route().targetLatencyMillis();
     return EnginePlacement.choose(plan.route(), shape, zone, pools, patient, rated);
   }
@@ -118,6 +132,17 @@
     return !excluded.contains(upstream.id()) && !loads.state(upstream).paused(nowMillis);
   }
 
+  private boolean mayHavePrefix(
+      Upstream upstream, PromptShape shape, List<String> preferred, long nowMillis) {
+    int place = preferred.indexOf(upstream.id());
+    if (place >= 0 && place < PREFERRED) {
+      return true;
+    }
+    int shared = shape.sharedTokens();
+    return shared >= LONG_PREFIX_TOKENS
+        && prefixes.expectedTokens(upstream, shape, Integer.MAX_VALUE, nowMillis) >= shared;
+  }
+
   private UpstreamLoad rated(
       Upstream upstream, PromptShape shape, List<String> preferred, long nowMillis) {
     int place = preferred.indexOf(upstream.id());
