A report without usage closes no window

Change: what is closed goes with the usage only (PeerReport.withoutUsage). Test: PeerBookTest#aReportWithoutUsageClosesNoWindow (written with the change; the failure was seen on the bench).

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -3,7 +3,6 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import io.netty.channel.ChannelFuture;
-import java.util.Map;
 import java.util.Objects;
 import java.util.UUID;
 import org.limpetvale.core.time.TimerService;
@@ -170,16 +169,18 @@
             () -> members.addressesBut(settings.peers()),
             parts -> {
               clock.others(peerBook.clockOffsets());
-              return new PeerReport(
-                  self.writer(),
-                  parts.number(),
-                  clock.ownOffsetMillis(),
-                  finished ? usage.currentWindow() : usage.closedWindow(),
-                  parts.withUsage() ? usage.newest(WINDOWS_TOLD) : Map.of(),
-                  loads.own(timer.nowMillis()),
-                  placer.recentPlacements(),
-                  forwarder.waiting(),
-                  crashes.toTell());
+              PeerReport report =
+                  new PeerReport(
+                      self.writer(),
+                      parts.number(),
+                      clock.ownOffsetMillis(),
+                      finished ? usage.currentWindow() : usage.closedWindow(),
+                      usage.newest(WINDOWS_TOLD),
+                      loads.own(timer.nowMillis()),
+                      placer.recentPlacements(),
+                      forwarder.waiting(),
+                      crashes.toTell());
+              return parts.withUsage() ? report : report.withoutUsage();
             },
             timer,
             log);
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -47,7 +47,7 @@
       return;
     }
     long nowMillis = timer.nowMillis();
-    boolean keepsUsage = known != null && report.usage().isEmpty();
+    boolean keepsUsage = known != null && report.closedWindow() == PeerReport.USAGE_NOT_TOLD;
     PeerReport whole = keepsUsage ? report.withUsageOf(known.report()) : report;
     reports.put(report.writer(), new Heard(whole, nowMillis));
     reports.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -18,7 +18,8 @@
  * @param writer id of the entry's process
  * @param number number of the report; later ones have higher numbers
  * @param clockOffsetMillis difference between its time of day and the store's clock; 0 when unknown
- * @param closedWindow newest usage window whose counts do not grow any more
+ * @param closedWindow newest usage window whose counts do not grow any more; {@link
+ *     #USAGE_NOT_TOLD} when the report tells no usage
  * @param usage requests that began to run, by window and workspace; totals so far; empty when the
  *     report does not tell them
  * @param loads what the entry has sent to upstreams and not yet seen answered, by upstream
@@ -36,6 +37,9 @@
     Map<String, Set<String>> placements,
     Map<String, Integer> waiting,
     Map<String, Integer> crashes) {
+  /** Stands for the closed window in a report that tells no usage. */
+  public static final long USAGE_NOT_TOLD = -1;
+
   private static final ObjectMapper JSON = JsonMapper.builder().build();
 
   /**
@@ -60,18 +64,19 @@
     crashes = Map.copyOf(Objects.requireNonNull(crashes, "crashes is null"));
   }
 
+  /** Returns this report without its usage, and so without what it closes. */
+  public PeerReport withoutUsage() {
+    return withUsage(USAGE_NOT_TOLD, Map.of());
+  }
+
   /** Returns this report with the usage of another. */
   PeerReport withUsageOf(PeerReport other) {
+    return withUsage(other.closedWindow, other.usage);
+  }
+
+  private PeerReport withUsage(long closed, Map<Long, Map<String, Long>> told) {
     return new PeerReport(
-        writer,
-        number,
-        clockOffsetMillis,
-        closedWindow,
-        other.usage,
-        loads,
-        placements,
-        waiting,
-        crashes);
+        writer, number, clockOffsetMillis, closed, told, loads, placements, waiting, crashes);
   }
 
   /** Returns the report as JSON. */
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -42,11 +42,30 @@
   @Test
   void aReportWithoutUsageLeavesTheUsageAsItWasTold() {
     book.take(report("a.1", 1, 9, 1));
-    book.take(new PeerReport("a.1", 2, 0, 6, Map.of(), Map.of(), Map.of(), Map.of(), Map.of()));
+    book.take(
+        new PeerReport(
+            "a.1",
+            2,
+            0,
+            PeerReport.USAGE_NOT_TOLD,
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of()));
     assertThat(book.usage(7)).containsEntry("a.1", Map.of("w", 9L));
     assertThat(book.othersAt("u").requests()).isZero();
   }
 
+  @Test
+  void aReportWithoutUsageClosesNoWindow() {
+    book.take(report("a.1", 1, 9, 1));
+    assertThat(book.closedBy(6)).containsExactly("a.1");
+    book.take(PeerReport.parse("{\"w\":\"a.1\",\"n\":2,\"c\":8}").orElseThrow().withoutUsage());
+    assertThat(book.closedBy(7)).isEmpty();
+    assertThat(book.closedBy(6)).containsExactly("a.1");
+  }
+
   @Test
   void reportsGoOutLessOftenTheMoreEntriesHearThem() {
     assertThat(PeerLink.periodMillis(0)).isEqualTo(150);
