--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -73,6 +73,7 @@
 
   private boolean counted;
   private final AnswerPace pace;
+  private final ExchangeLines lines;
   private boolean headPassedOn;
   private boolean ended;
   private Optional<String> resumeAfter = Optional.empty();
@@ -84,6 +85,7 @@
     this.onEnd = onEnd;
     this.head = parts.dialect().decodeRequest(input.head().headers());
     this.pace = new AnswerPace(input.arrivedMillis());
+    this.lines = new ExchangeLines(parts.log(), head);
   }
 
   // -- beginning
@@ -174,33 +176,11 @@
       return;
     }
     Upstream upstream = choice.get().upstream();
-    logPlacement(choice.get());
+    lines.placed(plan, choice.get(), waitedMillis(), sentAttempts + 1);
     tried.add(upstream.id());
     parts.pool().acquire(upstream, route().mayRepeat(), lease -> connected(choice.get(), lease));
   }
 
-  private void logPlacement(Choice choice) {
-    parts
-        .log()
-        .decision(
-            "place",
-            head.requestId(),
-            field("route", route().name()),
-            field("service", plan.service()),
-            field("config", plan.configVersion()),
-            field("upstream", choice.upstream().id()),
-            field("predictedMillis", choice.predictedMillis()),
-            field("costMillis", choice.costMillis()),
-            field("requestsThere", choice.load().requests()),
-            field("pendingTokens", choice.load().pendingPromptTokens()),
-            field("promptTokens", head.shape().promptTokens()),
-            field("waitedMillis", waitedMillis()),
-            field("cachedTokens", choice.load().cachedTokens()),
-            field("sharedTokens", head.shape().sharedTokens()),
-            field("prefix", head.shape().affinityKey().orElse("")),
-            field("attempt", sentAttempts + 1));
-  }
-
   private void connected(Choice choice, UpstreamPool.Lease lease) {
     Upstream upstream = choice.upstream();
     UpstreamState state = parts.placer().loads().state(upstream);
@@ -365,15 +345,7 @@
     if (failure == Attempt.Failure.SPOILED) {
       parts.metrics().count(Counter.ANSWERS_SPOILED);
     }
-    parts
-        .log()
-        .decision(
-            "attempt_failed",
-            head.requestId(),
-            field("upstream", failed.upstream().id()),
-            field("failure", failure),
-            field("detail", detail),
-            field("begun", headPassedOn));
+    lines.attemptFailed(failed.upstream(), failure, detail, headPassedOn);
     if (failure == Attempt.Failure.LOST) {
       parts.crashes().lost(input, plan, failed.upstream());
     }
@@ -500,15 +472,7 @@
 
   private void refuse(Refusal refusal) {
     parts.metrics().count(Counter.REFUSED);
-    parts
-        .log()
-        .decision(
-            "refuse",
-            head.requestId(),
-            field("code", refusal.code().label()),
-            field("detail", refusal.detail()),
-            field("ran", refusal.ran().text()),
-            field("retryAfterMillis", refusal.retryAfterMillis()));
+    lines.refused(refusal);
     finish("refused", refusal.code().httpStatus());
     link.answer(ProblemAnswers.of(refusal));
   }
@@ -520,18 +484,7 @@
     parts.waiting().remove(this);
     long millis = parts.timer().nowMillis() - input.arrivedMillis();
     parts.metrics().whole(millis);
-    parts
-        .log()
-        .decision(
-            "end",
-            head.requestId(),
-            field("outcome", outcome),
-            field("status", status),
-            field("route", plan == null ? "" : route().name()),
-            field("attempts", sentAttempts),
-            field("firstMillis", pace.firstMillis()),
-            field("longestGapMillis", pace.longestGapMillis()),
-            field("millis", millis));
+    lines.ended(outcome, status, plan, sentAttempts, pace, millis);
     onEnd.run();
   }
 }
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLines.java
@@ -0,0 +1,83 @@
+package org.limpetvale.forward.relay;
+
+import static org.limpetvale.forward.log.EventLog.field;
+
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.Choice;
+import org.limpetvale.core.result.Refusal;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.route.RequestPlan;
+import org.limpetvale.forward.spi.RequestHead;
+
+/** The log lines of one request: each decision with the inputs that made it. */
+final class ExchangeLines {
+  private final EventLog log;
+  private final RequestHead head;
+
+  ExchangeLines(EventLog log, RequestHead head) {
+    this.log = log;
+    this.head = head;
+  }
+
+  /** An upstream was chosen. */
+  void placed(RequestPlan plan, Choice choice, long waitedMillis, int attempt) {
+    log.decision(
+        "place",
+        head.requestId(),
+        field("route", plan.route().name()),
+        field("service", plan.service()),
+        field("config", plan.configVersion()),
+        field("upstream", choice.upstream().id()),
+        field("predictedMillis", choice.predictedMillis()),
+        field("costMillis", choice.costMillis()),
+        field("requestsThere", choice.load().requests()),
+        field("pendingTokens", choice.load().pendingPromptTokens()),
+        field("promptTokens", head.shape().promptTokens()),
+        field("waitedMillis", waitedMillis),
+        field("cachedTokens", choice.load().cachedTokens()),
+        field("sharedTokens", head.shape().sharedTokens()),
+        field("prefix", head.shape().affinityKey().orElse("")),
+        field("attempt", attempt));
+  }
+
+  /** An attempt ended without an answer that could be passed on in full. */
+  void attemptFailed(Upstream upstream, Attempt.Failure failure, String detail, boolean begun) {
+    log.decision(
+        "attempt_failed",
+        head.requestId(),
+        field("upstream", upstream.id()),
+        field("failure", failure),
+        field("detail", detail),
+        field("begun", begun));
+  }
+
+  /** The request is refused. */
+  void refused(Refusal refusal) {
+    log.decision(
+        "refuse",
+        head.requestId(),
+        field("code", refusal.code().label()),
+        field("detail", refusal.detail()),
+        field("ran", refusal.ran().text()),
+        field("retryAfterMillis", refusal.retryAfterMillis()));
+  }
+
+  /**
+   * The request has ended.
+   *
+   * @param plan its plan; null when it had none
+   */
+  void ended(
+      String outcome, int status, RequestPlan plan, int attempts, AnswerPace pace, long millis) {
+    log.decision(
+        "end",
+        head.requestId(),
+        field("outcome", outcome),
+        field("status", status),
+        field("route", plan == null ? "" : plan.route().name()),
+        field("attempts", attempts),
+        field("firstMillis", pace.firstMillis()),
+        field("longestGapMillis", pace.longestGapMillis()),
+        field("millis", millis));
+  }
+}
