One place for the status codes that decide; a field that nobody used is gone

Exchange and Attempt each named 421 and 500; RequestHead.lastEventId was decoded and read by nobody. Behaviour unchanged; ForwardPathTest run.

--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -25,8 +25,6 @@
 
   private static final long LEAST_SILENCE_MILLIS = 1_000;
   private static final int SILENCE_TARGETS = 3;
-  private static final int FIRST_SERVER_ERROR = 500;
-  private static final int MISDIRECTED = 421;
 
   /** Why an attempt did not serve the request. */
   enum Failure {
@@ -162,11 +160,11 @@
     lastSignMillis = timer.nowMillis();
     head.load().ifPresent(load -> state.told(load, lastSignMillis));
     status = response.status().code();
-    notRun = head.notRun() || status == MISDIRECTED;
+    notRun = head.notRun() || status == Statuses.MISDIRECTED;
     if (!notRun && plan.route().kind() != Route.Kind.STREAMING) {
       begun();
     }
-    state.outcome(status >= FIRST_SERVER_ERROR && !notRun, lastSignMillis);
+    state.outcome(Statuses.isServerError(status) && !notRun, lastSignMillis);
     wanted = listener.wants(status, head.signed(), notRun);
     if (!wanted) {
       return;
@@ -246,7 +244,7 @@
     if (notRun) {
       return Failure.NOT_RUN;
     }
-    return status >= FIRST_SERVER_ERROR ? Failure.FAILED : Failure.SPOILED;
+    return Statuses.isServerError(status) ? Failure.FAILED : Failure.SPOILED;
   }
 
   @Override
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -48,9 +48,6 @@
   private static final long LEAST_RETRY_AFTER_MILLIS = 200;
   private static final long RETRY_AFTER_SPREAD_MILLIS = 500;
   private static final int MOST_CONNECT_FAILURES = 3;
-  private static final int MISDIRECTED = 421;
-  private static final int FIRST_SERVER_ERROR = 500;
-  private static final int FIRST_REDIRECT = 300;
 
   private final Forwarder.Parts parts;
   private final RequestInput input;
@@ -272,16 +269,16 @@
 
   @Override
   public boolean wants(int status, boolean signed, boolean notRun) {
-    if (status < FIRST_REDIRECT && !signed) {
+    if (Statuses.isSuccess(status) && !signed) {
       return false;
     }
     if (headPassedOn) {
-      return status < FIRST_REDIRECT;
+      return Statuses.isSuccess(status);
     }
     if (notRun) {
-      return status != MISDIRECTED && !mayHaveRun && !takeRetry(false);
+      return status != Statuses.MISDIRECTED && !mayHaveRun && !takeRetry(false);
     }
-    return status < FIRST_SERVER_ERROR || !takeRetry(true);
+    return !Statuses.isServerError(status) || !takeRetry(true);
   }
 
   @Override
@@ -328,7 +325,7 @@
 
   @Override
   public void completed(int status) {
-    boolean served = status < FIRST_REDIRECT;
+    boolean served = Statuses.isSuccess(status);
     parts.metrics().count(served ? Counter.SERVED : Counter.FAILED);
     if (served) {
       parts.crashes().served(input, plan);
--- a/forward/src/main/java/org/limpetvale/forward/spi/RequestHead.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/RequestHead.java
@@ -11,20 +11,14 @@
  * @param requestId id that the caller gave this request; empty text when it gave none
  * @param deadlineMillis time that the caller will wait, from the arrival of the request
  * @param key key of the caller, if it showed one
- * @param lastEventId id of the last event that the caller has of the stream
  * @param shape size and parts of the prompt
  */
 public record RequestHead(
-    String requestId,
-    OptionalLong deadlineMillis,
-    Optional<String> key,
-    Optional<String> lastEventId,
-    PromptShape shape) {
+    String requestId, OptionalLong deadlineMillis, Optional<String> key, PromptShape shape) {
   public RequestHead {
     Objects.requireNonNull(requestId, "requestId is null");
     Objects.requireNonNull(deadlineMillis, "deadlineMillis is null");
     Objects.requireNonNull(key, "key is null");
-    Objects.requireNonNull(lastEventId, "lastEventId is null");
     Objects.requireNonNull(shape, "shape is null");
   }
 }
