Reading a shared prefix again weighs four times its time, not twice

In a burst that reading costs all that come after. Change: SHARED_AGAIN_WEIGHT 4. Test: EnginePlacementTest; a patient request queues half a second.

--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -46,7 +46,7 @@
    * Weight of the time to read a shared prefix again, which also delays all that come after it on
    * that engine and takes cache from others.
    */
-  private static final double SHARED_AGAIN_WEIGHT = 2;
+  private static final double SHARED_AGAIN_WEIGHT = 4;
 
   /** The same on the engine that is second in the order, for a request that cannot wait. */
   private static final double SHARED_AGAIN_SECOND_WEIGHT = 0.3;
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -170,6 +170,19 @@
     return Rendezvous.order(key, upstreams).getFirst().id();
   }
 
+  /**
+   * In a burst of long prompts all engines have a queue; reading prefixes again makes it longer.
+   */
+  @Test
+  void aPatientRequestQueuesHalfASecondRatherThanHaveItsPrefixReadAgain() {
+    Upstream cached = upstream("cached", "z");
+    Upstream empty = upstream("empty", "z");
+    PromptShape shape = prompt(6_000, 1_000);
+    List<UpstreamLoad> loads = List.of(load(cached, 20_000, 0, 6_000), load(empty, 0, 0, 0));
+    assertThat(EnginePlacement.choose(LOOSE, shape, "z", NO_POOLS, true, loads))
+        .hasValueSatisfying(choice -> assertThat(choice.upstream().id()).isEqualTo("cached"));
+  }
+
   @Test
   void aPrefixThatLiesElsewhereIsNotAssumedWhereItIsPreferred() {
     PrefixBook book = PrefixBook.empty();
