--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigExplorationTest.java
@@ -4,20 +4,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import org.limpetvale.core.fleet.CallerLimits;
 import org.limpetvale.core.fleet.FleetConfig;
-import org.limpetvale.core.fleet.RouteTable;
-import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.spi.FleetStore;
-import org.limpetvale.forward.spi.RowDecoder;
 import org.limpetvale.forward.spi.RowPage;
 import org.limpetvale.forward.spi.RowTable;
 import org.limpetvale.forward.spi.RowTransaction;
@@ -25,6 +20,7 @@
 import org.limpetvale.forward.spi.StoreRead;
 import org.limpetvale.forward.spi.StoredRow;
 import org.limpetvale.forward.testing.ManualTimer;
+import org.limpetvale.forward.testing.VersionDecoder;
 
 /**
  * Seeded schedules of changes, outages, slow and lost answers, dropped history and suspensions: no
@@ -244,30 +240,6 @@
     }
   }
 
-  private static final class VersionDecoder implements RowDecoder {
-    @Override
-    public boolean isConfig(StoredRow row) {
-      return true;
-    }
-
-    @Override
-    public Decoded<FleetConfig> config(StoredRow row) {
-      return new Decoded.Value<>(
-          new FleetConfig(
-              Long.parseLong(row.text()),
-              RouteTable.empty(),
-              Map.of(),
-              CallerLimits.DEFAULT,
-              true,
-              Map.of()));
-    }
-
-    @Override
-    public Decoded<Upstream> upstream(StoredRow row) {
-      return new Decoded.Unusable<>("none");
-    }
-  }
-
   private static Optional<Long> firstViolation(int schedules, Mutant mutant) {
     for (long seed = 0; seed < schedules; seed++) {
       World world = new World(seed, mutant);
--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigKeeperTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigKeeperTest.java
@@ -3,17 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.limpetvale.core.fleet.CallerLimits;
 import org.limpetvale.core.fleet.FleetConfig;
-import org.limpetvale.core.fleet.RouteTable;
-import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.forward.log.EventLog;
-import org.limpetvale.forward.spi.RowDecoder;
 import org.limpetvale.forward.spi.StoredRow;
 import org.limpetvale.forward.testing.ManualTimer;
+import org.limpetvale.forward.testing.VersionDecoder;
 
 final class ConfigKeeperTest {
   private static final long REVOKE_MILLIS = 5_000;
@@ -22,33 +18,6 @@
   private final ConfigKeeper keeper =
       ConfigKeeper.of(new VersionDecoder(), timer, EventLog.silent(), REVOKE_MILLIS);
 
-  /** Reads the version of a configuration from the text of its row. */
-  private static final class VersionDecoder implements RowDecoder {
-    @Override
-    public boolean isConfig(StoredRow row) {
-      return row.key().equals("config");
-    }
-
-    @Override
-    public Decoded<FleetConfig> config(StoredRow row) {
-      return row.text().equals("odd")
-          ? new Decoded.Unusable<>("odd")
-          : new Decoded.Value<>(
-              new FleetConfig(
-                  Long.parseLong(row.text()),
-                  RouteTable.empty(),
-                  Map.of(),
-                  CallerLimits.DEFAULT,
-                  true,
-                  Map.of()));
-    }
-
-    @Override
-    public Decoded<Upstream> upstream(StoredRow row) {
-      return new Decoded.Unusable<>("none");
-    }
-  }
-
   private void take(String text) {
     keeper.changed(List.of(new StoredRow("config", text, 1, false)));
   }
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/testing/VersionDecoder.java
@@ -0,0 +1,36 @@
+package org.limpetvale.forward.testing;
+
+import java.util.Map;
+import org.limpetvale.core.fleet.CallerLimits;
+import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.fleet.RouteTable;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.forward.spi.RowDecoder;
+import org.limpetvale.forward.spi.StoredRow;
+
+/** Reads the version of a configuration from the text of its row; "odd" is unusable. */
+public final class VersionDecoder implements RowDecoder {
+  @Override
+  public boolean isConfig(StoredRow row) {
+    return row.key().equals("config");
+  }
+
+  @Override
+  public Decoded<FleetConfig> config(StoredRow row) {
+    return row.text().equals("odd")
+        ? new Decoded.Unusable<>("odd")
+        : new Decoded.Value<>(
+            new FleetConfig(
+                Long.parseLong(row.text()),
+                RouteTable.empty(),
+                Map.of(),
+                CallerLimits.DEFAULT,
+                true,
+                Map.of()));
+  }
+
+  @Override
+  public Decoded<Upstream> upstream(StoredRow row) {
+    return new Decoded.Unusable<>("none");
+  }
+}
