--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -161,7 +161,7 @@
     head.load().ifPresent(load -> state.told(load, lastSignMillis));
     status = response.status().code();
     notRun = head.notRun() || status == Statuses.MISDIRECTED;
-    if (!notRun && plan.route().kind() != Route.Kind.STREAMING) {
+    if (!notRun && !mayBeginLater()) {
       begun();
     }
     state.outcome(Statuses.isServerError(status) && !notRun, lastSignMillis);
@@ -179,6 +179,11 @@
     }
   }
 
+  /** A stream begins to run with its first event; a failure of the upstream counts as run. */
+  private boolean mayBeginLater() {
+    return plan.route().kind() == Route.Kind.STREAMING && !Statuses.isServerError(status);
+  }
+
   @Override
   public void content(ByteBuf bytes) {
     lastSignMillis = timer.nowMillis();
