--- a/fakes/src/main/java/org/limpetvale/fakes/fleet/Fleet.java
+++ b/fakes/src/main/java/org/limpetvale/fakes/fleet/Fleet.java
@@ -356,7 +356,20 @@
       }
       Thread.sleep(POLL_MILLIS);
     }
-    throw new IOException(name + " does not answer; its log:\n" + proc(name).output());
+    throw new IOException(
+        name + " does not answer; its log:\n" + proc(name).output() + endedLogs());
+  }
+
+  /** Returns the logs of processes that have ended, which is why others may not answer. */
+  private String endedLogs() {
+    StringBuilder logs = new StringBuilder();
+    procs.forEach(
+        (name, proc) -> {
+          if (!proc.isAlive()) {
+            logs.append(name).append(" has ended; its log:\n").append(proc.output());
+          }
+        });
+    return logs.toString();
   }
 
   // -- access
