--- a/forward/src/main/java/org/limpetvale/forward/duty/ScalingDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/ScalingDuty.java
@@ -55,7 +55,7 @@
 
   private record Subject(String service, String zone) {}
 
-  private record Order(int count, long epoch, long atMillis) {}
+  private record Order(int count, long atMillis) {}
 
   private ScalingDuty(
       String holder,
@@ -197,7 +197,7 @@
                   field("epoch", right.epoch()),
                   field("outcome", reply.toString()));
               if (reply instanceof DutyReply.Taken) {
-                orders.put(subject, new Order(count, right.epoch(), timer.nowMillis()));
+                orders.put(subject, new Order(count, timer.nowMillis()));
               }
             });
   }
