A stream that broke off is never joined to an answer that is no stream

Any success was taken as the rest of the stream. Ruled out: late bytes of another request (the id is the caller's own), and the signature (the first upstream's header is kept, as it should be). Change: PassedAnswer keeps what the caller has been sent; only a success with the same media type goes on with it. What is passed on is no longer resumable if its header was a refusal or a failure. Test: ForwardPathTest#anAnswerThatIsNoStreamIsNotJoinedToABrokenOne failed before (complete, joined) and passes now; FaultSoakTest, FleetBehaviourTest pass.

--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -47,7 +47,7 @@
     void ranFirstToken();
 
     /** Tells whether an answer is to be passed on to the caller. */
-    boolean wants(int status, boolean signed, boolean notRun);
+    boolean wants(HttpResponse response, boolean signed, boolean notRun);
 
     /** Passes the header of the answer on. */
     void passHead(HttpResponse response, boolean notRun);
@@ -165,7 +165,7 @@
       begun();
     }
     state.outcome(Statuses.isServerError(status) && !notRun, lastSignMillis);
-    wanted = listener.wants(status, head.signed(), notRun);
+    wanted = listener.wants(response, head.signed(), notRun);
     if (!wanted) {
       return;
     }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -4,13 +4,8 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -71,7 +66,7 @@
   private boolean counted;
   private final AnswerPace pace;
   private final ExchangeLines lines;
-  private boolean headPassedOn;
+  private final PassedAnswer passed;
   private boolean ended;
   private Optional<String> resumeAfter = Optional.empty();
 
@@ -81,6 +76,7 @@
     this.link = link;
     this.onEnd = onEnd;
     this.head = parts.dialect().decodeRequest(input.head().headers());
+    this.passed = new PassedAnswer(link, input.head().method());
     this.pace = new AnswerPace(input.arrivedMillis());
     this.lines = new ExchangeLines(parts.log(), head);
   }
@@ -268,12 +264,13 @@
   }
 
   @Override
-  public boolean wants(int status, boolean signed, boolean notRun) {
+  public boolean wants(HttpResponse response, boolean signed, boolean notRun) {
+    int status = response.status().code();
     if (Statuses.isSuccess(status) && !signed) {
       return false;
     }
-    if (headPassedOn) {
-      return Statuses.isSuccess(status);
+    if (passed.hasBegun()) {
+      return passed.canGoOnWith(response);
     }
     if (notRun) {
       return status != Statuses.MISDIRECTED && !mayHaveRun && !takeRetry(false);
@@ -283,23 +280,15 @@
 
   @Override
   public void passHead(HttpResponse response, boolean notRun) {
-    if (headPassedOn) {
+    if (passed.hasBegun()) {
       return;
     }
-    headPassedOn = true;
     parts.metrics().firstByte(parts.timer().nowMillis() - input.arrivedMillis());
-    HttpHeaders headers = HopHeaders.passedOn(response.headers());
-    HttpResponse passed = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers);
-    if (notRun && !headers.contains(HttpHeaderNames.RETRY_AFTER)) {
-      headers.set(HttpHeaderNames.RETRY_AFTER, ProblemAnswers.seconds(retryAfterMillis()));
-    }
-    if (route().resumable()) {
-      headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-    }
-    if (!HttpUtil.isContentLengthSet(passed) && !input.head().method().equals(HttpMethod.HEAD)) {
-      HttpUtil.setTransferEncodingChunked(passed, true);
+    if (notRun) {
+      passed.beginRefusal(response, retryAfterMillis());
+    } else {
+      passed.begin(response, route().kind() == Route.Kind.STREAMING && route().resumable());
     }
-    link.writeHead(passed);
   }
 
   @Override
@@ -342,14 +331,14 @@
     if (failure == Attempt.Failure.SPOILED) {
       parts.metrics().count(Counter.ANSWERS_SPOILED);
     }
-    lines.attemptFailed(failed.upstream(), failure, detail, headPassedOn);
+    lines.attemptFailed(failed.upstream(), failure, detail, passed.hasBegun());
     if (failure == Attempt.Failure.LOST) {
       parts.crashes().lost(input, plan, failed.upstream());
     }
     resumeAfter = failed.lastEventId().or(() -> resumeAfter);
     if (takeRetry(ran)) {
       retryTaken = false;
-      parts.metrics().count(headPassedOn ? Counter.RESUMES : Counter.RETRIES);
+      parts.metrics().count(passed.hasBegun() ? Counter.RESUMES : Counter.RETRIES);
       mayHaveRun |= ran;
       placeNow();
       return;
@@ -385,7 +374,7 @@
     if (!input.body().canReplay()) {
       return false;
     }
-    if (headPassedOn && !(route().kind() == Route.Kind.STREAMING && route().resumable())) {
+    if (!passed.isOpen()) {
       return false;
     }
     if (ran && !route().mayRepeat()) {
@@ -430,7 +419,7 @@
     boolean begun = attempt != null || mayHaveRun;
     cancelAttempt();
     boolean promises = refusal.code().mayComeBack();
-    if (headPassedOn || begun && promises) {
+    if (passed.hasBegun() || begun && promises) {
       parts.metrics().count(Counter.FAILED);
       finish("broken_off", 0);
       link.abort();
@@ -447,7 +436,7 @@
   }
 
   private void giveUp(ResultCode code, String detail) {
-    if (headPassedOn) {
+    if (passed.hasBegun()) {
       parts.metrics().count(Counter.FAILED);
       finish("broken_off", 0);
       link.abort();
