The duties pass on when their lease lapses, and at once when their holder told

Ruled out: the limit of three contenders and rows of ended boots (no entry counted as live after the outage, all contended). Change: a contender looks at the moment the lease lapses. An entry that stops tells the others in its report which lease it has given up; the successor waits for the platform's bound from when that was heard. Keys of the report's JSON have names.

--- a/core/src/main/java/org/limpetvale/core/lease/LeaseView.java
+++ b/core/src/main/java/org/limpetvale/core/lease/LeaseView.java
@@ -52,11 +52,30 @@
     return new LeaseView(row, revision, nowMillis, heldUntilMillis);
   }
 
+  /** Returns the view after the holder of the row has told that it has given the lease up. */
+  public LeaseView afterRelease() {
+    Optional<LeaseRow> released =
+        row.map(
+            each ->
+                new LeaseRow(each.duty(), "", each.epoch(), each.durationMillis(), each.token()));
+    return new LeaseView(released, revision, unchangedSinceMillis, 0);
+  }
+
+  /** Returns when the lease of another process lapses if its row stays as it is. */
+  public long lapsesAtMillis() {
+    return unchangedSinceMillis + row.map(LeaseRow::durationMillis).orElse(0L);
+  }
+
   /** Tells whether this process may act as the holder now. */
   public boolean held(long nowMillis) {
     return nowMillis < heldUntilMillis;
   }
 
+  /** Tells whether the row names a process as the holder; an empty text stands for none. */
+  public boolean isOf(String holder) {
+    return row.filter(each -> each.holder().equals(holder)).isPresent();
+  }
+
   /** Returns the fencing number of the row; 0 when there is none. */
   public long epoch() {
     return row.map(LeaseRow::epoch).orElse(0L);
@@ -81,10 +100,7 @@
     if (held(nowMillis)) {
       return Optional.of(new LeaseRow(duty, self, epoch(), durationMillis, token));
     }
-    boolean free =
-        row.isEmpty()
-            || row.get().holder().isEmpty()
-            || nowMillis - unchangedSinceMillis >= row.get().durationMillis();
+    boolean free = row.isEmpty() || isOf("") || nowMillis >= lapsesAtMillis();
     return free
         ? Optional.of(new LeaseRow(duty, self, epoch() + 1, durationMillis, token))
         : Optional.empty();
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import java.util.Objects;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.CallerServer;
 import org.limpetvale.forward.account.RetryBudgets;
@@ -179,7 +180,8 @@
                       loads.own(timer.nowMillis()),
                       placer.recentPlacements(),
                       forwarder.waiting(),
-                      crashes.toTell());
+                      crashes.toTell(),
+                      duties.releasedEpoch());
               return parts.withUsage() ? report : report.withoutUsage();
             },
             timer,
@@ -273,13 +275,13 @@
       return;
     }
     finished = true;
+    CompletableFuture<Boolean> left = duties.stop();
     peers.send();
-    duties
-        .stop()
-        .thenAccept(
-            done -> {
-              log.change("stopped", field("running", forwarder.running()));
-              onEnd.run();
-            });
+    left.thenAccept(
+        done -> {
+          peers.send();
+          log.change("stopped", field("running", forwarder.running()));
+          onEnd.run();
+        });
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -73,6 +73,7 @@
   private final UsageCounts usage;
   private final Members members;
   private final TrueClock clock;
+  private final PeerBook peers;
   private final UsageDuty usageDuty;
   private final ScalingDuty scaling;
   private final TimerService timer;
@@ -83,6 +84,8 @@
   private Moment leaseAsOf = new Moment(0, 0);
 
   private long actsFromMillis;
+  private long releasedEpoch;
+  private TimerService.Subscription lapseLook = () -> {};
   private long beat;
   private long rounds;
   private boolean readFailed;
@@ -108,6 +111,7 @@
     this.clock = Objects.requireNonNull(clock, "clock is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.log = Objects.requireNonNull(log, "log is null");
+    this.peers = Objects.requireNonNull(peers, "peers is null");
     this.usageDuty = new UsageDuty(self, store, calls, usage, members, peers, log);
   }
 
@@ -143,6 +147,7 @@
   /** Writes what is left and releases the lease; the future completes in any case. */
   public CompletableFuture<Boolean> stop() {
     stopped = true;
+    releasedEpoch = lease.isOf(self.writer()) ? lease.epoch() : 0;
     List<RowTransaction.Write> writes = usageRows(true);
     List<RowTransaction.Condition> conditions = new ArrayList<>();
     if (lease.held(timer.nowMillis())) {
@@ -161,17 +166,25 @@
             });
   }
 
+  /** Returns the fencing number of the lease that this entry has given up; 0 if there is none. */
+  public long releasedEpoch() {
+    return releasedEpoch;
+  }
+
   // -- rounds
 
   private void nextRound() {
     rounds++;
-    boolean contends = members.before(self.writer()) < MOST_CONTENDERS;
-    int pause = contends ? CONTENDER_ROUNDS : BYSTANDER_ROUNDS;
+    int pause = contends() ? CONTENDER_ROUNDS : BYSTANDER_ROUNDS;
     if (holds() || rounds % pause == 0) {
       roundNow();
     }
   }
 
+  private boolean contends() {
+    return members.before(self.writer()) < MOST_CONTENDERS;
+  }
+
   private void round() {
     busy = true;
     CompletableFuture<Void> steps =
@@ -197,11 +210,21 @@
     }
     Optional<LeaseRow> next = renewal();
     if (next.isEmpty()) {
+      lookAtLapse();
       return done();
     }
     return write(next, List.of()).thenCompose(held -> held ? actOn(page) : done());
   }
 
+  /** Looks just when the lease lapses, if that comes before the next look. */
+  private void lookAtLapse() {
+    long leftMillis = lease.lapsesAtMillis() - timer.nowMillis();
+    lapseLook.cancel();
+    if (contends() && leftMillis <= CONTENDER_ROUNDS * PERIOD_MILLIS) {
+      lapseLook = timer.after(Math.max(0, leftMillis), this::roundNow);
+    }
+  }
+
   private CompletableFuture<Void> act() {
     return usageDuty.isDue() ? readAll().thenCompose(this::actOn) : actOn(Optional.empty());
   }
@@ -298,10 +321,13 @@
     members.read(rows);
     long nowMillis = timer.nowMillis();
     lease = lease.afterRead(leaseRow, leaseVersion, nowMillis);
-    boolean own = leaseRow.filter(row -> row.holder().equals(self.writer())).isPresent();
+    boolean own = lease.isOf(self.writer());
     if (readFailed && !own) {
       lease = lease.afterOutage(nowMillis);
     }
+    if (!own && peers.releaseOf(lease.epoch()).isPresent()) {
+      lease = lease.afterRelease();
+    }
     readFailed = false;
   }
 
@@ -349,11 +375,14 @@
 
   /**
    * Begins to hold the lease. After a release the last holder may have acted a moment ago, and may
-   * act again soon; so the first act waits. A lapse has made it wait already.
+   * act again soon; so the first act waits, from when the release was heard. A lapse has made it
+   * wait already.
    */
   private void begin(LeaseRow row, long sentMillis) {
-    boolean released = lease.row().filter(old -> old.holder().isEmpty()).isPresent();
-    actsFromMillis = released ? sentMillis + self.settleMillis() : sentMillis;
+    boolean released = lease.isOf("");
+    long releasedMillis =
+        peers.releaseOf(lease.epoch()).map(PeerBook.Release::heardMillis).orElse(sentMillis);
+    actsFromMillis = released ? releasedMillis + self.settleMillis() : sentMillis;
     log.change("lease_taken", field("epoch", row.epoch()), field("afterRelease", released));
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.limpetvale.core.time.TimerService;
@@ -24,8 +25,18 @@
   private Consumer<PeerReport> onReport = report -> {};
   private final Map<String, Heard> reports = new HashMap<>();
 
+  private Optional<Release> release = Optional.empty();
+
   private record Heard(PeerReport report, long atMillis) {}
 
+  /**
+   * A lease that an entry told to have given up for good.
+   *
+   * @param epoch its fencing number
+   * @param heardMillis when that was heard first
+   */
+  public record Release(long epoch, long heardMillis) {}
+
   private PeerBook(TimerService timer) {
     this.timer = Objects.requireNonNull(timer, "timer is null");
   }
@@ -50,10 +61,22 @@
     boolean keepsUsage = known != null && report.closedWindow() == PeerReport.USAGE_NOT_TOLD;
     PeerReport whole = keepsUsage ? report.withUsageOf(known.report()) : report;
     reports.put(report.writer(), new Heard(whole, nowMillis));
+    noteRelease(report.releasedEpoch(), nowMillis);
     reports.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
     onReport.accept(report);
   }
 
+  private void noteRelease(long epoch, long nowMillis) {
+    if (epoch > release.map(Release::epoch).orElse(0L)) {
+      release = Optional.of(new Release(epoch, nowMillis));
+    }
+  }
+
+  /** Returns the newest release of the lease that was told, if it is of a fencing number. */
+  public Optional<Release> releaseOf(long epoch) {
+    return release.filter(each -> each.epoch() == epoch);
+  }
+
   // -- loads
 
   /** Tells whether any other entry has reported lately. */
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -26,6 +26,8 @@
  * @param placements shared prompt parts that it has lately sent to upstreams, by upstream
  * @param waiting requests that wait at the entry, by service
  * @param crashes upstreams that crashed on a request, by the request's digest; 0 when it was served
+ * @param releasedEpoch fencing number of the lease that the entry held and has given up for good; 0
+ *     when there is none
  */
 public record PeerReport(
     String writer,
@@ -36,12 +38,25 @@
     Map<String, Load> loads,
     Map<String, Set<String>> placements,
     Map<String, Integer> waiting,
-    Map<String, Integer> crashes) {
+    Map<String, Integer> crashes,
+    long releasedEpoch) {
   /** Stands for the closed window in a report that tells no usage. */
   public static final long USAGE_NOT_TOLD = -1;
 
   private static final ObjectMapper JSON = JsonMapper.builder().build();
 
+  // Names in the JSON are short, as a report is sent several times a second to each other entry.
+  private static final String WRITER = "w";
+  private static final String NUMBER = "n";
+  private static final String CLOCK_OFFSET = "o";
+  private static final String CLOSED_WINDOW = "c";
+  private static final String USAGE = "u";
+  private static final String LOADS = "l";
+  private static final String PLACEMENTS = "p";
+  private static final String WAITING = "q";
+  private static final String CRASHES = "x";
+  private static final String RELEASED_EPOCH = "r";
+
   /**
    * What an entry has at an upstream.
    *
@@ -76,23 +91,32 @@
 
   private PeerReport withUsage(long closed, Map<Long, Map<String, Long>> told) {
     return new PeerReport(
-        writer, number, clockOffsetMillis, closed, told, loads, placements, waiting, crashes);
+        writer,
+        number,
+        clockOffsetMillis,
+        closed,
+        told,
+        loads,
+        placements,
+        waiting,
+        crashes,
+        releasedEpoch);
   }
 
   /** Returns the report as JSON. */
   public String toJson() {
     ObjectNode node = JSON.createObjectNode();
-    node.put("w", writer);
-    node.put("n", number);
-    node.put("o", clockOffsetMillis);
-    node.put("c", closedWindow);
-    ObjectNode windows = node.putObject("u");
+    node.put(WRITER, writer);
+    node.put(NUMBER, number);
+    node.put(CLOCK_OFFSET, clockOffsetMillis);
+    node.put(CLOSED_WINDOW, closedWindow);
+    ObjectNode windows = node.putObject(USAGE);
     usage.forEach(
         (window, counts) -> {
           ObjectNode inner = windows.putObject(Long.toString(window));
           counts.forEach(inner::put);
         });
-    ObjectNode upstreams = node.putObject("l");
+    ObjectNode upstreams = node.putObject(LOADS);
     loads.forEach(
         (id, load) ->
             upstreams
@@ -102,11 +126,14 @@
                 .add(load.tightStreams())
                 .add(load.failurePercent()));
     if (!placements.isEmpty()) {
-      ObjectNode sent = node.putObject("p");
+      ObjectNode sent = node.putObject(PLACEMENTS);
       placements.forEach((id, partIds) -> partIds.forEach(sent.withArray(id)::add));
     }
-    putCounts(node, "q", waiting);
-    putCounts(node, "x", crashes);
+    putCounts(node, WAITING, waiting);
+    putCounts(node, CRASHES, crashes);
+    if (releasedEpoch > 0) {
+      node.put(RELEASED_EPOCH, releasedEpoch);
+    }
     return node.toString();
   }
 
@@ -114,20 +141,21 @@
   public static Optional<PeerReport> parse(String json) {
     try {
       JsonNode node = JSON.readTree(json);
-      if (!node.path("w").isTextual() || !node.path("n").isIntegralNumber()) {
+      if (!node.path(WRITER).isTextual() || !node.path(NUMBER).isIntegralNumber()) {
         return Optional.empty();
       }
       return Optional.of(
           new PeerReport(
-              node.path("w").asText(),
-              node.path("n").asLong(),
-              node.path("o").asLong(),
-              node.path("c").asLong(),
-              usage(node.path("u")),
-              loads(node.path("l")),
-              placements(node.path("p")),
-              counts(node.path("q")),
-              counts(node.path("x"))));
+              node.path(WRITER).asText(),
+              node.path(NUMBER).asLong(),
+              node.path(CLOCK_OFFSET).asLong(),
+              node.path(CLOSED_WINDOW).asLong(),
+              usage(node.path(USAGE)),
+              loads(node.path(LOADS)),
+              placements(node.path(PLACEMENTS)),
+              counts(node.path(WAITING)),
+              counts(node.path(CRASHES)),
+              node.path(RELEASED_EPOCH).asLong()));
     } catch (JsonProcessingException | NumberFormatException e) {
       return Optional.empty();
     }
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
@@ -25,6 +25,7 @@
 import org.limpetvale.forward.account.UsageCounts;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.peer.PeerBook;
+import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.place.LoadBook;
 import org.limpetvale.forward.spi.DutyCalls;
 import org.limpetvale.forward.spi.DutyReply;
@@ -82,6 +83,7 @@
     private int boots;
     private DutyLoop loop;
     private UsageCounts usage;
+    private PeerBook peers;
     private int waiting;
     private boolean running;
 
@@ -116,6 +118,7 @@
       entry.usage = UsageCounts.of(WINDOW_MILLIS, timer::wallMillis);
       entry.running = true;
       PeerBook peers = PeerBook.of(time);
+      entry.peers = peers;
       DutyCalls calls = calls(entry.life);
       Demand demand =
           new Demand(() -> FLEET, LoadBook.empty(), peers, () -> Map.of(SCALED, entry.waiting));
@@ -218,10 +221,25 @@
         entry.running = false;
         ProcessLife ending = entry.life;
         entry.loop.stop().thenAccept(done -> ending.kill());
+        entries.stream().filter(other -> other != entry).forEach(other -> tell(entry, other));
         timer.after(200 + random.nextInt(1_500), () -> boot(entry));
       }
     }
 
+    /** Tells another entry which lease a stopping one has given up; half of these are lost. */
+    private void tell(Entry from, Entry to) {
+      String json =
+          "{\"w\":\"%s.%d\",\"n\":%d,\"r\":%d}"
+              .formatted(from.name, from.boots, timer.nowMillis(), from.loop.releasedEpoch());
+      PeerBook book = to.peers;
+      ProcessLife life = to.life;
+      if (random.nextBoolean()) {
+        timer.after(
+            1 + random.nextInt(400),
+            () -> life.run(() -> PeerReport.parse(json).ifPresent(book::take)));
+      }
+    }
+
     private void restartKilled(Entry entry) {
       if (entry.running) {
         entry.running = false;
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyLoopTest.java
@@ -0,0 +1,140 @@
+package org.limpetvale.forward.duty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.fleet.FleetView;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.account.UsageCounts;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.peer.PeerBook;
+import org.limpetvale.forward.peer.PeerReport;
+import org.limpetvale.forward.place.LoadBook;
+import org.limpetvale.forward.spi.DutyCalls;
+import org.limpetvale.forward.spi.DutyReply;
+import org.limpetvale.forward.testing.ManualTimer;
+import org.limpetvale.forward.testing.MemoryStore;
+import org.limpetvale.forward.testing.ProcessLife;
+import org.limpetvale.forward.time.TrueClock;
+
+/** Who does the duties after the one that did them has gone, and how soon. */
+final class DutyLoopTest {
+  private static final long WINDOW_MILLIS = 5_000;
+  private static final long SETTLE_MILLIS = 3_000;
+  private static final long LEASE_MILLIS = 4_000;
+  private static final long ROUND_MILLIS = 1_000;
+
+  /** Time for a read and a write of the store, and a call of the platform. */
+  private static final long CALLS_MILLIS = 150;
+
+  private final ManualTimer timer = new ManualTimer();
+  private final MemoryStore store = new MemoryStore(timer, new Random(1));
+  private final Map<String, Long> firstActMillis = new HashMap<>();
+  private final Entry first = new Entry("edge-1");
+
+  private final class Entry implements DutyCalls {
+    private final ProcessLife life = new ProcessLife();
+    private final PeerBook peers;
+    private final DutyLoop loop;
+
+    Entry(String name) {
+      TimerService time = life.timer(timer);
+      peers = PeerBook.of(time);
+      Demand demand = new Demand(FleetView::empty, LoadBook.empty(), peers, Map::of);
+      loop =
+          DutyLoop.of(
+              new DutyLoop.Identity(
+                  name, "b", new InetSocketAddress("127.0.0.1", 1), SETTLE_MILLIS),
+              store.through(life),
+              this,
+              UsageCounts.of(WINDOW_MILLIS, timer::wallMillis),
+              ScalingDuty.of(
+                  name, Optional::empty, FleetView::empty, demand, this, time, EventLog.silent()),
+              Members.of(time),
+              peers,
+              TrueClock.of(time),
+              time,
+              EventLog.silent());
+      loop.start();
+    }
+
+    @Override
+    public CompletableFuture<DutyReply> reportUsage(
+        String holder, long fence, long window, Map<String, Long> counts) {
+      firstActMillis.putIfAbsent(holder, timer.nowMillis());
+      return CompletableFuture.completedFuture(new DutyReply.Taken());
+    }
+
+    @Override
+    public CompletableFuture<DutyReply> orderUpstreams(
+        String holder, long fence, String service, String zone, int wanted) {
+      throw new UnsupportedOperationException("nothing is scaled here");
+    }
+  }
+
+  /** Lets the first entry do the duties, and another one look at an uneven moment. */
+  private Entry successor() {
+    timer.advance(10_000);
+    assertThat(firstActMillis).containsKey("edge-1");
+    Entry second = new Entry("edge-2");
+    timer.advance(12_300);
+    return second;
+  }
+
+  private void cut(Entry entry, boolean cut) {
+    entry.life.cut = cut;
+  }
+
+  @Test
+  void theLeaseIsTakenOverWhenItLapsesAndNotARoundLater() {
+    Entry second = successor();
+    first.life.kill();
+    cut(second, true);
+    timer.advance(6_300);
+    cut(second, false);
+    long seenMillis = timer.nowMillis();
+    second.loop.roundNow();
+    timer.advance(10_000);
+    assertThat(firstActMillis.get("edge-2") - seenMillis)
+        .isBetween(LEASE_MILLIS, LEASE_MILLIS + CALLS_MILLIS);
+  }
+
+  @Test
+  void aReleaseThatTheStoreDidNotTakeIsHeardFromTheEntryItself() {
+    Entry second = successor();
+    cut(first, true);
+    cut(second, true);
+    timer.advance(5_000);
+    first.loop.stop();
+    second.peers.take(
+        PeerReport.parse(
+                "{\"w\":\"edge-1.b\",\"n\":1,\"r\":%d}".formatted(first.loop.releasedEpoch()))
+            .orElseThrow());
+    timer.advance(SETTLE_MILLIS);
+    cut(second, false);
+    long seenMillis = timer.nowMillis();
+    second.loop.roundNow();
+    timer.advance(10_000);
+    assertThat(firstActMillis.get("edge-2") - seenMillis).isLessThan(ROUND_MILLIS + CALLS_MILLIS);
+  }
+
+  @Test
+  void aReleaseThatWasHeardIsNotActedOnBeforeTheOldHolderHasSettled() {
+    Entry second = successor();
+    first.loop.stop();
+    second.peers.take(
+        PeerReport.parse(
+                "{\"w\":\"edge-1.b\",\"n\":1,\"r\":%d}".formatted(first.loop.releasedEpoch()))
+            .orElseThrow());
+    long heardMillis = timer.nowMillis();
+    second.loop.roundNow();
+    timer.advance(10_000);
+    assertThat(firstActMillis.get("edge-2") - heardMillis).isGreaterThanOrEqualTo(SETTLE_MILLIS);
+  }
+}
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -21,7 +21,8 @@
         Map.of("u", new PeerReport.Load(requests, 100 * requests, 1, 10 * requests)),
         Map.of("u", Set.of("part-1", "part-2")),
         Map.of("service", 2),
-        Map.of("digest", 1));
+        Map.of("digest", 1),
+        4);
   }
 
   @Test
@@ -52,7 +53,8 @@
             Map.of(),
             Map.of(),
             Map.of(),
-            Map.of()));
+            Map.of(),
+            0));
     assertThat(book.usage(7)).containsEntry("a.1", Map.of("w", 9L));
     assertThat(book.othersAt("u").requests()).isZero();
   }
