--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -32,19 +32,17 @@
  * Writes this entry's rows, reads those of the others, and does the duties while it holds their
  * lease; for the event loop only.
  *
- * <p>The holder renews each round; the others look every second round. After a time in which the
+ * <p>The holder renews each round. Those that would take over look every second round, and all look
+ * when a usage window has closed, so that its counts are in the store soon. After a time in which the
  * store could not be read, the others wait for the whole lease anew, as the holder could not renew
  * either.
  */
 public final class DutyLoop {
   private static final long PERIOD_MILLIS = 1_000;
 
-  /** Rounds between two looks of an entry that would take the lease over. */
+  /** Rounds between two looks of an entry that would take the lease over; the others look less. */
   private static final int CONTENDER_ROUNDS = 2;
 
-  /** Rounds between two looks of an entry that leaves that to others. */
-  private static final int BYSTANDER_ROUNDS = 4;
-
   private static final int MOST_CONTENDERS = 3;
 
   /** Drift of the two clocks that hints at a suspended VM, whose lease may have lapsed. */
@@ -88,6 +86,10 @@
   private TimerService.Subscription lapseLook = () -> {};
   private long beat;
   private long rounds;
+
+  /** The newest closed usage window when the last round began. */
+  private long writtenWindow;
+
   private boolean readFailed;
   private boolean busy;
   private boolean stopped;
@@ -175,8 +177,8 @@
 
   private void nextRound() {
     rounds++;
-    int pause = contends() ? CONTENDER_ROUNDS : BYSTANDER_ROUNDS;
-    if (holds() || rounds % pause == 0) {
+    boolean looks = contends() && rounds % CONTENDER_ROUNDS == 0;
+    if (holds() || looks || usage.closedWindow() > writtenWindow) {
       roundNow();
     }
   }
@@ -187,6 +189,7 @@
 
   private void round() {
     busy = true;
+    writtenWindow = usage.closedWindow();
     CompletableFuture<Void> steps =
         holds()
             ? holderRound()
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyLoopTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyLoopTest.java
@@ -4,10 +4,12 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.time.TimerService;
@@ -38,9 +40,13 @@
   private final Map<String, Long> firstActMillis = new HashMap<>();
   private final Entry first = new Entry("edge-1");
 
+  /** Time within which the counts of a window that has ended are in the store. */
+  private static final long WRITTEN_MILLIS = 1_500;
+
   private final class Entry implements DutyCalls {
     private final ProcessLife life = new ProcessLife();
     private final PeerBook peers;
+    private final UsageCounts usage = UsageCounts.of(WINDOW_MILLIS, timer::wallMillis);
     private final DutyLoop loop;
 
     Entry(String name) {
@@ -53,7 +59,7 @@
                   name, "b", new InetSocketAddress("127.0.0.1", 1), SETTLE_MILLIS),
               store.through(life),
               this,
-              UsageCounts.of(WINDOW_MILLIS, timer::wallMillis),
+              usage,
               ScalingDuty.of(
                   name, Optional::empty, FleetView::empty, demand, this, time, EventLog.silent()),
               Members.of(time),
@@ -137,4 +143,28 @@
     timer.advance(10_000);
     assertThat(firstActMillis.get("edge-2") - heardMillis).isGreaterThanOrEqualTo(SETTLE_MILLIS);
   }
+
+  @Test
+  void theCountsOfAWindowAreInTheStoreSoonAfterItsEndWhoeverCountedThem() {
+    List<Entry> others = Stream.of("edge-2", "edge-3", "edge-4", "edge-5").map(Entry::new).toList();
+    for (int window = 0; window < 5; window++) {
+      long intoMillis = timer.wallMillis() % WINDOW_MILLIS;
+      timer.advance(WINDOW_MILLIS - intoMillis - 1);
+      others.forEach(each -> each.usage.began("w"));
+      long ended = timer.wallMillis() / WINDOW_MILLIS;
+      timer.advance(WRITTEN_MILLIS);
+      assertThat(closedRows(ended)).as("window %d", ended).hasSize(others.size());
+    }
+  }
+
+  /** Returns the entries that have written one request in a window, and that no more will come. */
+  private List<String> closedRows(long window) {
+    return store.texts().entrySet().stream()
+        .filter(row -> row.getKey().startsWith(FleetRows.USAGE_PREFIX))
+        .flatMap(row -> FleetRows.parseUsage(row.getKey(), row.getValue()).stream())
+        .filter(row -> row.window() == window && row.closed())
+        .filter(row -> row.counts().equals(Map.of("w", 1L)))
+        .map(FleetRows.UsageRow::entry)
+        .toList();
+  }
 }
