A placement's log line names the engine with more of the prompt that it passed over

Change: Choice keeps the richest candidate when it was not chosen; the line gives its id, cost, cache, unread tokens and short-gap streams.

--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -89,9 +89,13 @@
       List<UpstreamLoad> candidates) {
     Objects.requireNonNull(route, "route is null");
     Objects.requireNonNull(shape, "shape is null");
-    return candidates.stream()
-        .map(load -> rate(route, shape, zone, pools, patient, load))
-        .min(Comparator.comparingDouble(Choice::costMillis));
+    List<Choice> rated =
+        candidates.stream().map(load -> rate(route, shape, zone, pools, patient, load)).toList();
+    Optional<Choice> richest =
+        rated.stream().max(Comparator.comparingInt(each -> each.load().cachedTokens()));
+    return rated.stream()
+        .min(Comparator.comparingDouble(Choice::costMillis))
+        .map(best -> best.over(richest.orElseThrow()));
   }
 
   /** Returns the time to read the rest of a prompt, in milliseconds, at the usual speed. */
@@ -122,7 +126,7 @@
     if (!load.upstream().zone().equals(zone)) {
       cost += OTHER_ZONE_MILLIS;
     }
-    return new Choice(load.upstream(), predicted, cost, load);
+    return Choice.of(load.upstream(), predicted, cost, load);
   }
 
   private static double queueMillis(UpstreamLoad load) {
--- a/core/src/main/java/org/limpetvale/core/placement/ServicePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/ServicePlacement.java
@@ -46,6 +46,6 @@
     if (!load.upstream().zone().equals(zone)) {
       cost += OTHER_ZONE_MILLIS;
     }
-    return new Choice(load.upstream(), predicted, cost, load);
+    return Choice.of(load.upstream(), predicted, cost, load);
   }
 }
--- a/core/src/test/java/org/limpetvale/core/admission/BacklogLimitTest.java
+++ b/core/src/test/java/org/limpetvale/core/admission/BacklogLimitTest.java
@@ -33,7 +33,7 @@
     Upstream upstream = new Upstream("u", "s", "10.0.0.1", 80, "z", 64, false, 1);
     UpstreamLoad load =
         new UpstreamLoad(upstream, 0, 0, pending, ownPending, 0, cached, 0, 1, 0, false);
-    return new Choice(upstream, 1, 1, load);
+    return Choice.of(upstream, 1, 1, load);
   }
 
   @Test
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -61,6 +61,24 @@
         .id();
   }
 
+  @Test
+  void aChoiceTellsWhichEngineWithMoreOfThePromptItPassedOver() {
+    List<Upstream> engines = upstreams(2);
+    List<UpstreamLoad> loads =
+        List.of(load(engines.get(0), 0, 0, 0), load(engines.get(1), 90_000, 0, 600));
+    PromptShape shape = prompt(600, 400);
+    assertThat(
+            EnginePlacement.choose(LOOSE, shape, "z", NO_POOLS, true, loads)
+                .orElseThrow()
+                .passedOver())
+        .hasValueSatisfying(each -> assertThat(each.upstream().id()).isEqualTo("u1"));
+    assertThat(
+            EnginePlacement.choose(LOOSE, shape, "z", NO_POOLS, true, loads.subList(1, 2))
+                .orElseThrow()
+                .passedOver())
+        .isEmpty();
+  }
+
   @Test
   void aGapTargetThatAFewWholeChunksWouldBreakIsShort() {
     assertThat(EnginePlacement.isTight(stream("s", 300, 150))).isTrue();
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -33,9 +33,9 @@
  * lease; for the event loop only.
  *
  * <p>The holder renews each round. Those that would take over look every second round, and all look
- * when a usage window has closed, so that its counts are in the store soon. After a time in which the
- * store could not be read, the others wait for the whole lease anew, as the holder could not renew
- * either.
+ * when a usage window has closed, so that its counts are in the store soon. After a time in which
+ * the store could not be read, the others wait for the whole lease anew, as the holder could not
+ * renew either.
  */
 public final class DutyLoop {
   private static final long PERIOD_MILLIS = 1_000;
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLines.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLines.java
@@ -37,7 +37,21 @@
         field("cachedTokens", choice.load().cachedTokens()),
         field("sharedTokens", head.shape().sharedTokens()),
         field("prefix", head.shape().affinityKey().orElse("")),
-        field("attempt", attempt));
+        field("attempt", attempt),
+        field("passedOver", choice.passedOver().map(ExchangeLines::summary).orElse("")));
+  }
+
+  /** Returns what speaks for and against an upstream: id, cost, cache, queue, short-gap streams. */
+  private static String summary(Choice passed) {
+    return passed.upstream().id()
+        + " cost="
+        + Math.round(passed.costMillis())
+        + " cached="
+        + passed.load().cachedTokens()
+        + " pending="
+        + passed.load().pendingPromptTokens()
+        + " tight="
+        + passed.load().tightStreams();
   }
 
   /** An attempt ended without an answer that could be passed on in full. */
