Engines for short-gap streams take no other prompts while those have room elsewhere

The engines set apart had read 37 to 41 dosing-query prompts of some 1,800 tokens each, four times as many as the others, since they have no queue. One engine without such prompts carried 72 streams with no gap late. Ruled out: slow engines (stream lengths are the same), too many streams on one. Change: another request costs 300 ms there (60 before), and an engine is to carry 32 such streams (20), so that fewer are set apart. Test: EnginePlacementTest#aPromptOfMediumLength... failed before.

--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -59,7 +59,13 @@
   /** Cost of a request on engines that are set apart for others. */
   private static final double LONG_IN_TIGHT_POOL_MILLIS = 600;
 
-  private static final double MEDIUM_IN_TIGHT_POOL_MILLIS = 60;
+  /**
+   * The same for one whose prompt alone breaks no gap: with the queue of the other engines below
+   * it, these requests would fill engines that have no queue, and three of their prompts in a row
+   * break the gaps of all streams there.
+   */
+  private static final double MEDIUM_IN_TIGHT_POOL_MILLIS = 300;
+
   private static final double TIGHT_OUTSIDE_POOL_MILLIS = 150;
   private static final double SILENT_MILLIS = 5_000;
   private static final double FAILURE_MILLIS = 2_000;
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
@@ -22,10 +22,10 @@
   public static final long TIGHT_GAP_MILLIS = 220;
 
   /**
-   * Streams with short gap targets that one engine carries. Their own prompts come in clumps, and
-   * some 5,000 tokens of them within one event break the gaps of all.
+   * Streams with short gap targets that one engine carries: half of its slots. Their own prompts
+   * come in clumps, and some 5,000 tokens of them within one event break the gaps of all.
    */
-  private static final double STREAMS_PER_ENGINE = 20;
+  private static final double STREAMS_PER_ENGINE = 32;
 
   /** Largest share of the engines that are set apart. */
   private static final double LARGEST_SHARE = 0.4;
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -157,6 +157,25 @@
     assertThat(EnginePools.split(upstreams(3), 40).tight()).isEmpty();
   }
 
+  @Test
+  void aPromptOfMediumLengthStaysAwayFromShortGapStreamsUntilTheOtherEnginesAreFull() {
+    List<Upstream> engines = upstreams(2);
+    EnginePools pools = new EnginePools(Set.of("u0"));
+    assertThat(
+            mediumGoesTo(pools, load(engines.get(0), 0, 20, 0), load(engines.get(1), 8_000, 0, 0)))
+        .isEqualTo("u1");
+    assertThat(
+            mediumGoesTo(pools, load(engines.get(0), 0, 20, 0), load(engines.get(1), 20_000, 0, 0)))
+        .isEqualTo("u0");
+  }
+
+  private static String mediumGoesTo(EnginePools pools, UpstreamLoad... loads) {
+    return EnginePlacement.choose(LOOSE, prompt(0, 1_800), "z", pools, true, List.of(loads))
+        .orElseThrow()
+        .upstream()
+        .id();
+  }
+
   @Test
   void aLargerSplitHoldsTheSmallerOne() {
     List<Upstream> engines = upstreams(13);
