An entry that reads once in a usage window does not take itself for blind

Cause: since the entries that leave the lease to others read once in a window, up to 6 s lie between two reads, and the share of the retry budget was halved after 5 s without one. Change: 7 s, as for live rows. Tests: MembersTest (new; the first one failed: 4 sharers counted of 2).

--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -17,8 +17,11 @@
   /** Time for which an entry counts as a sharer of the retry budget after its last row. */
   private static final long SHARING_MILLIS = 20_000;
 
-  /** Time without a read after which the fleet may have grown unseen. */
-  private static final long UNSEEN_MILLIS = 5_000;
+  /**
+   * Time without a read after which the fleet may have grown unseen; longer than between two reads
+   * of an entry that reads once in a usage window.
+   */
+  private static final long UNSEEN_MILLIS = 7_000;
 
   private static final int ASSUMED_BEFORE_FIRST_READ = 64;
   private static final int UNSEEN_FACTOR = 2;
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
@@ -0,0 +1,57 @@
+package org.limpetvale.forward.duty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.forward.testing.ManualTimer;
+
+final class MembersTest {
+  private static final long WINDOW_MILLIS = 5_000;
+  private static final long ROUND_MILLIS = 1_000;
+
+  private final ManualTimer timer = new ManualTimer();
+  private final Members members = Members.of(timer);
+
+  private static Members.Row row(long version, int port) {
+    return new Members.Row(version, Optional.of(new InetSocketAddress("127.0.0.1", port)));
+  }
+
+  private void read(long version) {
+    members.read(Map.of("a.1", row(version, 1), "b.1", row(version, 2)));
+  }
+
+  @Test
+  void anEntryThatReadsOnceInAUsageWindowCountsTheSharersAsTheyAre() {
+    read(1);
+    timer.advance(WINDOW_MILLIS + ROUND_MILLIS);
+    assertThat(members.sharers()).isEqualTo(2);
+  }
+
+  @Test
+  void anEntryThatCannotReadCountsMoreSharersThanItSaw() {
+    read(1);
+    timer.advance(2 * WINDOW_MILLIS);
+    assertThat(members.sharers()).isEqualTo(4);
+  }
+
+  @Test
+  void beforeTheFirstReadManySharersAreAssumed() {
+    assertThat(members.sharers()).isGreaterThan(30);
+  }
+
+  @Test
+  void anEntryWhoseRowStaysAsItIsNoLongerCountsAsLiveAndIsForgottenLater() {
+    read(1);
+    timer.advance(8_000);
+    members.read(Map.of("a.1", row(1, 1), "b.1", row(2, 2)));
+    assertThat(members.live()).containsExactly("b.1");
+    assertThat(members.before("c.1")).isEqualTo(1);
+    assertThat(members.forgotten("a.1")).isFalse();
+    timer.advance(13_000);
+    assertThat(members.forgotten("a.1")).isTrue();
+    assertThat(members.addressesBut(new InetSocketAddress("127.0.0.1", 9))).hasSize(1);
+  }
+}
