--- a/entry/src/main/java/org/limpetvale/entry/route/Dispatcher.java
+++ b/entry/src/main/java/org/limpetvale/entry/route/Dispatcher.java
@@ -119,15 +119,7 @@
     retries.updateAndGet(RetryBudget::afterSuccess);
   }
 
-  public DecisionBook decisions() {
-    return decisions;
-  }
-
   public TimerService timer() {
     return timer;
   }
-
-  public MeterRegistry metrics() {
-    return metrics;
-  }
 }
