Test processes draw their ports in one place, and none twice

Cause: TestFleet drew ports without noting those it had given: a fleet of the soak draws some 16 before any is listened on, out of 8,000, so that two are the same in about 1.5 % of starts (worked out, not seen in a log). The stand-in fleet of the first path had its own copy that notes them.

--- a/fakes/src/main/java/org/limpetvale/fakes/fleet/Fleet.java
+++ b/fakes/src/main/java/org/limpetvale/fakes/fleet/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.stream.Stream;
+import org.limpetvale.platform.standin.Ports;
 
 /** Real processes on loopback: the platform's stand-in, upstreams, sidecars and entries. */
 public final class Fleet implements AutoCloseable {
