Logs and metrics show what each repeat was charged to, and whom the allowance is split among

Now a 'repeat' line for each decision (requests and repeats in the window, sharers, age of what is known of them), a 'sharers_changed' line, and three gauges. What is decided is unchanged: an AllowanceShare of 1/entries takes the place of the number of entries.

--- a/core/src/main/java/org/limpetvale/core/retry/RetryWindow.java
+++ b/core/src/main/java/org/limpetvale/core/retry/RetryWindow.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Objects;
 
 /**
  * This entry's share of a fleet-wide retry budget for one service, over a sliding window.
@@ -44,20 +45,34 @@
   }
 
   /**
-   * Takes a repeat out of the budget.
+   * What was decided on a repeat, and on which grounds.
+   *
+   * @param granted whether the repeat may be sent
+   * @param requests requests in the window
+   * @param retries repeats in the window before this one
+   * @param share this entry's part of the allowance
+   */
+  public record Decision(boolean granted, int requests, int retries, AllowanceShare share) {
+    public Decision {
+      Objects.requireNonNull(share, "share is null");
+    }
+  }
+
+  /**
+   * Takes a repeat out of the budget, if there is one.
    *
    * @param nowMillis monotonic time in milliseconds
-   * @param entries entries that share the allowance, at least 1
-   * @return whether the repeat may be sent
+   * @param share this entry's part of the allowance
    */
-  public boolean tryTake(long nowMillis, int entries) {
+  public Decision tryTake(long nowMillis, AllowanceShare share) {
     expire(nowMillis);
-    double most = USED_SHARE * (ratio * requestsAtMillis.size() + allowance / Math.max(1, entries));
-    if (retriesAtMillis.size() + 1 > most) {
-      return false;
+    double most = USED_SHARE * (ratio * requestsAtMillis.size() + allowance * share.part());
+    int retries = retriesAtMillis.size();
+    boolean granted = retries + 1 <= most;
+    if (granted) {
+      retriesAtMillis.addLast(nowMillis);
     }
-    retriesAtMillis.addLast(nowMillis);
-    return true;
+    return new Decision(granted, requestsAtMillis.size(), retries, share);
   }
 
   private void expire(long nowMillis) {
--- a/core/src/test/java/org/limpetvale/core/retry/RetryWindowTest.java
+++ b/core/src/test/java/org/limpetvale/core/retry/RetryWindowTest.java
@@ -28,7 +28,7 @@
         window.request(now);
         requests.add(now);
         for (int i = random.nextInt(4); i > 0; i--) {
-          if (window.tryTake(now, entries)) {
+          if (window.tryTake(now, AllowanceShare.even(entries, 0)).granted()) {
             retries.add(now);
           }
         }
@@ -50,11 +50,15 @@
   void repeatsComeBackWhenTheWindowHasPassed() {
     RetryWindow window = RetryWindow.of(WINDOW_MILLIS, 0, 10);
     int taken = 0;
-    while (window.tryTake(0, 1)) {
+    while (taken(window, 0)) {
       taken++;
     }
     assertThat(taken).isEqualTo(8);
-    assertThat(window.tryTake(WINDOW_MILLIS, 1)).isFalse();
-    assertThat(window.tryTake(WINDOW_MILLIS + 1, 1)).isTrue();
+    assertThat(taken(window, WINDOW_MILLIS)).isFalse();
+    assertThat(taken(window, WINDOW_MILLIS + 1)).isTrue();
+  }
+
+  private static boolean taken(RetryWindow window, long nowMillis) {
+    return window.tryTake(nowMillis, AllowanceShare.even(1, 0)).granted();
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -119,13 +119,17 @@
     TrueClock clock = TrueClock.of(timer);
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
     Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, timer);
-    RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::sharers, timer);
+    RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
     CrashGuard crashes = CrashGuard.of(timer, log);
     peerBook.onReport(
         report -> {
           crashes.heard(report.writer(), report.crashes());
           placer.heard(report);
         });
+    metrics.show(ForwardMetrics.Level.RETRY_SHARERS, () -> members.share().sharers());
+    metrics.show(ForwardMetrics.Level.RETRY_ALLOWANCE_PART, () -> members.share().part());
+    metrics.show(
+        ForwardMetrics.Level.MEMBERS_READ_AGE_MILLIS, () -> members.share().readAgeMillis());
     this.forwarder =
         Forwarder.of(
             transport,
@@ -201,7 +205,7 @@
     upstreams.onChange(forwarder::fleetChanged);
     config.onSuspicion(configFollower::restart);
     config.onRegained(duties::roundNow);
-    metrics.openConnections(callers::openConnections);
+    metrics.show(ForwardMetrics.Level.OPEN_CONNECTIONS, callers::openConnections);
     bound("callers", callers.listen(settings.callers()));
     bound("ready", TextServer.listen(transport, settings.ready(), path -> readyPage()));
     transport.loop().execute(this::follow);
--- a/forward/src/main/java/org/limpetvale/forward/account/RetryBudgets.java
+++ b/forward/src/main/java/org/limpetvale/forward/account/RetryBudgets.java
@@ -3,7 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import org.limpetvale.core.retry.AllowanceShare;
 import org.limpetvale.core.retry.RetryWindow;
 import org.limpetvale.core.time.TimerService;
 
@@ -19,23 +20,23 @@
   public record Bounds(double ratio, double allowance, long windowMillis) {}
 
   private final Bounds bounds;
-  private final IntSupplier entries;
+  private final Supplier<AllowanceShare> share;
   private final TimerService timer;
   private final Map<String, RetryWindow> windows = new HashMap<>();
 
-  private RetryBudgets(Bounds bounds, IntSupplier entries, TimerService timer) {
+  private RetryBudgets(Bounds bounds, Supplier<AllowanceShare> share, TimerService timer) {
     this.bounds = Objects.requireNonNull(bounds, "bounds is null");
-    this.entries = Objects.requireNonNull(entries, "entries is null");
+    this.share = Objects.requireNonNull(share, "share is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
   }
 
   /**
    * Returns unused budgets.
    *
-   * @param entries number of entries that share the allowance
+   * @param share this entry's part of the allowance, as of now
    */
-  public static RetryBudgets of(Bounds bounds, IntSupplier entries, TimerService timer) {
-    return new RetryBudgets(bounds, entries, timer);
+  public static RetryBudgets of(Bounds bounds, Supplier<AllowanceShare> share, TimerService timer) {
+    return new RetryBudgets(bounds, share, timer);
   }
 
   /** Notes a request that is sent to a service for the first time. */
@@ -44,8 +45,8 @@
   }
 
   /** Takes a repeat to a service out of the budget, if there is one. */
-  public boolean tryTake(String service) {
-    return window(service).tryTake(timer.nowMillis(), entries.getAsInt());
+  public RetryWindow.Decision tryTake(String service) {
+    return window(service).tryTake(timer.nowMillis(), share.get());
   }
 
   private RetryWindow window(String service) {
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -90,6 +90,9 @@
   /** The newest closed usage window when the last round began. */
   private long writtenWindow;
 
+  /** The number of entries that share the retry budget as last logged. */
+  private int sharersLogged;
+
   private boolean readFailed;
   private boolean busy;
   private boolean stopped;
@@ -322,6 +325,7 @@
       }
     }
     members.read(rows);
+    logSharers();
     long nowMillis = timer.nowMillis();
     lease = lease.afterRead(leaseRow, leaseVersion, nowMillis);
     boolean own = lease.isOf(self.writer());
@@ -334,6 +338,15 @@
     readFailed = false;
   }
 
+  private void logSharers() {
+    int sharers = members.sharers();
+    if (sharers != sharersLogged) {
+      sharersLogged = sharers;
+      log.change(
+          "sharers_changed", field("sharers", sharers), field("live", members.live().size()));
+    }
+  }
+
   // -- the lease
 
   private Optional<LeaseRow> renewal() {
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.limpetvale.core.retry.AllowanceShare;
 import org.limpetvale.core.time.TimerService;
 
 /** The entries that have lately written their rows, as seen on this process's monotonic clock. */
@@ -100,10 +101,15 @@
         .toList();
   }
 
+  /** Returns this entry's part of what the fleet shares, rather too small than too large. */
+  public AllowanceShare share() {
+    return AllowanceShare.even(sharers(), readOnce ? timer.nowMillis() - readAtMillis : -1);
+  }
+
   /**
    * Returns the number of entries that may share the retry budget, rather too many than too few.
    */
-  public int sharers() {
+  int sharers() {
     if (!readOnce) {
       return ASSUMED_BEFORE_FIRST_READ;
     }
--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -3,7 +3,7 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.DoubleSupplier;
 import org.HdrHistogram.Recorder;
@@ -28,10 +28,21 @@
     ANSWERS_SPOILED
   }
 
+  /** What rises and falls. */
+  public enum Level {
+    OPEN_CONNECTIONS,
+    /** Entries that are counted as sharing the retry budget. */
+    RETRY_SHARERS,
+    /** This entry's part of the retry allowance, from 0 to 1. */
+    RETRY_ALLOWANCE_PART,
+    /** Time since the rows of the other entries were last read; -1 when they never were. */
+    MEMBERS_READ_AGE_MILLIS
+  }
+
   private final Map<Counter, LongAdder> counters = new EnumMap<>(Counter.class);
   private final Recorder firstByte = new Recorder(LONGEST_MILLIS, DIGITS);
   private final Recorder whole = new Recorder(LONGEST_MILLIS, DIGITS);
-  private final AtomicReference<DoubleSupplier> openConnections = new AtomicReference<>(() -> 0);
+  private final Map<Level, DoubleSupplier> levels = new ConcurrentHashMap<>();
 
   private ForwardMetrics() {
     for (Counter counter : Counter.values()) {
@@ -59,9 +70,9 @@
     whole.recordValue(bounded(millis));
   }
 
-  /** Sets where the number of open connections is read from. */
-  public void openConnections(DoubleSupplier source) {
-    openConnections.set(source);
+  /** Sets where a level is read from. */
+  public void show(Level level, DoubleSupplier source) {
+    levels.put(level, source);
   }
 
   // -- for the page
@@ -70,8 +81,8 @@
     return counters.get(counter).sum();
   }
 
-  double openConnections() {
-    return openConnections.get().getAsDouble();
+  double value(Level level) {
+    return levels.getOrDefault(level, () -> 0).getAsDouble();
   }
 
   Recorder firstByteRecorder() {
@@ -82,8 +93,8 @@
     return whole;
   }
 
-  static String name(Counter counter) {
-    return "limpetvale_" + counter.name().toLowerCase(Locale.ROOT);
+  static String name(Enum<?> metric) {
+    return "limpetvale_" + metric.name().toLowerCase(Locale.ROOT);
   }
 
   private static long bounded(long millis) {
--- a/forward/src/main/java/org/limpetvale/forward/metrics/MetricsPage.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/MetricsPage.java
@@ -53,8 +53,10 @@
               ForwardMetrics.name(counter), metrics, source -> source.value(counter))
           .register(fresh);
     }
-    Gauge.builder("limpetvale_open_connections", metrics, ForwardMetrics::openConnections)
-        .register(fresh);
+    for (ForwardMetrics.Level level : ForwardMetrics.Level.values()) {
+      Gauge.builder(ForwardMetrics.name(level), metrics, source -> source.value(level))
+          .register(fresh);
+    }
     for (double quantile : QUANTILES) {
       gauge(fresh, "limpetvale_first_byte_millis", quantile, true);
       gauge(fresh, "limpetvale_whole_answer_millis", quantile, false);
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -20,6 +20,7 @@
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.core.retry.RetryWindow;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.CallerLink;
 import org.limpetvale.forward.accept.Exchanges;
@@ -359,7 +360,9 @@
   /** Takes the right to another attempt out of the budget, once for each failed attempt. */
   private boolean takeRetry(boolean ran) {
     if (!retryTaken && canRetry(ran)) {
-      retryTaken = parts.budgets().tryTake(plan.service());
+      RetryWindow.Decision decision = parts.budgets().tryTake(plan.service());
+      lines.repeat(plan.service(), decision);
+      retryTaken = decision.granted();
       if (!retryTaken) {
         parts.metrics().count(Counter.RETRIES_DENIED);
       }
