--- /dev/null
+++ b/core/src/test/java/org/limpetvale/core/retry/BudgetHistoryTest.java
@@ -0,0 +1,40 @@
+package org.limpetvale.core.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+final class BudgetHistoryTest {
+  private static final long WINDOW_MILLIS = 10_000;
+
+  private final BudgetHistory history = BudgetHistory.of(WINDOW_MILLIS, 0.2, 10);
+
+  @Test
+  void repeatsAreFoundAlsoInAWindowThatNoneOfThemEnds() {
+    for (int i = 0; i < 100; i++) {
+      history.request(5_000);
+    }
+    history.repeat(20_000);
+    history.repeat(29_999);
+    assertThat(history.worst().repeats()).isEqualTo(2);
+    assertThat(history.worst().allowed()).isEqualTo(10);
+  }
+
+  @Test
+  void theWindowWithMostRequestsOfTheThreeIsTaken() {
+    for (int i = 0; i < 50; i++) {
+      history.request(12_000);
+      history.request(30_000);
+    }
+    history.repeat(25_000);
+    assertThat(history.worst().allowed()).isEqualTo(20);
+  }
+
+  @Test
+  void oneRepeatBeyondTheBudgetIsSeen() {
+    for (int i = 0; i < 11; i++) {
+      history.repeat(1_000 + 900L * i);
+    }
+    assertThat(history.worst().used()).isGreaterThan(1);
+  }
+}
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,18 +20,14 @@
 import org.limpetvale.core.fleet.RouteTable;
 import org.limpetvale.core.fleet.ServicePolicy;
 import org.limpetvale.core.fleet.Upstream;
-import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.account.UsageCounts;
-import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.peer.PeerBook;
 import org.limpetvale.forward.peer.PeerReport;
-import org.limpetvale.forward.place.LoadBook;
 import org.limpetvale.forward.spi.DutyCalls;
 import org.limpetvale.forward.spi.DutyReply;
 import org.limpetvale.forward.testing.ManualTimer;
 import org.limpetvale.forward.testing.MemoryStore;
 import org.limpetvale.forward.testing.ProcessLife;
-import org.limpetvale.forward.time.TrueClock;
 
 /**
  * Seeded schedules of several entries with cuts, lost and late answers, freezes, stops and
@@ -99,49 +94,34 @@
     /** Whether the schedule is a series of planned stops, so that holders return quickly. */
     private final boolean onlyStops;
 
-    private final MemoryStore store;
+    private final DutyProcess.World world;
     private final List<Entry> entries = new ArrayList<>();
     private final List<Received> received = new ArrayList<>();
     private final Set<ProcessLife> justThawed = new HashSet<>();
-    private final EventLog log = EventLog.silent();
 
     World(long seed) {
       random = new Random(seed);
       onlyStops = seed % 4 == 0;
-      store = new MemoryStore(timer, random);
+      world =
+          new DutyProcess.World(
+              timer,
+              new MemoryStore(timer, random),
+              WINDOW_MILLIS,
+              SETTLE_MILLIS,
+              Optional.of(CONFIG),
+              FLEET,
+              SCALED);
     }
 
     void boot(Entry entry) {
       entry.boots++;
-      entry.life = new ProcessLife();
-      TimerService time = entry.life.timer(timer);
-      entry.usage = UsageCounts.of(WINDOW_MILLIS, timer::wallMillis);
+      DutyProcess process =
+          DutyProcess.start(world, entry.name, "b" + entry.boots, this::calls, () -> entry.waiting);
+      entry.life = process.life;
+      entry.usage = process.usage;
+      entry.peers = process.peers;
+      entry.loop = process.loop;
       entry.running = true;
-      PeerBook peers = PeerBook.of(time);
-      entry.peers = peers;
-      DutyCalls calls = calls(entry.life);
-      Demand demand =
-          new Demand(() -> FLEET, LoadBook.empty(), peers, () -> Map.of(SCALED, entry.waiting));
-      ScalingDuty scaling =
-          ScalingDuty.of(
-              entry.name, () -> Optional.of(CONFIG), () -> FLEET, demand, calls, time, log);
-      entry.loop =
-          DutyLoop.of(
-              new DutyLoop.Identity(
-                  entry.name,
-                  "b" + entry.boots,
-                  new InetSocketAddress("127.0.0.1", 1),
-                  SETTLE_MILLIS),
-              store.through(entry.life),
-              calls,
-              entry.usage,
-              scaling,
-              Members.of(time),
-              peers,
-              TrueClock.of(time),
-              time,
-              log);
-      entry.loop.start();
     }
 
     private DutyCalls calls(ProcessLife life) {
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyLoopTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyLoopTest.java
@@ -2,28 +2,21 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import org.limpetvale.core.fleet.FleetView;
-import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.account.UsageCounts;
-import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.peer.PeerBook;
 import org.limpetvale.forward.peer.PeerReport;
-import org.limpetvale.forward.place.LoadBook;
 import org.limpetvale.forward.spi.DutyCalls;
 import org.limpetvale.forward.spi.DutyReply;
 import org.limpetvale.forward.testing.ManualTimer;
 import org.limpetvale.forward.testing.MemoryStore;
 import org.limpetvale.forward.testing.ProcessLife;
-import org.limpetvale.forward.time.TrueClock;
 
 /** Who does the duties after the one that did them has gone, and how soon. */
 final class DutyLoopTest {
@@ -38,36 +31,25 @@
   private final ManualTimer timer = new ManualTimer();
   private final MemoryStore store = new MemoryStore(timer, new Random(1));
   private final Map<String, Long> firstActMillis = new HashMap<>();
+  private final DutyProcess.World world =
+      DutyProcess.World.of(timer, store, WINDOW_MILLIS, SETTLE_MILLIS);
   private final Entry first = new Entry("edge-1");
 
   /** Time within which the counts of a window that has ended are in the store. */
   private static final long WRITTEN_MILLIS = 1_500;
 
   private final class Entry implements DutyCalls {
-    private final ProcessLife life = new ProcessLife();
+    private final ProcessLife life;
     private final PeerBook peers;
-    private final UsageCounts usage = UsageCounts.of(WINDOW_MILLIS, timer::wallMillis);
+    private final UsageCounts usage;
     private final DutyLoop loop;
 
     Entry(String name) {
-      TimerService time = life.timer(timer);
-      peers = PeerBook.of(time);
-      Demand demand = new Demand(FleetView::empty, LoadBook.empty(), peers, Map::of);
-      loop =
-          DutyLoop.of(
-              new DutyLoop.Identity(
-                  name, "b", new InetSocketAddress("127.0.0.1", 1), SETTLE_MILLIS),
-              store.through(life),
-              this,
-              usage,
-              ScalingDuty.of(
-                  name, Optional::empty, FleetView::empty, demand, this, time, EventLog.silent()),
-              Members.of(time),
-              peers,
-              TrueClock.of(time),
-              time,
-              EventLog.silent());
-      loop.start();
+      DutyProcess process = DutyProcess.start(world, name, "b", life -> this, () -> 0);
+      life = process.life;
+      peers = process.peers;
+      usage = process.usage;
+      loop = process.loop;
     }
 
     @Override
