Requests earn repeats at their entry, and little of it can be saved

Cause: an entry could spend at any moment what the requests of its last 10 s allow. The rule counts the fleet's requests and repeats of one window; an entry that starts anew, or gets another's callers, spends on new requests what its predecessor has spent on those before. The count of entries was not the cause: the log shows 11 and 12 sharers of 6 at that moment.

Now each request earns 0.16 of a repeat, and at most a quarter of what a window earns, or one repeat, can be saved. So the repeats of any window follow from its own requests (0.8 + 0.2 of the ratio at a steady load), whoever sends them and whatever was forgotten; what is not earned comes out of the allowance as before. A window of requests at each entry can't give that bound, and requests told between entries could be late or lost. What it costs: after a quiet time 57 instead of 105 repeats at once for 400 requests in a window and 52 of allowance, by calculation.

RetryWindow is FleetRetryBudget now, as it is no window any more; its tests are kept under the new name.

--- a/core/src/main/java/org/limpetvale/core/retry/AllowanceShare.java
+++ b/core/src/main/java/org/limpetvale/core/retry/AllowanceShare.java
@@ -14,6 +14,11 @@
     }
   }
 
+  /** Returns no part. */
+  public static AllowanceShare none(int sharers, long readAgeMillis) {
+    return new AllowanceShare(0, sharers, readAgeMillis);
+  }
+
   /** Returns an even part among a number of entries. */
   public static AllowanceShare even(int sharers, long readAgeMillis) {
     return new AllowanceShare(1.0 / Math.max(1, sharers), sharers, readAgeMillis);
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/retry/FleetRetryBudget.java
@@ -0,0 +1,113 @@
+package org.limpetvale.core.retry;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+
+/**
+ * One entry's part of a fleet-wide retry budget for one service.
+ *
+ * <p>In any window the fleet may send {@code ratio} repeats for each of its requests, and a fixed
+ * allowance beyond these. Each request earns its entry a part of a repeat, and only a quarter of
+ * what a window earns can be saved; so the repeats of all entries in a window follow from the
+ * requests of that window, also when callers move between entries, or when an entry starts anew and
+ * does not know what it sent before. What is not earned comes out of the entry's part of the
+ * allowance.
+ */
+public final class FleetRetryBudget {
+  /** Part of the budget that is used, so that savings do not lead beyond it. */
+  private static final double USED_PART = 0.8;
+
+  private static final double SAVED_WINDOWS = 0.25;
+
+  private final long windowMillis;
+  private final double ratio;
+  private final double allowance;
+  private final Deque<Long> requestsAtMillis = new ArrayDeque<>();
+  private final Deque<Long> allowanceTakenAtMillis = new ArrayDeque<>();
+
+  /** Repeats that were earned and not yet sent. */
+  private double earned;
+
+  private FleetRetryBudget(long windowMillis, double ratio, double allowance) {
+    this.windowMillis = windowMillis;
+    this.ratio = ratio;
+    this.allowance = allowance;
+  }
+
+  /**
+   * Returns an unused budget.
+   *
+   * @param windowMillis length of the sliding window in milliseconds
+   * @param ratio repeats for each request
+   * @param allowance repeats of the whole fleet beyond the ratio
+   */
+  public static FleetRetryBudget of(long windowMillis, double ratio, double allowance) {
+    return new FleetRetryBudget(windowMillis, ratio, allowance);
+  }
+
+  /** Notes a request that was sent for the first time. */
+  public void request(long nowMillis) {
+    requestsAtMillis.addLast(nowMillis);
+    earned += USED_PART * ratio;
+    expire(nowMillis);
+  }
+
+  /**
+   * What was decided on a repeat, and on which grounds.
+   *
+   * @param granted whether the repeat may be sent
+   * @param earned repeats that had been earned and not sent
+   * @param fromAllowance repeats in the window that the allowance paid for
+   * @param share this entry's part of the allowance
+   */
+  public record Decision(boolean granted, double earned, int fromAllowance, AllowanceShare share) {
+    public Decision {
+      Objects.requireNonNull(share, "share is null");
+    }
+  }
+
+  /**
+   * Takes a repeat out of the budget, if there is one.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @param share this entry's part of the allowance
+   */
+  public Decision tryTake(long nowMillis, AllowanceShare share) {
+    expire(nowMillis);
+    double earnedBefore = earned;
+    int fromAllowance = allowanceTakenAtMillis.size();
+    boolean granted = takeEarned() || takeAllowance(nowMillis, share);
+    return new Decision(granted, earnedBefore, fromAllowance, share);
+  }
+
+  private boolean takeEarned() {
+    if (earned < 1) {
+      return false;
+    }
+    earned--;
+    return true;
+  }
+
+  private boolean takeAllowance(long nowMillis, AllowanceShare share) {
+    double most = USED_PART * allowance * share.part();
+    if (allowanceTakenAtMillis.size() + 1 > most) {
+      return false;
+    }
+    allowanceTakenAtMillis.addLast(nowMillis);
+    return true;
+  }
+
+  private void expire(long nowMillis) {
+    dropOlder(requestsAtMillis, nowMillis);
+    dropOlder(allowanceTakenAtMillis, nowMillis);
+    double earnedInWindow = USED_PART * ratio * requestsAtMillis.size();
+    earned = Math.min(earned, Math.max(1, SAVED_WINDOWS * earnedInWindow));
+  }
+
+  private void dropOlder(Deque<Long> times, long nowMillis) {
+    while (!times.isEmpty() && nowMillis - times.peekFirst() > windowMillis) {
+      times.removeFirst();
+    }
+  }
+}
--- a/core/src/test/java/org/limpetvale/core/retry/RetryWindowTest.java
+++ b/core/src/test/java/org/limpetvale/core/retry/FleetRetryBudgetTest.java
@@ -7,7 +7,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-final class RetryWindowTest {
+final class FleetRetryBudgetTest {
   private static final long WINDOW_MILLIS = 10_000;
   private static final double RATIO = 0.2;
   private static final double ALLOWANCE = 52;
@@ -17,14 +17,14 @@
     for (long seed = 0; seed < 200; seed++) {
       Random random = new Random(seed);
       int entries = 1 + random.nextInt(9);
-      List<RetryWindow> windows = new ArrayList<>();
+      List<FleetRetryBudget> windows = new ArrayList<>();
       for (int i = 0; i < entries; i++) {
-        windows.add(RetryWindow.of(WINDOW_MILLIS, RATIO, ALLOWANCE));
+        windows.add(FleetRetryBudget.of(WINDOW_MILLIS, RATIO, ALLOWANCE));
       }
       List<Long> requests = new ArrayList<>();
       List<Long> retries = new ArrayList<>();
       for (long now = 0; now < 40_000; now += 1 + random.nextInt(40)) {
-        RetryWindow window = windows.get(random.nextInt(entries));
+        FleetRetryBudget window = windows.get(random.nextInt(entries));
         window.request(now);
         requests.add(now);
         for (int i = random.nextInt(4); i > 0; i--) {
@@ -48,7 +48,7 @@
 
   @Test
   void repeatsComeBackWhenTheWindowHasPassed() {
-    RetryWindow window = RetryWindow.of(WINDOW_MILLIS, 0, 10);
+    FleetRetryBudget window = FleetRetryBudget.of(WINDOW_MILLIS, 0, 10);
     int taken = 0;
     while (taken(window, 0)) {
       taken++;
@@ -58,7 +58,42 @@
     assertThat(taken(window, WINDOW_MILLIS + 1)).isTrue();
   }
 
-  private static boolean taken(RetryWindow window, long nowMillis) {
+  private static boolean taken(FleetRetryBudget window, long nowMillis) {
     return window.tryTake(nowMillis, AllowanceShare.even(1, 0)).granted();
   }
+
+  @Test
+  void anEntryThatHasJustStartedEarnsItsRepeatsBeforeItSendsThem() {
+    FleetRetryBudget budget = FleetRetryBudget.of(WINDOW_MILLIS, RATIO, ALLOWANCE);
+    int granted = 0;
+    for (int i = 1; i <= 100; i++) {
+      budget.request(i);
+      granted += budget.tryTake(i, AllowanceShare.none(0, -1)).granted() ? 1 : 0;
+      assertThat((double) granted).isLessThanOrEqualTo(RATIO * i);
+    }
+    assertThat(granted).isGreaterThan(10);
+  }
+
+  @Test
+  void requestsOfLongAgoDoNotPayForABurstOfRepeats() {
+    FleetRetryBudget budget = FleetRetryBudget.of(WINDOW_MILLIS, RATIO, ALLOWANCE);
+    for (int i = 0; i < 400; i++) {
+      budget.request(i * 25L);
+    }
+    int granted = 0;
+    while (budget.tryTake(WINDOW_MILLIS, AllowanceShare.none(0, -1)).granted()) {
+      granted++;
+    }
+    assertThat((double) granted).isBetween(10.0, RATIO * 400 / 4);
+  }
+
+  @Test
+  void anEntryWithFewRequestsKeepsOneRepeatForThemAlsoWithoutAllowance() {
+    FleetRetryBudget budget = FleetRetryBudget.of(WINDOW_MILLIS, RATIO, ALLOWANCE);
+    for (int i = 0; i < 10; i++) {
+      budget.request(i * 5_000L);
+    }
+    assertThat(budget.tryTake(50_000, AllowanceShare.none(0, -1)).granted()).isTrue();
+    assertThat(budget.tryTake(50_000, AllowanceShare.none(0, -1)).granted()).isFalse();
+  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/account/RetryBudgets.java
+++ b/forward/src/main/java/org/limpetvale/forward/account/RetryBudgets.java
@@ -5,7 +5,7 @@
 import java.util.Objects;
 import java.util.function.Supplier;
 import org.limpetvale.core.retry.AllowanceShare;
-import org.limpetvale.core.retry.RetryWindow;
+import org.limpetvale.core.retry.FleetRetryBudget;
 import org.limpetvale.core.time.TimerService;
 
 /** This entry's share of the fleet's retry budget, by service; for the event loop only. */
@@ -22,7 +22,7 @@
   private final Bounds bounds;
   private final Supplier<AllowanceShare> share;
   private final TimerService timer;
-  private final Map<String, RetryWindow> windows = new HashMap<>();
+  private final Map<String, FleetRetryBudget> windows = new HashMap<>();
 
   private RetryBudgets(Bounds bounds, Supplier<AllowanceShare> share, TimerService timer) {
     this.bounds = Objects.requireNonNull(bounds, "bounds is null");
@@ -45,12 +45,13 @@
   }
 
   /** Takes a repeat to a service out of the budget, if there is one. */
-  public RetryWindow.Decision tryTake(String service) {
+  public FleetRetryBudget.Decision tryTake(String service) {
     return window(service).tryTake(timer.nowMillis(), share.get());
   }
 
-  private RetryWindow window(String service) {
+  private FleetRetryBudget window(String service) {
     return windows.computeIfAbsent(
-        service, name -> RetryWindow.of(bounds.windowMillis(), bounds.ratio(), bounds.allowance()));
+        service,
+        name -> FleetRetryBudget.of(bounds.windowMillis(), bounds.ratio(), bounds.allowance()));
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -20,7 +20,7 @@
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
-import org.limpetvale.core.retry.RetryWindow;
+import org.limpetvale.core.retry.FleetRetryBudget;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.CallerLink;
 import org.limpetvale.forward.accept.Exchanges;
@@ -360,7 +360,7 @@
   /** Takes the right to another attempt out of the budget, once for each failed attempt. */
   private boolean takeRetry(boolean ran) {
     if (!retryTaken && canRetry(ran)) {
-      RetryWindow.Decision decision = parts.budgets().tryTake(plan.service());
+      FleetRetryBudget.Decision decision = parts.budgets().tryTake(plan.service());
       lines.repeat(plan.service(), decision);
       retryTaken = decision.granted();
       if (!retryTaken) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLines.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLines.java
@@ -5,7 +5,7 @@
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.Choice;
 import org.limpetvale.core.result.Refusal;
-import org.limpetvale.core.retry.RetryWindow;
+import org.limpetvale.core.retry.FleetRetryBudget;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.route.RequestPlan;
 import org.limpetvale.forward.spi.RequestHead;
@@ -67,14 +67,14 @@
   }
 
   /** Another attempt was granted by the retry budget, or was not. */
-  void repeat(String service, RetryWindow.Decision decision) {
+  void repeat(String service, FleetRetryBudget.Decision decision) {
     log.decision(
         "repeat",
         head.requestId(),
         field("service", service),
         field("granted", decision.granted()),
-        field("requestsInWindow", decision.requests()),
-        field("retriesInWindow", decision.retries()),
+        field("earned", decision.earned()),
+        field("fromAllowance", decision.fromAllowance()),
         field("sharers", decision.share().sharers()),
         field("sharersAgeMillis", decision.share().readAgeMillis()));
   }
