An entry uses its part of the allowance only while all that use one count it

Cause: parts overlapped. A stopping entry removed its row at once, so the others divided among fewer while its repeats were still in the window; a starting one took its part from its first read on, before the others had read of it; one that could not read guessed at twice as many. Evidence: the log shows sharers 6, 5, then 2 within 2 s during the stops, and 2 to 4 at those that started, each right by what it had read.

Now (core AllowanceClaim) an entry uses its part only while it has read the rows and renewed its own within the last window (10 s) on both clocks, and has been renewing it without a longer break for two windows; a row counts for two and a half windows, and an entry that stops marks its row as left instead of removing it. An entry whose row was not written tries again within 2 s, as its part hangs on it. Guesses (64 before the first read, twice as many when blind) are gone: not knowing gives no part, and the earned repeats remain.

Weighed: a budget handed out in rows with a term (one more row and a contended transaction an entry; in an outage it ends as this does), and one told in datagrams (a lost one looks like few sharers). This needs no call that was not made before. Cost: for 20 s after a start, and from 10 s in an outage until 20 s after it, an entry sends earned repeats only.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -113,7 +113,7 @@
     this.upstreamFollower =
         TableFollower.of(
             platform.store(), RowTable.UPSTREAMS, UPSTREAM_PACE, upstreams, timer, log);
-    Members members = Members.of(timer);
+    Members members = Members.of(settings.bounds().retries().windowMillis(), timer);
     PeerBook peerBook = PeerBook.of(timer);
     LoadBook loads = LoadBook.empty();
     TrueClock clock = TrueClock.of(timer);
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -93,6 +93,9 @@
   /** The number of entries that share the retry budget as last logged. */
   private int sharersLogged;
 
+  /** Whether the last write of this entry's own row was confirmed. */
+  private boolean ownRowWritten;
+
   private boolean readFailed;
   private boolean busy;
   private boolean stopped;
@@ -161,9 +164,9 @@
       writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.lease(free)));
     }
     lease = LeaseView.empty();
-    List<String> removals = List.of(FleetRows.memberKey(self.writer()));
+    writes.add(new RowTransaction.Write(FleetRows.memberKey(self.writer()), FleetRows.left()));
     return store
-        .commit(new RowTransaction(conditions, writes, removals))
+        .commit(new RowTransaction(conditions, writes, List.of()))
         .thenApply(
             commit -> {
               log.change("duties_left", field("outcome", commit.toString()));
@@ -180,7 +183,7 @@
 
   private void nextRound() {
     rounds++;
-    boolean looks = contends() && rounds % CONTENDER_ROUNDS == 0;
+    boolean looks = (contends() || !ownRowWritten) && rounds % CONTENDER_ROUNDS == 0;
     if (holds() || looks || usage.closedWindow() > writtenWindow) {
       roundNow();
     }
@@ -207,7 +210,13 @@
   }
 
   private CompletableFuture<Void> holderRound() {
-    return write(renewal(), ownRows()).thenCompose(held -> held ? act() : done());
+    Moment sent = Moment.now(timer);
+    return write(renewal(), ownRows())
+        .thenCompose(
+            held -> {
+              ownRowWritten(held, sent);
+              return held ? act() : done();
+            });
   }
 
   private CompletableFuture<Void> contend(Optional<RowPage> page) {
@@ -263,7 +272,21 @@
   // -- rows
 
   private CompletableFuture<StoreCommit> writeOwn() {
-    return store.commit(RowTransaction.of(ownRows()));
+    Moment sent = Moment.now(timer);
+    return store
+        .commit(RowTransaction.of(ownRows()))
+        .thenApply(
+            commit -> {
+              ownRowWritten(commit instanceof StoreCommit.Committed, sent);
+              return commit;
+            });
+  }
+
+  private void ownRowWritten(boolean confirmed, Moment sent) {
+    ownRowWritten = confirmed;
+    if (confirmed) {
+      members.renewed(sent);
+    }
   }
 
   private List<RowTransaction.Write> ownRows() {
@@ -291,12 +314,13 @@
   }
 
   private CompletableFuture<Optional<RowPage>> readAll() {
-    return store.read(RowTable.FLEET, "", "").thenApply(this::page);
+    Moment sent = Moment.now(timer);
+    return store.read(RowTable.FLEET, "", "").thenApply(read -> page(read, sent));
   }
 
-  private Optional<RowPage> page(StoreRead read) {
+  private Optional<RowPage> page(StoreRead read, Moment sent) {
     if (read instanceof StoreRead.Page found) {
-      took(found.page());
+      took(found.page(), sent);
       return Optional.of(found.page());
     }
     logFirstFailure(read.toString());
@@ -310,7 +334,7 @@
     readFailed = true;
   }
 
-  private void took(RowPage page) {
+  private void took(RowPage page, Moment sent) {
     clock.sync(page.storeMillis());
     Map<String, Members.Row> rows = new HashMap<>();
     Optional<LeaseRow> leaseRow = Optional.empty();
@@ -324,7 +348,7 @@
         leaseVersion = row.version();
       }
     }
-    members.read(rows);
+    members.read(rows, sent);
     logSharers();
     long nowMillis = timer.nowMillis();
     lease = lease.afterRead(leaseRow, leaseVersion, nowMillis);
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -52,6 +52,12 @@
     return node.toString();
   }
 
+  /** Returns the row of an entry that has stopped; it still counts for what it has sent. */
+  static String left() {
+    return JSON.createObjectNode().put("left", true).toString();
+  }
+
+  /** Returns where an entry takes reports; empty when it has left. */
   static Optional<InetSocketAddress> parseMember(String text) {
     return parse(text)
         .filter(node -> node.path("host").isTextual() && node.path("port").isInt())
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -8,7 +8,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.limpetvale.core.retry.AllowanceClaim;
 import org.limpetvale.core.retry.AllowanceShare;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 
 /**
@@ -20,30 +22,29 @@
 public final class Members {
   private static final long LIVE_MILLIS = 7_000;
 
-  /** Silence after which an entry is gone for good. */
-  private static final long REMEMBERED_MILLIS = 20_000;
-
   /**
    * Time without a read after which the fleet may have grown unseen; longer than between two reads
    * of an entry that reads once in a usage window.
    */
   private static final long UNSEEN_MILLIS = 7_000;
 
-  private static final int ASSUMED_BEFORE_FIRST_READ = 64;
-  private static final int UNSEEN_FACTOR = 2;
-
   private final TimerService timer;
   private final Map<String, Seen> seen = new HashMap<>();
-  private boolean readOnce;
+  private final long rememberedMillis;
+  private AllowanceClaim claim;
   private long readAtMillis;
 
   /**
    * An entry's row.
    *
    * @param version version of the row
-   * @param address where the entry takes reports of others
+   * @param address where the entry takes reports of others; empty when it has left
    */
-  record Row(long version, Optional<InetSocketAddress> address) {}
+  record Row(long version, Optional<InetSocketAddress> address) {
+    boolean hasLeft() {
+      return address.isEmpty();
+    }
+  }
 
   /**
    * What is known of an entry.
@@ -59,21 +60,35 @@
     }
   }
 
-  private Members(TimerService timer) {
+  private Members(long retryWindowMillis, TimerService timer) {
     this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.claim = AllowanceClaim.of(retryWindowMillis);
+    this.rememberedMillis = AllowanceClaim.rememberedMillis(retryWindowMillis);
+  }
+
+  /**
+   * Returns members of which none has been seen.
+   *
+   * @param retryWindowMillis window of the retry budget that the entries share
+   */
+  public static Members of(long retryWindowMillis, TimerService timer) {
+    return new Members(retryWindowMillis, timer);
   }
 
-  /** Returns members of which none has been seen. */
-  public static Members of(TimerService timer) {
-    return new Members(timer);
+  /** Notes that a write of this entry's own row was confirmed now. */
+  void renewed(Moment sent) {
+    claim = claim.afterRenewal(sent, Moment.now(timer));
   }
 
-  /** Notes the rows of all entries as read now, by writer. */
-  void read(Map<String, Row> rows) {
+  /**
+   * Notes the rows of all entries as read now, by writer.
+   *
+   * @param sent when they were asked for
+   */
+  void read(Map<String, Row> rows, Moment sent) {
     long nowMillis = timer.nowMillis();
     long unreadMillis = nowMillis - readAtMillis;
     long coveredMillis = unreadMillis > UNSEEN_MILLIS ? 0 : unreadMillis;
-    readOnce = true;
     readAtMillis = nowMillis;
     rows.forEach(
         (name, row) ->
@@ -82,6 +97,7 @@
                 new Seen(row, nowMillis, 0),
                 (old, fresh) -> old.afterRead(fresh, coveredMillis)));
     seen.keySet().retainAll(rows.keySet());
+    claim = claim.afterRead(sent, sharers());
   }
 
   /** Returns the entries that have written lately. */
@@ -90,7 +106,8 @@
     Set<String> live = new HashSet<>();
     seen.forEach(
         (name, each) -> {
-          if (nowMillis - each.changedAtMillis() <= LIVE_MILLIS) {
+          boolean lately = nowMillis - each.changedAtMillis() <= LIVE_MILLIS;
+          if (lately && !each.row().hasLeft()) {
             live.add(name);
           }
         });
@@ -105,6 +122,7 @@
     return (int)
         seen.entrySet().stream()
             .filter(each -> each.getValue().silentMillis() <= LIVE_MILLIS)
+            .filter(each -> !each.getValue().row().hasLeft())
             .filter(each -> each.getKey().compareTo(name) < 0)
             .count();
   }
@@ -112,35 +130,27 @@
   /** Tells whether an entry has been silent for so long that its row may go. */
   boolean forgotten(String name) {
     Seen each = seen.get(name);
-    return each != null && each.silentMillis() > REMEMBERED_MILLIS;
+    return each != null && each.silentMillis() > rememberedMillis;
   }
 
   /** Returns the addresses of the entries that were seen lately, without one address. */
   public List<InetSocketAddress> addressesBut(InetSocketAddress own) {
     return seen.values().stream()
-        .filter(each -> each.silentMillis() <= REMEMBERED_MILLIS)
+        .filter(each -> each.silentMillis() <= rememberedMillis)
         .flatMap(each -> each.row().address().stream())
         .filter(address -> !address.equals(own))
         .distinct()
         .toList();
   }
 
-  /** Returns this entry's part of what the fleet shares, rather too small than too large. */
+  /** Returns this entry's part of what the fleet shares as of now. */
   public AllowanceShare share() {
-    return AllowanceShare.even(sharers(), readOnce ? timer.nowMillis() - readAtMillis : -1);
+    return claim.share(Moment.now(timer));
   }
 
-  /**
-   * Returns the number of entries that may share the retry budget, rather too many than too few.
-   */
+  /** Returns the number of entries that may have used a part of what the fleet shares lately. */
   int sharers() {
-    if (!readOnce) {
-      return ASSUMED_BEFORE_FIRST_READ;
-    }
-    long nowMillis = timer.nowMillis();
-    long known =
-        seen.values().stream().filter(each -> each.silentMillis() <= REMEMBERED_MILLIS).count();
-    int sharers = (int) Math.max(1, known);
-    return nowMillis - readAtMillis > UNSEEN_MILLIS ? sharers * UNSEEN_FACTOR : sharers;
+    return (int)
+        seen.values().stream().filter(each -> each.silentMillis() <= rememberedMillis).count();
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLines.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLines.java
@@ -75,6 +75,7 @@
         field("granted", decision.granted()),
         field("earned", decision.earned()),
         field("fromAllowance", decision.fromAllowance()),
+        field("usesAllowance", decision.share().part() > 0),
         field("sharers", decision.share().sharers()),
         field("sharersAgeMillis", decision.share().readAgeMillis()));
   }
