A repeat counts when it is sent, not when it is decided

Cause: a repeat was counted when it was decided; up to three connects of 350 ms may fail before it is sent. The count had left the window when the arrival had not, so a second burst of the allowance met the first. Now the right to a repeat is taken anew as it is sent, and given back where the request ends without sending it.

RetryBudgetExplorationTest#...WhenTheyWaitForConnections... failed before and passes, FleetRetryBudgetTest#aRepeatThatIsNotSentIsGivenBack is new.

--- a/core/src/main/java/org/limpetvale/core/retry/FleetRetryBudget.java
+++ b/core/src/main/java/org/limpetvale/core/retry/FleetRetryBudget.java
@@ -53,18 +53,36 @@
     expire(nowMillis);
   }
 
+  /** What pays for a repeat. */
+  public enum Source {
+    /** Requests of this entry. */
+    EARNED,
+    /** This entry's part of the allowance. */
+    ALLOWANCE,
+    /** Nothing: the repeat may not be sent. */
+    NONE
+  }
+
   /**
    * What was decided on a repeat, and on which grounds.
    *
-   * @param granted whether the repeat may be sent
+   * @param source what pays for it
+   * @param atMillis monotonic time of the decision
    * @param earned repeats that had been earned and not sent
    * @param fromAllowance repeats in the window that the allowance paid for
    * @param share this entry's part of the allowance
    */
-  public record Decision(boolean granted, double earned, int fromAllowance, AllowanceShare share) {
+  public record Decision(
+      Source source, long atMillis, double earned, int fromAllowance, AllowanceShare share) {
     public Decision {
+      Objects.requireNonNull(source, "source is null");
       Objects.requireNonNull(share, "share is null");
     }
+
+    /** Tells whether the repeat may be sent. */
+    public boolean granted() {
+      return source != Source.NONE;
+    }
   }
 
   /**
@@ -77,8 +95,20 @@
     expire(nowMillis);
     double earnedBefore = earned;
     int fromAllowance = allowanceTakenAtMillis.size();
-    boolean granted = takeEarned() || takeAllowance(nowMillis, share);
-    return new Decision(granted, earnedBefore, fromAllowance, share);
+    Source source =
+        takeEarned()
+            ? Source.EARNED
+            : takeAllowance(nowMillis, share) ? Source.ALLOWANCE : Source.NONE;
+    return new Decision(source, nowMillis, earnedBefore, fromAllowance, share);
+  }
+
+  /** Takes back what a repeat was granted that was not sent. */
+  public void giveBack(Decision unsent) {
+    switch (unsent.source()) {
+      case EARNED -> earned++;
+      case ALLOWANCE -> allowanceTakenAtMillis.removeFirstOccurrence(unsent.atMillis());
+      case NONE -> {}
+    }
   }
 
   private boolean takeEarned() {
--- a/core/src/test/java/org/limpetvale/core/retry/FleetRetryBudgetTest.java
+++ b/core/src/test/java/org/limpetvale/core/retry/FleetRetryBudgetTest.java
@@ -96,4 +96,15 @@
     assertThat(budget.tryTake(50_000, AllowanceShare.none(0, -1)).granted()).isTrue();
     assertThat(budget.tryTake(50_000, AllowanceShare.none(0, -1)).granted()).isFalse();
   }
+
+  @Test
+  void aRepeatThatIsNotSentIsGivenBack() {
+    FleetRetryBudget budget = FleetRetryBudget.of(WINDOW_MILLIS, 0, 2);
+    FleetRetryBudget.Decision first = budget.tryTake(0, AllowanceShare.even(1, 0));
+    assertThat(first.granted()).isTrue();
+    assertThat(taken(budget, 1)).isFalse();
+    budget.giveBack(first);
+    assertThat(taken(budget, 2)).isTrue();
+    assertThat(taken(budget, 3)).isFalse();
+  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/account/RetryBudgets.java
+++ b/forward/src/main/java/org/limpetvale/forward/account/RetryBudgets.java
@@ -22,7 +22,7 @@
   private final Bounds bounds;
   private final Supplier<AllowanceShare> share;
   private final TimerService timer;
-  private final Map<String, FleetRetryBudget> windows = new HashMap<>();
+  private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
 
   private RetryBudgets(Bounds bounds, Supplier<AllowanceShare> share, TimerService timer) {
     this.bounds = Objects.requireNonNull(bounds, "bounds is null");
@@ -41,16 +41,30 @@
 
   /** Notes a request that is sent to a service for the first time. */
   public void request(String service) {
-    window(service).request(timer.nowMillis());
+    budget(service).request(timer.nowMillis());
   }
 
   /** Takes a repeat to a service out of the budget, if there is one. */
   public FleetRetryBudget.Decision tryTake(String service) {
-    return window(service).tryTake(timer.nowMillis(), share.get());
+    return budget(service).tryTake(timer.nowMillis(), share.get());
   }
 
-  private FleetRetryBudget window(String service) {
-    return windows.computeIfAbsent(
+  /**
+   * Takes a repeat that was granted earlier anew, just before it is sent, so that it counts in the
+   * window in which it arrives.
+   */
+  public FleetRetryBudget.Decision takeAgain(String service, FleetRetryBudget.Decision unsent) {
+    giveBack(service, unsent);
+    return tryTake(service);
+  }
+
+  /** Takes back what a repeat was granted that was not sent. */
+  public void giveBack(String service, FleetRetryBudget.Decision unsent) {
+    budget(service).giveBack(unsent);
+  }
+
+  private FleetRetryBudget budget(String service) {
+    return budgets.computeIfAbsent(
         service,
         name -> FleetRetryBudget.of(bounds.windowMillis(), bounds.ratio(), bounds.allowance()));
   }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -61,8 +61,8 @@
   /** Whether an attempt that was given up may have run. */
   private boolean mayHaveRun;
 
-  /** Whether the budget has granted the next attempt. */
-  private boolean retryTaken;
+  /** What the budget has granted for the next attempt, until that is sent. */
+  private Optional<FleetRetryBudget.Decision> unsentRetry = Optional.empty();
 
   private boolean counted;
   private final AnswerPace pace;
@@ -237,6 +237,11 @@
       giveUp(ResultCode.UPSTREAM_LOST, "the beginning of the body is not kept");
       return;
     }
+    if (unsentRetry.isPresent() && !takeRetryAgain()) {
+      connection.close();
+      giveUp(ResultCode.RETRY_BUDGET_SPENT, "no retry is left as this one is to be sent");
+      return;
+    }
     sentAttempts++;
     parts.metrics().count(Counter.ATTEMPTS);
     parts.placer().sent(upstream, head.shape());
@@ -338,7 +343,6 @@
     }
     resumeAfter = failed.lastEventId().or(() -> resumeAfter);
     if (takeRetry(ran)) {
-      retryTaken = false;
       parts.metrics().count(passed.hasBegun() ? Counter.RESUMES : Counter.RETRIES);
       mayHaveRun |= ran;
       placeNow();
@@ -359,15 +363,32 @@
 
   /** Takes the right to another attempt out of the budget, once for each failed attempt. */
   private boolean takeRetry(boolean ran) {
-    if (!retryTaken && canRetry(ran)) {
+    if (unsentRetry.isEmpty() && canRetry(ran)) {
       FleetRetryBudget.Decision decision = parts.budgets().tryTake(plan.service());
-      lines.repeat(plan.service(), decision);
-      retryTaken = decision.granted();
-      if (!retryTaken) {
-        parts.metrics().count(Counter.RETRIES_DENIED);
+      if (!decision.granted()) {
+        retryDenied(decision);
+        return false;
       }
+      lines.repeat(plan.service(), decision);
+      unsentRetry = Optional.of(decision);
     }
-    return retryTaken;
+    return unsentRetry.isPresent();
+  }
+
+  /** Takes it again when the attempt is sent, which may be later, as after failed connects. */
+  private boolean takeRetryAgain() {
+    FleetRetryBudget.Decision granted = unsentRetry.orElseThrow();
+    unsentRetry = Optional.empty();
+    FleetRetryBudget.Decision again = parts.budgets().takeAgain(plan.service(), granted);
+    if (!again.granted()) {
+      retryDenied(again);
+    }
+    return again.granted();
+  }
+
+  private void retryDenied(FleetRetryBudget.Decision decision) {
+    lines.repeat(plan.service(), decision);
+    parts.metrics().count(Counter.RETRIES_DENIED);
   }
 
   private boolean canRetry(boolean ran) {
@@ -469,6 +490,7 @@
   private void finish(String outcome, int status) {
     ended = true;
     attempt = null;
+    unsentRetry.ifPresent(unsent -> parts.budgets().giveBack(plan.service(), unsent));
     timeout.cancel();
     parts.waiting().remove(this);
     long millis = parts.timer().nowMillis() - input.arrivedMillis();
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLines.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLines.java
@@ -72,7 +72,7 @@
         "repeat",
         head.requestId(),
         field("service", service),
-        field("granted", decision.granted()),
+        field("paidBy", decision.source()),
         field("earned", decision.earned()),
         field("fromAllowance", decision.fromAllowance()),
         field("usesAllowance", decision.share().part() > 0),
--- a/forward/src/test/java/org/limpetvale/forward/duty/BudgetWorld.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/BudgetWorld.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.limpetvale.core.retry.BudgetHistory;
+import org.limpetvale.core.retry.FleetRetryBudget;
 import org.limpetvale.forward.account.RetryBudgets;
 import org.limpetvale.forward.spi.DutyCalls;
 import org.limpetvale.forward.spi.DutyReply;
@@ -135,20 +136,23 @@
 
     private void fail() {
       for (int repeat = 0; repeat < MOST_REPEATS; repeat++) {
-        if (!budgets.tryTake(SERVICE).granted()) {
+        FleetRetryBudget.Decision decision = budgets.tryTake(SERVICE);
+        if (!decision.granted()) {
           return;
         }
         if (mostConnectMillis == 0) {
           history.repeat(timer.nowMillis());
         } else {
           ProcessLife life = process.life;
-          timer.after(random.nextLong(mostConnectMillis), () -> life.run(this::sent));
+          timer.after(random.nextLong(mostConnectMillis), () -> life.run(() -> send(decision)));
         }
       }
     }
 
-    private void sent() {
-      history.repeat(timer.nowMillis());
+    private void send(FleetRetryBudget.Decision granted) {
+      if (budgets.takeAgain(SERVICE, granted).granted()) {
+        history.repeat(timer.nowMillis());
+      }
     }
 
     private void requestsUnderWayFail() {
