Requests that crash their upstreams are known again after all entries were killed

The same cause as that of the repeats after kills: what bounds the fleet was kept only in the memory of processes. Entries told each other their suspects in datagrams, but nobody told what had been heard of an entry that had ended. Rows are used only of entries that do not report themselves, and only when they change, so that an old row does not bring back a suspect that has been served: that news now also clears what entries that have ended had told.

Found by looking for the cause elsewhere; not seen by the users.

--- a/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
@@ -48,6 +48,16 @@
       return crashes.getOrDefault(digest, 0);
     }
 
+    /** Returns it without the crashes of a request that has been served since. */
+    Told afterServed(String digest) {
+      if (of(digest) == 0) {
+        return this;
+      }
+      Map<String, Integer> others = new HashMap<>(crashes);
+      others.remove(digest);
+      return new Told(Map.copyOf(others), atMillis);
+    }
+
     boolean saysServed(String digest) {
       return crashes.containsKey(digest) && of(digest) == 0;
     }
@@ -103,9 +113,15 @@
     if (own.containsKey(digest) || isTold(digest)) {
       own.remove(digest);
       own.put(digest, new Entry(Set.of(), nowMillis));
+      forgetTold(digest);
     }
   }
 
+  /** Forgets what others told before; those that still run and see another crash tell it anew. */
+  private void forgetTold(String digest) {
+    toldBy.replaceAll((peer, told) -> told.afterServed(digest));
+  }
+
   // -- what entries tell each other
 
   /** Returns the crashes of this entry's newest suspects by digest; 0 for those served since. */
@@ -127,6 +143,7 @@
           boolean news = before == null || !before.saysServed(digest);
           if (count == 0 && news) {
             own.remove(digest);
+            forgetTold(digest);
           }
         });
     if (crashes.isEmpty()) {
--- a/core/src/test/java/org/limpetvale/core/crash/CrashSuspectsTest.java
+++ b/core/src/test/java/org/limpetvale/core/crash/CrashSuspectsTest.java
@@ -28,6 +28,18 @@
     assertThat(suspects.condemned(BAD, nowMillis)).isTrue();
   }
 
+  @Test
+  void aRequestThatIsServedIsNoSuspectOfEntriesThatHaveEndedEither() {
+    suspects.heard("ended", Map.of(BAD, 2), nowMillis);
+    suspects.heard("running", Map.of(BAD, 1), nowMillis);
+    assertThat(suspects.condemned(BAD, nowMillis)).isTrue();
+    suspects.heard("running", Map.of(BAD, 0), nowMillis);
+    assertThat(suspects.crashes(BAD, nowMillis)).isZero();
+    suspects.heard("ended too", Map.of(BAD, 2), nowMillis);
+    suspects.served(BAD, nowMillis);
+    assertThat(suspects.crashes(BAD, nowMillis)).isZero();
+  }
+
   @Test
   void aLostConnectionAloneMakesNoSuspect() {
     suspects.lost(BAD, "a", nowMillis);
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -91,6 +91,7 @@
   private final CallerServer callers;
   private final DutyLoop duties;
   private final PeerLink peers;
+  private final CrashGuard crashes;
   private final ForwardMetrics metrics;
   private final MetricsPage metricsPage;
   private boolean stopping;
@@ -120,7 +121,7 @@
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
     Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
-    CrashGuard crashes = CrashGuard.of(timer, log);
+    this.crashes = CrashGuard.of(timer, log);
     peerBook.onReport(
         report -> {
           crashes.heard(report.writer(), report.crashes());
@@ -162,6 +163,7 @@
             usage,
             scaling,
             members,
+            crashes,
             peerBook,
             clock,
             timer,
@@ -205,6 +207,7 @@
     upstreams.onChange(forwarder::fleetChanged);
     config.onSuspicion(configFollower::restart);
     config.onRegained(duties::roundNow);
+    crashes.onSuspicion(duties::roundNow);
     metrics.show(ForwardMetrics.Level.OPEN_CONNECTIONS, callers::openConnections);
     bound("callers", callers.listen(settings.callers()));
     bound("ready", TextServer.listen(transport, settings.ready(), path -> readyPage()));
--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -16,16 +16,18 @@
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.RequestInput;
+import org.limpetvale.forward.duty.SharedSuspects;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.route.RequestPlan;
 
 /** Keeps requests that crash their upstreams from running again; for the event loop only. */
-public final class CrashGuard {
+public final class CrashGuard implements SharedSuspects {
   private static final int DIGEST_BYTES = 8;
 
   private final CrashSuspects suspects = CrashSuspects.empty();
   private final TimerService timer;
   private final EventLog log;
+  private Runnable onSuspicion = () -> {};
   private Set<String> processes = Set.of();
 
   private CrashGuard(TimerService timer, EventLog log) {
@@ -38,6 +40,11 @@
     return new CrashGuard(timer, log);
   }
 
+  /** Sets what is done when a request is found to have crashed another upstream. */
+  public void onSuspicion(Runnable action) {
+    onSuspicion = Objects.requireNonNull(action, "action is null");
+  }
+
   // -- requests
 
   /** Tells whether a request has crashed so many upstreams that it is not run again. */
@@ -86,6 +93,7 @@
     after.forEach(
         (digest, crashes) -> {
           if (crashes > before.getOrDefault(digest, 0)) {
+            onSuspicion.run();
             log.change(
                 "crash_suspect",
                 field("digest", digest),
@@ -97,12 +105,12 @@
 
   // -- other entries
 
-  /** Returns what the other entries are told. */
+  @Override
   public Map<String, Integer> toTell() {
     return suspects.toTell(timer.nowMillis());
   }
 
-  /** Notes what another entry tells. */
+  @Override
   public void heard(String peer, Map<String, Integer> crashes) {
     suspects.heard(peer, crashes, timer.nowMillis());
   }
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -72,6 +72,7 @@
   private final Members members;
   private final TrueClock clock;
   private final PeerBook peers;
+  private final SharedSuspects suspects;
   private final UsageDuty usageDuty;
   private final ScalingDuty scaling;
   private final TimerService timer;
@@ -107,6 +108,7 @@
       UsageCounts usage,
       ScalingDuty scaling,
       Members members,
+      SharedSuspects suspects,
       PeerBook peers,
       TrueClock clock,
       TimerService timer,
@@ -116,6 +118,7 @@
     this.scaling = Objects.requireNonNull(scaling, "scaling is null");
     this.usage = Objects.requireNonNull(usage, "usage is null");
     this.members = Objects.requireNonNull(members, "members is null");
+    this.suspects = Objects.requireNonNull(suspects, "suspects is null");
     this.clock = Objects.requireNonNull(clock, "clock is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.log = Objects.requireNonNull(log, "log is null");
@@ -131,11 +134,13 @@
       UsageCounts usage,
       ScalingDuty scaling,
       Members members,
+      SharedSuspects suspects,
       PeerBook peers,
       TrueClock clock,
       TimerService timer,
       EventLog log) {
-    return new DutyLoop(self, store, calls, usage, scaling, members, peers, clock, timer, log);
+    return new DutyLoop(
+        self, store, calls, usage, scaling, members, suspects, peers, clock, timer, log);
   }
 
   /** Begins. */
@@ -164,7 +169,9 @@
       writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.lease(free)));
     }
     lease = LeaseView.empty();
-    writes.add(new RowTransaction.Write(FleetRows.memberKey(self.writer()), FleetRows.left()));
+    writes.add(
+        new RowTransaction.Write(
+            FleetRows.memberKey(self.writer()), FleetRows.left(suspects.toTell())));
     return store
         .commit(new RowTransaction(conditions, writes, List.of()))
         .thenApply(
@@ -293,7 +300,8 @@
     List<RowTransaction.Write> writes = usageRows(false);
     writes.add(
         new RowTransaction.Write(
-            FleetRows.memberKey(self.writer()), FleetRows.member(self.peers(), ++beat)));
+            FleetRows.memberKey(self.writer()),
+            FleetRows.member(self.peers(), ++beat, suspects.toTell())));
     return writes;
   }
 
@@ -342,13 +350,13 @@
     for (StoredRow row : page.rows()) {
       if (row.key().startsWith(FleetRows.MEMBER_PREFIX)) {
         String writer = row.key().substring(FleetRows.MEMBER_PREFIX.length());
-        rows.put(writer, new Members.Row(row.version(), FleetRows.parseMember(row.text())));
+        rows.put(writer, FleetRows.parseMember(row.version(), row.text()));
       } else if (row.key().equals(FleetRows.LEASE_KEY)) {
         leaseRow = FleetRows.parseLease(row.text());
         leaseVersion = row.version();
       }
     }
-    members.read(rows, sent);
+    members.read(rows, sent).forEach(this::hearSuspects);
     logSharers();
     long nowMillis = timer.nowMillis();
     lease = lease.afterRead(leaseRow, leaseVersion, nowMillis);
@@ -362,6 +370,13 @@
     readFailed = false;
   }
 
+  /** Takes what a row tells of an entry that does not tell it itself. */
+  private void hearSuspects(String writer, Members.Row row) {
+    if (!writer.equals(self.writer()) && !peers.live().contains(writer)) {
+      suspects.heard(writer, row.crashes());
+    }
+  }
+
   private void logSharers() {
     int sharers = members.sharers();
     if (sharers != sharersLogged) {
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -44,24 +44,46 @@
 
   // -- values
 
-  static String member(InetSocketAddress address, long beat) {
+  static String member(InetSocketAddress address, long beat, Map<String, Integer> crashes) {
     ObjectNode node = JSON.createObjectNode();
     node.put("host", address.getHostString());
     node.put("port", address.getPort());
     node.put("beat", beat);
+    putCrashes(node, crashes);
     return node.toString();
   }
 
   /** Returns the row of an entry that has stopped; it still counts for what it has sent. */
-  static String left() {
-    return JSON.createObjectNode().put("left", true).toString();
+  static String left(Map<String, Integer> crashes) {
+    ObjectNode node = JSON.createObjectNode();
+    node.put("left", true);
+    putCrashes(node, crashes);
+    return node.toString();
   }
 
-  /** Returns where an entry takes reports; empty when it has left. */
-  static Optional<InetSocketAddress> parseMember(String text) {
-    return parse(text)
-        .filter(node -> node.path("host").isTextual() && node.path("port").isInt())
-        .map(node -> new InetSocketAddress(node.path("host").asText(), node.path("port").asInt()));
+  private static void putCrashes(ObjectNode node, Map<String, Integer> crashes) {
+    if (!crashes.isEmpty()) {
+      ObjectNode inner = node.putObject("crashes");
+      new TreeMap<>(crashes).forEach(inner::put);
+    }
+  }
+
+  static Members.Row parseMember(long version, String text) {
+    Optional<JsonNode> node = parse(text);
+    Map<String, Integer> crashes = new TreeMap<>();
+    node.ifPresent(
+        each ->
+            each.path("crashes")
+                .properties()
+                .forEach(entry -> crashes.put(entry.getKey(), entry.getValue().asInt())));
+    return new Members.Row(version, node.flatMap(FleetRows::address), crashes);
+  }
+
+  private static Optional<InetSocketAddress> address(JsonNode node) {
+    boolean given = node.path("host").isTextual() && node.path("port").isInt();
+    return given
+        ? Optional.of(new InetSocketAddress(node.path("host").asText(), node.path("port").asInt()))
+        : Optional.empty();
   }
 
   static String lease(LeaseRow row) {
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -39,8 +39,14 @@
    *
    * @param version version of the row
    * @param address where the entry takes reports of others; empty when it has left
+   * @param crashes upstreams that the entry saw crash on a request, by the request's digest
    */
-  record Row(long version, Optional<InetSocketAddress> address) {
+  record Row(long version, Optional<InetSocketAddress> address, Map<String, Integer> crashes) {
+    Row {
+      Objects.requireNonNull(address, "address is null");
+      crashes = Map.copyOf(crashes);
+    }
+
     boolean hasLeft() {
       return address.isEmpty();
     }
@@ -84,11 +90,14 @@
    * Notes the rows of all entries as read now, by writer.
    *
    * @param sent when they were asked for
+   * @return the rows that are new or have changed
    */
-  void read(Map<String, Row> rows, Moment sent) {
+  Map<String, Row> read(Map<String, Row> rows, Moment sent) {
     long nowMillis = timer.nowMillis();
     long unreadMillis = nowMillis - readAtMillis;
     long coveredMillis = unreadMillis > UNSEEN_MILLIS ? 0 : unreadMillis;
+    Map<String, Row> changed = new HashMap<>(rows);
+    seen.forEach((name, known) -> changed.remove(name, known.row()));
     readAtMillis = nowMillis;
     rows.forEach(
         (name, row) ->
@@ -98,6 +107,7 @@
                 (old, fresh) -> old.afterRead(fresh, coveredMillis)));
     seen.keySet().retainAll(rows.keySet());
     claim = claim.afterRead(sent, sharers());
+    return changed;
   }
 
   /** Returns the entries that have written lately. */
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyProcess.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyProcess.java
@@ -77,6 +77,7 @@
             usage,
             scaling,
             members,
+            SharedSuspects.none(),
             peers,
             TrueClock.of(time),
             time,
--- a/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
@@ -18,7 +18,8 @@
   private final Members members = Members.of(RETRY_WINDOW_MILLIS, timer);
 
   private static Members.Row row(long version, int port) {
-    return new Members.Row(version, Optional.of(new InetSocketAddress("127.0.0.1", port)));
+    return new Members.Row(
+        version, Optional.of(new InetSocketAddress("127.0.0.1", port)), Map.of());
   }
 
   private void read(long version) {
@@ -58,7 +59,7 @@
   @Test
   void anEntryThatHasLeftStillCountsAsASharerButDoesNotLive() {
     renew(5);
-    Members.Row left = new Members.Row(99, FleetRows.parseMember(FleetRows.left()));
+    Members.Row left = FleetRows.parseMember(99, FleetRows.left(Map.of()));
     members.read(Map.of("a.1", left, "b.1", row(99, 2)), Moment.now(timer));
     assertThat(members.share().part()).isEqualTo(0.5);
     assertThat(members.live()).containsExactly("b.1");
