A crash of an upstream that several entries saw counts once

Cause: entries told each other how many crashes they had seen of a request, and the sum was judged. Now entries tell which upstream processes crashed, by a short name, and the union is counted.

--- a/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
@@ -43,23 +43,23 @@
   /** Crashes of one request that this entry has seen since it was last served. */
   private record Entry(Set<String> processes, long atMillis) {}
 
-  private record Told(Map<String, Integer> crashes, long atMillis) {
-    int of(String digest) {
-      return crashes.getOrDefault(digest, 0);
+  private record Told(Map<String, Set<String>> crashes, long atMillis) {
+    Set<String> of(String digest) {
+      return crashes.getOrDefault(digest, Set.of());
     }
 
     /** Returns it without the crashes of a request that has been served since. */
     Told afterServed(String digest) {
-      if (of(digest) == 0) {
+      if (of(digest).isEmpty()) {
         return this;
       }
-      Map<String, Integer> others = new HashMap<>(crashes);
+      Map<String, Set<String>> others = new HashMap<>(crashes);
       others.remove(digest);
       return new Told(Map.copyOf(others), atMillis);
     }
 
     boolean saysServed(String digest) {
-      return crashes.containsKey(digest) && of(digest) == 0;
+      return crashes.containsKey(digest) && of(digest).isEmpty();
     }
   }
 
@@ -124,24 +124,27 @@
 
   // -- what entries tell each other
 
-  /** Returns the crashes of this entry's newest suspects by digest; 0 for those served since. */
-  public Map<String, Integer> toTell(long nowMillis) {
+  /**
+   * Returns this entry's newest suspects by digest, each with the upstream processes that crashed
+   * on it; none for those served since.
+   */
+  public Map<String, Set<String>> toTell(long nowMillis) {
     forgetOld(nowMillis);
-    Map<String, Integer> told = new HashMap<>();
+    Map<String, Set<String>> told = new HashMap<>();
     int skip = Math.max(0, own.size() - MOST_TOLD);
     own.entrySet().stream()
         .skip(skip)
-        .forEach(each -> told.put(each.getKey(), each.getValue().processes().size()));
+        .forEach(each -> told.put(each.getKey(), Set.copyOf(each.getValue().processes())));
     return told;
   }
 
   /** Notes what another entry tells of its suspects. */
-  public void heard(String peer, Map<String, Integer> crashes, long nowMillis) {
+  public void heard(String peer, Map<String, Set<String>> crashes, long nowMillis) {
     Told before = toldBy.get(peer);
     crashes.forEach(
-        (digest, count) -> {
+        (digest, processes) -> {
           boolean news = before == null || !before.saysServed(digest);
-          if (count == 0 && news) {
+          if (processes.isEmpty() && news) {
             own.remove(digest);
             forgetTold(digest);
           }
@@ -161,15 +164,15 @@
     return !own.isEmpty() || !toldBy.isEmpty();
   }
 
-  /** Returns the crashes of a request that are known of all entries. */
+  /** Returns how many upstreams are known to have crashed on a request, whoever saw them. */
   public int crashes(String digest, long nowMillis) {
     forgetOld(nowMillis);
-    Entry entry = own.get(digest);
-    int crashes = entry == null ? 0 : entry.processes().size();
-    for (Told told : toldBy.values()) {
-      crashes += Math.max(0, told.of(digest));
+    Set<String> processes = new HashSet<>();
+    if (own.containsKey(digest)) {
+      processes.addAll(own.get(digest).processes());
     }
-    return crashes;
+    toldBy.values().forEach(told -> processes.addAll(told.of(digest)));
+    return processes.size();
   }
 
   /** Tells whether a request is not run again. */
--- a/core/src/test/java/org/limpetvale/core/crash/CrashSuspectsTest.java
+++ b/core/src/test/java/org/limpetvale/core/crash/CrashSuspectsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 final class CrashSuspectsTest {
@@ -30,12 +31,12 @@
 
   @Test
   void aRequestThatIsServedIsNoSuspectOfEntriesThatHaveEndedEither() {
-    suspects.heard("ended", Map.of(BAD, 2), nowMillis);
-    suspects.heard("running", Map.of(BAD, 1), nowMillis);
+    suspects.heard("ended", Map.of(BAD, Set.of("a", "b")), nowMillis);
+    suspects.heard("running", Map.of(BAD, Set.of("c")), nowMillis);
     assertThat(suspects.condemned(BAD, nowMillis)).isTrue();
-    suspects.heard("running", Map.of(BAD, 0), nowMillis);
+    suspects.heard("running", Map.of(BAD, Set.of()), nowMillis);
     assertThat(suspects.crashes(BAD, nowMillis)).isZero();
-    suspects.heard("ended too", Map.of(BAD, 2), nowMillis);
+    suspects.heard("ended too", Map.of(BAD, Set.of("a", "b")), nowMillis);
     suspects.served(BAD, nowMillis);
     assertThat(suspects.crashes(BAD, nowMillis)).isZero();
   }
@@ -76,10 +77,18 @@
   @Test
   void crashesAtOtherEntriesCountToo() {
     crash("a", BAD);
-    suspects.heard("edge-2", Map.of(BAD, 1), nowMillis);
-    suspects.heard("edge-3", Map.of(BAD, 1), nowMillis);
+    suspects.heard("edge-2", Map.of(BAD, Set.of("b")), nowMillis);
+    suspects.heard("edge-3", Map.of(BAD, Set.of("c")), nowMillis);
     assertThat(suspects.condemned(BAD, nowMillis)).isTrue();
-    assertThat(suspects.toTell(nowMillis)).isEqualTo(Map.of(BAD, 1));
+    assertThat(suspects.toTell(nowMillis)).isEqualTo(Map.of(BAD, Set.of("a")));
+  }
+
+  @Test
+  void aCrashThatSeveralEntriesSawCountsOnce() {
+    crash("a", BAD);
+    suspects.heard("edge-2", Map.of(BAD, Set.of("a")), nowMillis);
+    suspects.heard("edge-3", Map.of(BAD, Set.of("a")), nowMillis);
+    assertThat(suspects.crashes(BAD, nowMillis)).isEqualTo(1);
   }
 
   @Test
--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -87,12 +87,12 @@
 
   private void crashed(String process) {
     long nowMillis = timer.nowMillis();
-    Map<String, Integer> before = suspects.toTell(nowMillis);
+    Map<String, Set<String>> before = suspects.toTell(nowMillis);
     suspects.crashed(process, nowMillis);
-    Map<String, Integer> after = suspects.toTell(nowMillis);
+    Map<String, Set<String>> after = suspects.toTell(nowMillis);
     after.forEach(
         (digest, crashes) -> {
-          if (crashes > before.getOrDefault(digest, 0)) {
+          if (crashes.size() > before.getOrDefault(digest, Set.of()).size()) {
             onSuspicion.run();
             log.change(
                 "crash_suspect",
@@ -106,19 +106,20 @@
   // -- other entries
 
   @Override
-  public Map<String, Integer> toTell() {
+  public Map<String, Set<String>> toTell() {
     return suspects.toTell(timer.nowMillis());
   }
 
   @Override
-  public void heard(String peer, Map<String, Integer> crashes) {
+  public void heard(String peer, Map<String, Set<String>> crashes) {
     suspects.heard(peer, crashes, timer.nowMillis());
   }
 
   // -- parts
 
+  /** Returns a short name of an upstream's process, as it is told often. */
   private static String process(Upstream upstream) {
-    return upstream.id() + "@" + upstream.bornMillis();
+    return Integer.toHexString(Objects.hash(upstream.id(), upstream.bornMillis()));
   }
 
   /** Returns a digest of path, workspace and body; empty when the body is not kept. */
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -6,8 +6,10 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.limpetvale.core.lease.LeaseRow;
 
@@ -44,7 +46,7 @@
 
   // -- values
 
-  static String member(InetSocketAddress address, long beat, Map<String, Integer> crashes) {
+  static String member(InetSocketAddress address, long beat, Map<String, Set<String>> crashes) {
     ObjectNode node = JSON.createObjectNode();
     node.put("host", address.getHostString());
     node.put("port", address.getPort());
@@ -54,31 +56,37 @@
   }
 
   /** Returns the row of an entry that has stopped; it still counts for what it has sent. */
-  static String left(Map<String, Integer> crashes) {
+  static String left(Map<String, Set<String>> crashes) {
     ObjectNode node = JSON.createObjectNode();
     node.put("left", true);
     putCrashes(node, crashes);
     return node.toString();
   }
 
-  private static void putCrashes(ObjectNode node, Map<String, Integer> crashes) {
+  private static void putCrashes(ObjectNode node, Map<String, Set<String>> crashes) {
     if (!crashes.isEmpty()) {
       ObjectNode inner = node.putObject("crashes");
-      new TreeMap<>(crashes).forEach(inner::put);
+      new TreeMap<>(crashes).forEach((digest, each) -> each.forEach(inner.putArray(digest)::add));
     }
   }
 
   static Members.Row parseMember(long version, String text) {
     Optional<JsonNode> node = parse(text);
-    Map<String, Integer> crashes = new TreeMap<>();
+    Map<String, Set<String>> crashes = new TreeMap<>();
     node.ifPresent(
         each ->
             each.path("crashes")
                 .properties()
-                .forEach(entry -> crashes.put(entry.getKey(), entry.getValue().asInt())));
+                .forEach(entry -> crashes.put(entry.getKey(), texts(entry.getValue()))));
     return new Members.Row(version, node.flatMap(FleetRows::address), crashes);
   }
 
+  private static Set<String> texts(JsonNode array) {
+    Set<String> texts = new HashSet<>();
+    array.forEach(each -> texts.add(each.asText()));
+    return texts;
+  }
+
   private static Optional<InetSocketAddress> address(JsonNode node) {
     boolean given = node.path("host").isTextual() && node.path("port").isInt();
     return given
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -39,9 +39,9 @@
    *
    * @param version version of the row
    * @param address where the entry takes reports of others; empty when it has left
-   * @param crashes upstreams that the entry saw crash on a request, by the request's digest
+   * @param crashes upstream processes that the entry saw crash on a request, by its digest
    */
-  record Row(long version, Optional<InetSocketAddress> address, Map<String, Integer> crashes) {
+  record Row(long version, Optional<InetSocketAddress> address, Map<String, Set<String>> crashes) {
     Row {
       Objects.requireNonNull(address, "address is null");
       crashes = Map.copyOf(crashes);
--- a/forward/src/main/java/org/limpetvale/forward/duty/SharedSuspects.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/SharedSuspects.java
@@ -1,25 +1,29 @@
 package org.limpetvale.forward.duty;
 
 import java.util.Map;
+import java.util.Set;
 
 /** Requests that crash their upstreams, as an entry's row keeps them beyond its end. */
 public interface SharedSuspects {
-  /** Returns the crashes that this entry has seen by request; 0 for requests served since. */
-  Map<String, Integer> toTell();
+  /**
+   * Returns the upstream processes that this entry has seen crash, by request; none for requests
+   * served since.
+   */
+  Map<String, Set<String>> toTell();
 
   /** Notes what another entry, or an earlier process of this one, has told. */
-  void heard(String writer, Map<String, Integer> crashes);
+  void heard(String writer, Map<String, Set<String>> crashes);
 
   /** Returns a book that knows and takes nothing. */
   static SharedSuspects none() {
     return new SharedSuspects() {
       @Override
-      public Map<String, Integer> toTell() {
+      public Map<String, Set<String>> toTell() {
         return Map.of();
       }
 
       @Override
-      public void heard(String writer, Map<String, Integer> crashes) {
+      public void heard(String writer, Map<String, Set<String>> crashes) {
         // Nothing is kept.
       }
     };
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -25,7 +26,8 @@
  * @param loads what the entry has sent to upstreams and not yet seen answered, by upstream
  * @param placements shared prompt parts that it has lately sent to upstreams, by upstream
  * @param waiting requests that wait at the entry, by service
- * @param crashes upstreams that crashed on a request, by the request's digest; 0 when it was served
+ * @param crashes upstream processes that crashed on a request, by the request's digest; none when
+ *     it was served since
  * @param releasedEpoch fencing number of the lease that the entry held and has given up for good; 0
  *     when there is none
  */
@@ -38,7 +40,7 @@
     Map<String, Load> loads,
     Map<String, Set<String>> placements,
     Map<String, Integer> waiting,
-    Map<String, Integer> crashes,
+    Map<String, Set<String>> crashes,
     long releasedEpoch) {
   /** Stands for the closed window in a report that tells no usage. */
   public static final long USAGE_NOT_TOLD = -1;
@@ -126,11 +128,12 @@
                 .add(load.tightStreams())
                 .add(load.failurePercent()));
     if (!placements.isEmpty()) {
-      ObjectNode sent = node.putObject(PLACEMENTS);
-      placements.forEach((id, partIds) -> partIds.forEach(sent.withArray(id)::add));
+      putLists(node.putObject(PLACEMENTS), placements);
     }
     putCounts(node, WAITING, waiting);
-    putCounts(node, CRASHES, crashes);
+    if (!crashes.isEmpty()) {
+      putLists(node.putObject(CRASHES), crashes);
+    }
     if (releasedEpoch > 0) {
       node.put(RELEASED_EPOCH, releasedEpoch);
     }
@@ -152,9 +155,9 @@
               node.path(CLOSED_WINDOW).asLong(),
               usage(node.path(USAGE)),
               loads(node.path(LOADS)),
-              placements(node.path(PLACEMENTS)),
+              lists(node.path(PLACEMENTS)),
               counts(node.path(WAITING)),
-              counts(node.path(CRASHES)),
+              lists(node.path(CRASHES)),
               node.path(RELEASED_EPOCH).asLong()));
     } catch (JsonProcessingException | NumberFormatException e) {
       return Optional.empty();
@@ -171,14 +174,22 @@
     return usage;
   }
 
-  private static Map<String, Set<String>> placements(JsonNode node) {
-    Map<String, Set<String>> placements = new HashMap<>();
+  private static void putLists(ObjectNode node, Map<String, Set<String>> lists) {
+    lists.forEach(
+        (name, values) -> {
+          ArrayNode array = node.putArray(name);
+          values.forEach(array::add);
+        });
+  }
+
+  private static Map<String, Set<String>> lists(JsonNode node) {
+    Map<String, Set<String>> lists = new HashMap<>();
     for (Map.Entry<String, JsonNode> each : node.properties()) {
-      Set<String> partIds = new HashSet<>();
-      each.getValue().forEach(partId -> partIds.add(partId.asText()));
-      placements.put(each.getKey(), partIds);
+      Set<String> values = new HashSet<>();
+      each.getValue().forEach(value -> values.add(value.asText()));
+      lists.put(each.getKey(), values);
     }
-    return placements;
+    return lists;
   }
 
   private static void putCounts(ObjectNode node, String name, Map<String, Integer> counts) {
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -21,7 +21,7 @@
         Map.of("u", new PeerReport.Load(requests, 100 * requests, 1, 10 * requests)),
         Map.of("u", Set.of("part-1", "part-2")),
         Map.of("service", 2),
-        Map.of("digest", 1),
+        Map.of("digest", Set.of("process"), "served", Set.of()),
         4);
   }
 
