An older row does not take back what its entry told of requests that crash upstreams

Found in reading, not seen: a row that was written before the last crash and read after its entry's end replaced what the entry had told in datagrams. Rows are now merged with it; a side that says served holds. A claim on the allowance that counts nobody, not even itself, gives no part instead of all. CrashSuspectsTest#anOlderRowOfAnEntryDoesNotTakeBackWhatTheEntryTold is new.

--- a/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -156,6 +157,28 @@
     }
   }
 
+  /** Adds what an entry's row tells, which may be older than what the entry itself told last. */
+  public void read(String peer, Map<String, Set<String>> crashes, long nowMillis) {
+    Map<String, Set<String>> both = new HashMap<>(crashes);
+    Optional.ofNullable(toldBy.get(peer))
+        .ifPresent(told -> told.crashes().forEach((digest, each) -> merge(both, digest, each)));
+    heard(peer, both, nowMillis);
+  }
+
+  /** Merges crashes into others; a side on which the request was served since holds. */
+  private static void merge(
+      Map<String, Set<String>> crashes, String digest, Set<String> processes) {
+    crashes.merge(
+        digest,
+        processes,
+        (one, other) -> {
+          boolean served = one.isEmpty() || other.isEmpty();
+          Set<String> union = new HashSet<>(one);
+          union.addAll(other);
+          return served ? Set.of() : Set.copyOf(union);
+        });
+  }
+
   // -- judgement
 
   /** Tells whether any request is suspect, so that digests matter. */
--- a/core/src/main/java/org/limpetvale/core/retry/AllowanceClaim.java
+++ b/core/src/main/java/org/limpetvale/core/retry/AllowanceClaim.java
@@ -79,7 +79,8 @@
   public AllowanceShare share(Moment now) {
     long readAgeMillis = readAt.map(read -> elapsedMillis(read, now)).orElse(-1L);
     boolean entitled =
-        readAt.filter(read -> within(read, now)).isPresent()
+        sharers > 0
+            && readAt.filter(read -> within(read, now)).isPresent()
             && renewedAt.filter(renewed -> within(renewed, now)).isPresent()
             && announcedAt.filter(announced -> isKnownToAll(announced, now)).isPresent();
     return entitled
--- a/core/src/test/java/org/limpetvale/core/crash/CrashSuspectsTest.java
+++ b/core/src/test/java/org/limpetvale/core/crash/CrashSuspectsTest.java
@@ -91,6 +91,16 @@
     assertThat(suspects.crashes(BAD, nowMillis)).isEqualTo(1);
   }
 
+  @Test
+  void anOlderRowOfAnEntryDoesNotTakeBackWhatTheEntryTold() {
+    suspects.heard("edge-2", Map.of(BAD, Set.of("a", "b"), BYSTANDER, Set.of()), nowMillis);
+    suspects.read("edge-2", Map.of(), nowMillis);
+    assertThat(suspects.crashes(BAD, nowMillis)).isEqualTo(2);
+    suspects.read("edge-2", Map.of(BAD, Set.of("c"), BYSTANDER, Set.of("a")), nowMillis);
+    assertThat(suspects.crashes(BAD, nowMillis)).isEqualTo(3);
+    assertThat(suspects.crashes(BYSTANDER, nowMillis)).isZero();
+  }
+
   @Test
   void thatARequestWasServedReachesTheOtherEntriesOnce() {
     CrashSuspects other = CrashSuspects.empty();
--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -111,6 +111,11 @@
   }
 
   @Override
+  public void read(String writer, Map<String, Set<String>> crashes) {
+    suspects.read(writer, crashes, timer.nowMillis());
+  }
+
+  /** Notes what another entry tells. */
   public void heard(String peer, Map<String, Set<String>> crashes) {
     suspects.heard(peer, crashes, timer.nowMillis());
   }
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -373,7 +373,7 @@
   /** Takes what a row tells of an entry that does not tell it itself. */
   private void hearSuspects(String writer, Members.Row row) {
     if (!writer.equals(self.writer()) && !peers.live().contains(writer)) {
-      suspects.heard(writer, row.crashes());
+      suspects.read(writer, row.crashes());
     }
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/duty/SharedSuspects.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/SharedSuspects.java
@@ -11,8 +11,8 @@
    */
   Map<String, Set<String>> toTell();
 
-  /** Notes what another entry, or an earlier process of this one, has told. */
-  void heard(String writer, Map<String, Set<String>> crashes);
+  /** Notes what the row of another entry, or of an earlier process of this one, tells. */
+  void read(String writer, Map<String, Set<String>> crashes);
 
   /** Returns a book that knows and takes nothing. */
   static SharedSuspects none() {
@@ -23,7 +23,7 @@
       }
 
       @Override
-      public void heard(String writer, Map<String, Set<String>> crashes) {
+      public void read(String writer, Map<String, Set<String>> crashes) {
         // Nothing is kept.
       }
     };
