Rows of ended entries do not bring back suspects that were served since

Cause: an entry that starts reads the rows of those that have ended; what was served since was cleared at the running entries only. A request that any entry knows as served is now left out of what rows tell; one that crashes its upstreams is never served. CrashSuspectsTest#aRowOfAnEntryThatHasEndedDoesNotBringBackWhatWasServedSince failed before (3 instead of 0) and passes.

--- a/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
@@ -157,9 +157,13 @@
     }
   }
 
-  /** Adds what an entry's row tells, which may be older than what the entry itself told last. */
+  /**
+   * Adds what an entry's row tells, which may be older than what the entry itself told last, or
+   * than the news that a request was served.
+   */
   public void read(String peer, Map<String, Set<String>> crashes, long nowMillis) {
     Map<String, Set<String>> both = new HashMap<>(crashes);
+    both.keySet().removeIf(this::isKnownAsServed);
     Optional.ofNullable(toldBy.get(peer))
         .ifPresent(told -> told.crashes().forEach((digest, each) -> merge(both, digest, each)));
     heard(peer, both, nowMillis);
@@ -203,6 +207,11 @@
     return crashes(digest, nowMillis) >= MOST_CRASHES;
   }
 
+  private boolean isKnownAsServed(String digest) {
+    boolean here = own.containsKey(digest) && own.get(digest).processes().isEmpty();
+    return here || toldBy.values().stream().anyMatch(told -> told.saysServed(digest));
+  }
+
   private boolean isTold(String digest) {
     return toldBy.values().stream().anyMatch(told -> told.crashes().containsKey(digest));
   }
--- a/core/src/test/java/org/limpetvale/core/crash/CrashSuspectsTest.java
+++ b/core/src/test/java/org/limpetvale/core/crash/CrashSuspectsTest.java
@@ -91,6 +91,17 @@
     assertThat(suspects.crashes(BAD, nowMillis)).isEqualTo(1);
   }
 
+  @Test
+  void aRowOfAnEntryThatHasEndedDoesNotBringBackWhatWasServedSince() {
+    suspects.heard("running", Map.of(BYSTANDER, Set.of()), nowMillis);
+    suspects.read("ended", Map.of(BYSTANDER, Set.of("a", "b", "c"), BAD, Set.of("a")), nowMillis);
+    assertThat(suspects.crashes(BYSTANDER, nowMillis)).isZero();
+    assertThat(suspects.crashes(BAD, nowMillis)).isEqualTo(1);
+    suspects.served(BAD, nowMillis);
+    suspects.read("ended too", Map.of(BAD, Set.of("b", "c")), nowMillis);
+    assertThat(suspects.crashes(BAD, nowMillis)).isZero();
+  }
+
   @Test
   void anOlderRowOfAnEntryDoesNotTakeBackWhatTheEntryTold() {
     suspects.heard("edge-2", Map.of(BAD, Set.of("a", "b"), BYSTANDER, Set.of()), nowMillis);
