A request that an upstream answered with its own failure does not crash upstreams

Cause: only a success cleared a suspect. While everything fails nothing is served, and once refused it never is. The logs show three processes counted, with many failures of the same digest answered in between. An upstream that has run a request and answered 500 was not crashed by it, so that clears it too.

--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -63,8 +63,11 @@
         .ifPresent(digest -> suspects.lost(digest, process(upstream), timer.nowMillis()));
   }
 
-  /** Notes that a request was served. */
-  public void served(RequestInput input, RequestPlan plan) {
+  /**
+   * Notes that an upstream has run a request and answered, be it with a failure of its own; so the
+   * request does not crash what runs it.
+   */
+  public void answered(RequestInput input, RequestPlan plan) {
     if (suspects.any(timer.nowMillis())) {
       digest(input, plan).ifPresent(digest -> suspects.served(digest, timer.nowMillis()));
     }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -322,8 +322,8 @@
   public void completed(int status) {
     boolean served = Statuses.isSuccess(status);
     parts.metrics().count(served ? Counter.SERVED : Counter.FAILED);
-    if (served) {
-      parts.crashes().served(input, plan);
+    if (served || status == Statuses.OWN_FAILURE) {
+      parts.crashes().answered(input, plan);
     }
     finish(served ? "served" : "passed_on", status);
     link.finish();
@@ -338,8 +338,10 @@
       parts.metrics().count(Counter.ANSWERS_SPOILED);
     }
     lines.attemptFailed(failed.upstream(), failure, detail, passed.hasBegun());
-    if (failure == Attempt.Failure.LOST) {
-      parts.crashes().lost(input, plan, failed.upstream());
+    switch (failure) {
+      case LOST -> parts.crashes().lost(input, plan, failed.upstream());
+      case FAILED -> parts.crashes().answered(input, plan);
+      case NOT_RUN, SPOILED -> {}
     }
     resumeAfter = failed.lastEventId().or(() -> resumeAfter);
     if (takeRetry(ran)) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Statuses.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Statuses.java
@@ -5,6 +5,9 @@
   /** The upstream is not the one that was meant, and has not run the request. */
   static final int MISDIRECTED = 421;
 
+  /** The upstream has run the request, and failed. */
+  static final int OWN_FAILURE = 500;
+
   static final int FIRST_REDIRECT = 300;
   static final int FIRST_SERVER_ERROR = 500;
 
