How engines read prompts is learned from their answers; no gap target of one site is a constant

Cause: what counts as a short gap target (220 ms), the tokens that break a gap (5,000), the speed of reading (40 a ms), 32 streams an engine and the backlog of 12,000 and 18,000 tokens fitted engines with 64 slots whose event holds 3 tokens.

Change: EngineLearner keeps the pauses of streams and the time to read a prompt that found nothing unread; EngineBook tells what it learned in the reports and goes by the median of all entries; TightGaps tells which targets the engines' pauses break, with hysteresis; pools, gap costs and the backlog follow from the model and from the engines' slots. Pauses on engines set apart do not count, as no long prompt is read there.

The test of the 220 ms moved to TightGapsTest with the same four targets.

--- a/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
+++ b/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.placement.Choice;
+import org.limpetvale.core.placement.EngineModel;
 
 /**
  * Decides whether a model request goes to its engine now or waits at the entry.
@@ -13,11 +14,11 @@
  * entry does neither.
  */
 public final class BacklogLimit {
-  /** Unread prompt tokens that an engine is given by requests with a usual latency target. */
-  private static final int USUAL_TOKENS = 12_000;
+  /** Reading time that an engine is given ahead by requests with a usual latency target. */
+  private static final double USUAL_MILLIS = 300;
 
   /** The same for requests with a short latency target. */
-  private static final int URGENT_TOKENS = 18_000;
+  private static final double URGENT_MILLIS = 450;
 
   private static final long URGENT_TARGET_MILLIS = 600;
 
@@ -35,8 +36,9 @@
    * @param route the request's route
    * @param promptTokens tokens of its prompt
    * @param choice the engine, with what is known of it
+   * @param model what is known of all engines of the service
    */
-  public static boolean admits(Route route, int promptTokens, Choice choice) {
+  public static boolean admits(Route route, int promptTokens, Choice choice, EngineModel model) {
     Objects.requireNonNull(route, "route is null");
     int pending = choice.load().pendingPromptTokens();
     if (pending == 0) {
@@ -44,7 +46,7 @@
     }
     int fresh = Math.max(0, promptTokens - choice.load().cachedTokens());
     boolean urgent = route.targetLatencyMillis() <= URGENT_TARGET_MILLIS;
-    int most = urgent ? URGENT_TOKENS : USUAL_TOKENS;
+    double most = model.tokensIn(urgent ? URGENT_MILLIS : USUAL_MILLIS);
     int own = choice.load().ownPendingPromptTokens();
     return pending + fresh <= most && (own == 0 || own + fresh <= OWN_SHARE * most);
   }
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import org.limpetvale.core.fleet.Route;
 
 /**
  * Places model requests by predicted time to the first event and by the harm to streams beside.
@@ -14,9 +13,6 @@
  * reading the prefix again.
  */
 public final class EnginePlacement {
-  /** Prompt tokens that an engine of the usual speed reads in a millisecond. */
-  private static final double PREFILL_TOKENS_PER_MILLI = 40;
-
   /** Milliseconds of attention for a million pairs of a new token and a token before it. */
   private static final double MILLIS_PER_MILLION_PAIRS = 1.0;
 
@@ -31,16 +27,10 @@
   private static final double BASE_MILLIS = 10;
 
   /**
-   * Unread prompt tokens above which an engine reads whole chunks in step after step, so that the
-   * events of all its streams come too late for a short gap target.
-   */
-  private static final double GAP_BREAKING_TOKENS = 5_000;
-
-  /**
-   * The same for what other requests add; lower, as other entries may add some before they are
-   * heard of.
+   * Share of the unread prompt tokens that streams with short gap targets bear, up to which other
+   * requests may add to them; other entries may add some before they are heard of.
    */
-  private static final double ADDED_TOKENS = 3_000;
+  private static final double ADDED_SHARE = 0.6;
 
   /**
    * Weight of the time to read a shared prefix again, which also delays all that come after it on
@@ -78,25 +68,21 @@
   /**
    * Places a request.
    *
-   * @param route its route
-   * @param shape its size
-   * @param zone availability zone of the entry
+   * @param request the request
+   * @param model what is known of the engines
    * @param pools the split of the engines
-   * @param patient whether it can still wait for an engine that has its prefix
    * @param candidates engines that may take it
    * @return the choice; empty without candidates
    */
   public static Optional<Choice> choose(
-      Route route,
-      PromptShape shape,
-      String zone,
+      PlacementRequest request,
+      EngineModel model,
       EnginePools pools,
-      boolean patient,
       List<UpstreamLoad> candidates) {
-    Objects.requireNonNull(route, "route is null");
-    Objects.requireNonNull(shape, "shape is null");
+    Objects.requireNonNull(request, "request is null");
+    Objects.requireNonNull(model, "model is null");
     List<Choice> rated =
-        candidates.stream().map(load -> rate(route, shape, zone, pools, patient, load)).toList();
+        candidates.stream().map(load -> rate(request, model, pools, load)).toList();
     Optional<Choice> richest =
         rated.stream().max(Comparator.comparingInt(each -> each.load().cachedTokens()));
     return rated.stream()
@@ -104,39 +90,41 @@
         .map(best -> best.over(richest.orElseThrow()));
   }
 
-  /** Returns the time to read the rest of a prompt, in milliseconds, at the usual speed. */
-  public static double prefillMillis(int promptTokens, int cachedTokens) {
+  /** Returns the time to read the rest of a prompt, in milliseconds. */
+  static double prefillMillis(EngineModel model, int promptTokens, int cachedTokens) {
+    double fresh = Math.max(0, promptTokens - cachedTokens);
+    return fresh / model.prefillTokensPerMilli() + attentionMillis(promptTokens, cachedTokens);
+  }
+
+  /** Returns the part of that time which grows with the square of the prompt. */
+  static double attentionMillis(int promptTokens, int cachedTokens) {
     double fresh = Math.max(0, promptTokens - cachedTokens);
-    double pairs = fresh * (cachedTokens + fresh / 2) / PAIRS_PER_MILLION;
-    return fresh / PREFILL_TOKENS_PER_MILLI + pairs * MILLIS_PER_MILLION_PAIRS;
+    return fresh * (cachedTokens + fresh / 2) / PAIRS_PER_MILLION * MILLIS_PER_MILLION_PAIRS;
   }
 
   private static Choice rate(
-      Route route,
-      PromptShape shape,
-      String zone,
-      EnginePools pools,
-      boolean patient,
-      UpstreamLoad load) {
+      PlacementRequest request, EngineModel model, EnginePools pools, UpstreamLoad load) {
+    PromptShape shape = request.shape();
     int fresh = Math.max(0, shape.promptTokens() - load.cachedTokens());
-    double ownMillis = prefillMillis(shape.promptTokens(), load.cachedTokens()) / load.speed();
-    double predicted = BASE_MILLIS + queueMillis(load) + ownMillis;
+    double ownMillis =
+        prefillMillis(model, shape.promptTokens(), load.cachedTokens()) / load.speed();
+    double predicted = BASE_MILLIS + queueMillis(model, load) + ownMillis;
     double cost =
         predicted
             + riskMillis(load)
-            + poolMillis(route, pools, load, fresh)
-            + gapMillis(route, load, fresh);
-    boolean second = !patient && load.affinityRank() <= 1;
+            + poolMillis(request, model, pools, load, fresh)
+            + gapMillis(request, model, pools, load, fresh);
+    boolean second = !request.patient() && load.affinityRank() <= 1;
     double weight = second ? SHARED_AGAIN_SECOND_WEIGHT : SHARED_AGAIN_WEIGHT;
-    cost += weight * prefillMillis(shape.sharedTokens(), load.cachedTokens());
-    if (!load.upstream().zone().equals(zone)) {
+    cost += weight * prefillMillis(model, shape.sharedTokens(), load.cachedTokens());
+    if (!load.upstream().zone().equals(request.zone())) {
       cost += OTHER_ZONE_MILLIS;
     }
     return Choice.of(load.upstream(), predicted, cost, load);
   }
 
-  private static double queueMillis(UpstreamLoad load) {
-    double reading = load.pendingPromptTokens() / PREFILL_TOKENS_PER_MILLI / load.speed();
+  private static double queueMillis(EngineModel model, UpstreamLoad load) {
+    double reading = load.pendingPromptTokens() / model.prefillTokensPerMilli() / load.speed();
     int over = Math.max(0, load.requests() - load.upstream().slots());
     return reading + load.requests() * RUNNING_MILLIS + over * SLOT_WAIT_MILLIS;
   }
@@ -146,33 +134,39 @@
   }
 
   private static double poolMillis(
-      Route route, EnginePools pools, UpstreamLoad load, int freshTokens) {
+      PlacementRequest request,
+      EngineModel model,
+      EnginePools pools,
+      UpstreamLoad load,
+      int freshTokens) {
     if (pools.tight().isEmpty()) {
       return 0;
     }
     boolean inTightPool = pools.tight().contains(load.upstream().id());
-    if (isTight(route)) {
+    if (request.tight()) {
       return inTightPool ? 0 : TIGHT_OUTSIDE_POOL_MILLIS;
     }
     if (!inTightPool) {
       return 0;
     }
-    return freshTokens > GAP_BREAKING_TOKENS
+    return freshTokens > model.tokensInGap(pools.shortestGapMillis())
         ? LONG_IN_TIGHT_POOL_MILLIS
         : MEDIUM_IN_TIGHT_POOL_MILLIS;
   }
 
   /** Returns the cost of the gaps that break where the engine has too much to read. */
-  private static double gapMillis(Route route, UpstreamLoad load, int freshTokens) {
+  private static double gapMillis(
+      PlacementRequest request,
+      EngineModel model,
+      EnginePools pools,
+      UpstreamLoad load,
+      int freshTokens) {
     double unread = (double) load.pendingPromptTokens() + freshTokens;
-    if (isTight(route)) {
-      return unread > GAP_BREAKING_TOKENS ? BROKEN_GAP_MILLIS : 0;
+    if (request.tight()) {
+      double borne = model.tokensInGap(request.route().targetGapMillis());
+      return unread > borne ? BROKEN_GAP_MILLIS : 0;
     }
-    return unread > ADDED_TOKENS ? HARM_MILLIS_PER_STREAM * load.tightStreams() : 0;
-  }
-
-  /** Tells whether the streams of a route have a short gap target. */
-  public static boolean isTight(Route route) {
-    return route.targetGapMillis() > 0 && route.targetGapMillis() < EnginePools.TIGHT_GAP_MILLIS;
+    double borne = ADDED_SHARE * model.tokensInGap(pools.shortestGapMillis());
+    return unread > borne ? HARM_MILLIS_PER_STREAM * load.tightStreams() : 0;
   }
 }
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
@@ -13,19 +13,17 @@
  * of the engines, so that all entries agree on it up to its size.
  *
  * @param tight ids of the engines for streams with short gap targets
+ * @param shortestGapMillis the shortest of these targets; 0 without such streams
  */
-public record EnginePools(Set<String> tight) {
-  /**
-   * Gap target below which a stream does not bear long prompts beside it, in milliseconds: an event
-   * takes about four steps, and a step that reads a whole chunk 55 ms.
-   */
-  public static final long TIGHT_GAP_MILLIS = 220;
+public record EnginePools(Set<String> tight, long shortestGapMillis) {
+  /** Engines that are not split, as no stream has a short gap target. */
+  public static final EnginePools NONE = new EnginePools(Set.of(), 0);
 
   /**
-   * Streams with short gap targets that one engine carries: half of its slots. Their own prompts
-   * come in clumps, and some 5,000 tokens of them within one event break the gaps of all.
+   * Share of an engine's slots for streams with short gap targets: their own prompts come in
+   * clumps, and a few of them within one event break the gaps of all.
    */
-  private static final double STREAMS_PER_ENGINE = 32;
+  private static final double SLOT_SHARE = 0.5;
 
   /** Largest share of the engines that are set apart. */
   private static final double LARGEST_SHARE = 0.4;
@@ -43,18 +41,26 @@
    *
    * @param engines the engines that take new requests
    * @param tightStreams streams with short gap targets in the whole fleet, estimated
+   * @param shortestGapMillis the shortest of these targets; 0 without such streams
    */
-  public static EnginePools split(List<Upstream> engines, double tightStreams) {
+  public static EnginePools split(
+      List<Upstream> engines, double tightStreams, long shortestGapMillis) {
     if (tightStreams <= 0 || engines.size() < FEWEST_ENGINES_TO_SPLIT) {
-      return new EnginePools(Set.of());
+      return new EnginePools(Set.of(), shortestGapMillis);
     }
-    int wanted = (int) Math.ceil(tightStreams / STREAMS_PER_ENGINE);
+    int wanted = (int) Math.ceil(tightStreams / streamsPerEngine(engines));
     int most = (int) Math.max(1, Math.floor(engines.size() * LARGEST_SHARE));
     int count = Math.min(most, Math.max(FEWEST_TIGHT_ENGINES, wanted));
     return new EnginePools(
         Rendezvous.order(POOL_KEY, engines).stream()
             .limit(count)
             .map(Upstream::id)
-            .collect(Collectors.toSet()));
+            .collect(Collectors.toSet()),
+        shortestGapMillis);
+  }
+
+  private static double streamsPerEngine(List<Upstream> engines) {
+    double slots = engines.stream().mapToInt(Upstream::slots).average().orElse(1);
+    return Math.max(1, SLOT_SHARE * slots);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/placement/TightGaps.java
@@ -0,0 +1,60 @@
+package org.limpetvale.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The gap targets of a service's streams that are too short for engines that read long prompts.
+ *
+ * <p>The load that it answers: streams with several gap targets beside prompts of all lengths.
+ * Which of the targets break depends on the engines; a target near the limit must not change sides
+ * with each sample, as its streams would move between engines.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class TightGaps {
+  /** Share of a target that the pauses must fall below before it counts as long enough again. */
+  private static final double LEAVE_SHARE = 0.8;
+
+  /** Time after which a target that no request had is forgotten. */
+  private static final long KEPT_MILLIS = 10_000;
+
+  private final Map<Long, Seen> targets = new HashMap<>();
+
+  private record Seen(boolean tight, long atMillis) {}
+
+  private TightGaps() {}
+
+  /** Returns gaps of which none has been seen. */
+  public static TightGaps empty() {
+    return new TightGaps();
+  }
+
+  /**
+   * Tells whether a gap target is too short, and notes that a request has it.
+   *
+   * @param targetGapMillis the target; 0 for none
+   * @param model what is known of the engines
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public boolean isTight(long targetGapMillis, EngineModel model, long nowMillis) {
+    if (targetGapMillis <= 0) {
+      return false;
+    }
+    Seen before = targets.get(targetGapMillis);
+    boolean was = before != null && before.tight();
+    boolean tight = model.breaks(targetGapMillis, was ? LEAVE_SHARE : 1);
+    targets.put(targetGapMillis, new Seen(tight, nowMillis));
+    return tight;
+  }
+
+  /** Returns the shortest target lately seen that is too short; 0 if there is none. */
+  public long shortestMillis(long nowMillis) {
+    targets.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
+    return targets.entrySet().stream()
+        .filter(each -> each.getValue().tight())
+        .mapToLong(Map.Entry::getKey)
+        .min()
+        .orElse(0);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/limpetvale/core/placement/TightGapsTest.java
@@ -0,0 +1,56 @@
+package org.limpetvale.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+final class TightGapsTest {
+  private static EngineModel reading(double pauseMillis) {
+    return new EngineModel(40, 20, pauseMillis);
+  }
+
+  private static boolean isTight(long targetMillis, EngineModel model) {
+    return TightGaps.empty().isTight(targetMillis, model, 0);
+  }
+
+  @Test
+  void aGapTargetThatAFewWholeChunksWouldBreakIsShort() {
+    assertThat(isTight(150, reading(220))).isTrue();
+    assertThat(isTight(200, reading(220))).isTrue();
+    assertThat(isTight(250, reading(220))).isFalse();
+    assertThat(isTight(0, reading(220))).isFalse();
+  }
+
+  /** Events of half the tokens, or chunks of half the length, break half the targets. */
+  @Test
+  void enginesWithHalfThePausesLeaveTheSameTargetsLongEnough() {
+    assertThat(isTight(120, reading(110))).isFalse();
+    assertThat(isTight(200, reading(110))).isFalse();
+    assertThat(isTight(100, reading(110))).isTrue();
+  }
+
+  @Test
+  void noTargetIsShortBeforeAnyPauseIsKnown() {
+    assertThat(isTight(1, EngineModel.UNKNOWN)).isFalse();
+  }
+
+  @Test
+  void aTargetNearTheLimitDoesNotChangeSidesWithEachEstimate() {
+    TightGaps gaps = TightGaps.empty();
+    assertThat(gaps.isTight(200, reading(195), 0)).isFalse();
+    assertThat(gaps.isTight(200, reading(205), 1)).isTrue();
+    assertThat(gaps.isTight(200, reading(170), 2)).isTrue();
+    assertThat(gaps.isTight(200, reading(150), 3)).isFalse();
+  }
+
+  @Test
+  void theShortestOfTheTargetsThatAreTooShortIsKnownWhileRequestsHaveIt() {
+    TightGaps gaps = TightGaps.empty();
+    gaps.isTight(120, reading(210), 0);
+    gaps.isTight(200, reading(210), 9_000);
+    gaps.isTight(600, reading(210), 9_000);
+    assertThat(gaps.shortestMillis(9_000)).isEqualTo(120);
+    assertThat(gaps.shortestMillis(15_000)).isEqualTo(200);
+    assertThat(gaps.shortestMillis(30_000)).isZero();
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -26,6 +26,7 @@
 import org.limpetvale.forward.peer.PeerBook;
 import org.limpetvale.forward.peer.PeerLink;
 import org.limpetvale.forward.peer.PeerReport;
+import org.limpetvale.forward.place.EngineBook;
 import org.limpetvale.forward.place.LoadBook;
 import org.limpetvale.forward.place.Placer;
 import org.limpetvale.forward.relay.Forwarder;
@@ -119,7 +120,8 @@
     LoadBook loads = LoadBook.empty();
     TrueClock clock = TrueClock.of(timer);
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
-    Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, timer);
+    EngineBook engines = EngineBook.of(peerBook, timer);
+    Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, engines, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
     this.crashes = CrashGuard.of(timer, log);
     peerBook.onReport(
@@ -187,6 +189,7 @@
                       placer.recentPlacements(),
                       forwarder.waiting(),
                       crashes.toTell(),
+                      engines.toTell(),
                       duties.releasedEpoch());
               return parts.withUsage() ? report : report.withoutUsage();
             },
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.limpetvale.core.placement.EngineModel;
 import org.limpetvale.core.time.TimerService;
 
 /** The newest reports of the other entries; for the event loop only. */
@@ -120,6 +122,15 @@
         .sum();
   }
 
+  /** Returns what the other entries have learned of the engines of a service. */
+  public List<EngineModel> engineModels(String service) {
+    long nowMillis = timer.nowMillis();
+    return reports.values().stream()
+        .filter(each -> nowMillis - each.atMillis() <= LIVE_MILLIS)
+        .flatMap(each -> Stream.ofNullable(each.report().engines().get(service)))
+        .toList();
+  }
+
   /** Returns the requests that wait for a service at other entries. */
   public int waiting(String service) {
     long nowMillis = timer.nowMillis();
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -12,6 +12,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.limpetvale.core.placement.EngineModel;
 
 /**
  * What one entry tells the others at a moment. Later reports replace earlier ones.
@@ -28,6 +29,7 @@
  * @param waiting requests that wait at the entry, by service
  * @param crashes upstream processes that crashed on a request, by the request's digest; none when
  *     it was served since
+ * @param engines what it has learned of the engines, by service
  * @param releasedEpoch fencing number of the lease that the entry held and has given up for good; 0
  *     when there is none
  */
@@ -41,10 +43,12 @@
     Map<String, Set<String>> placements,
     Map<String, Integer> waiting,
     Map<String, Set<String>> crashes,
+    Map<String, EngineModel> engines,
     long releasedEpoch) {
   /** Stands for the closed window in a report that tells no usage. */
   public static final long USAGE_NOT_TOLD = -1;
 
+  private static final double TENTHS = 10;
   private static final ObjectMapper JSON = JsonMapper.builder().build();
 
   // Names in the JSON are short, as a report is sent several times a second to each other entry.
@@ -57,6 +61,7 @@
   private static final String PLACEMENTS = "p";
   private static final String WAITING = "q";
   private static final String CRASHES = "x";
+  private static final String ENGINES = "e";
   private static final String RELEASED_EPOCH = "r";
 
   /**
@@ -79,6 +84,7 @@
     placements = Map.copyOf(Objects.requireNonNull(placements, "placements is null"));
     waiting = Map.copyOf(Objects.requireNonNull(waiting, "waiting is null"));
     crashes = Map.copyOf(Objects.requireNonNull(crashes, "crashes is null"));
+    engines = Map.copyOf(Objects.requireNonNull(engines, "engines is null"));
   }
 
   /** Returns this report without its usage, and so without what it closes. */
@@ -102,6 +108,7 @@
         placements,
         waiting,
         crashes,
+        engines,
         releasedEpoch);
   }
 
@@ -134,6 +141,7 @@
     if (!crashes.isEmpty()) {
       putLists(node.putObject(CRASHES), crashes);
     }
+    putEngines(node);
     if (releasedEpoch > 0) {
       node.put(RELEASED_EPOCH, releasedEpoch);
     }
@@ -158,6 +166,7 @@
               lists(node.path(PLACEMENTS)),
               counts(node.path(WAITING)),
               lists(node.path(CRASHES)),
+              engines(node.path(ENGINES)),
               node.path(RELEASED_EPOCH).asLong()));
     } catch (JsonProcessingException | NumberFormatException e) {
       return Optional.empty();
@@ -205,6 +214,34 @@
     return counts;
   }
 
+  /** Puts tenths of the figures, as whole numbers are shorter. */
+  private void putEngines(ObjectNode node) {
+    if (engines.isEmpty()) {
+      return;
+    }
+    ObjectNode inner = node.putObject(ENGINES);
+    engines.forEach(
+        (service, model) ->
+            inner
+                .putArray(service)
+                .add(Math.round(model.prefillTokensPerMilli() * TENTHS))
+                .add(Math.round(model.idlePauseMillis() * TENTHS))
+                .add(Math.round(model.readingPauseMillis() * TENTHS)));
+  }
+
+  private static Map<String, EngineModel> engines(JsonNode node) {
+    Map<String, EngineModel> engines = new HashMap<>();
+    for (Map.Entry<String, JsonNode> each : node.properties()) {
+      double tokensPerMilli = each.getValue().path(0).asLong() / TENTHS;
+      if (tokensPerMilli > 0) {
+        double idleMillis = each.getValue().path(1).asLong() / TENTHS;
+        double readingMillis = each.getValue().path(2).asLong() / TENTHS;
+        engines.put(each.getKey(), new EngineModel(tokensPerMilli, idleMillis, readingMillis));
+      }
+    }
+    return engines;
+  }
+
   private static Map<String, Load> loads(JsonNode node) {
     Map<String, Load> loads = new HashMap<>();
     for (Map.Entry<String, JsonNode> each : node.properties()) {
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/place/EngineBook.java
@@ -0,0 +1,135 @@
+package org.limpetvale.forward.place;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+import org.limpetvale.core.fleet.Route;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.EngineLearner;
+import org.limpetvale.core.placement.EngineModel;
+import org.limpetvale.core.placement.EnginePools;
+import org.limpetvale.core.placement.PromptShape;
+import org.limpetvale.core.placement.TightGaps;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.peer.PeerBook;
+
+/**
+ * What the entries have learned of the engines of each service; for the event loop only.
+ *
+ * <p>Each entry tells the others what it has learned, and all go by the median, so that they split
+ * the engines alike.
+ */
+public final class EngineBook {
+  /** Time for which a median of what all entries have learned is used. */
+  private static final long MEDIAN_MILLIS = 250;
+
+  private final PeerBook peers;
+  private final TimerService timer;
+  private final Map<String, Service> services = new HashMap<>();
+
+  /** What is known of the engines of one service. */
+  private static final class Service {
+    private final EngineLearner learner = EngineLearner.empty();
+    private final TightGaps gaps = TightGaps.empty();
+    private EngineModel model = EngineModel.UNKNOWN;
+    private long modelUntilMillis = Long.MIN_VALUE;
+    private EnginePools pools = EnginePools.NONE;
+  }
+
+  private EngineBook(PeerBook peers, TimerService timer) {
+    this.peers = Objects.requireNonNull(peers, "peers is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+  }
+
+  /** Returns a book of engines that have not been seen at work. */
+  public static EngineBook of(PeerBook peers, TimerService timer) {
+    return new EngineBook(peers, timer);
+  }
+
+  // -- what is known
+
+  /** Returns what is known of the engines of a service. */
+  public EngineModel model(String service) {
+    Service known = service(service);
+    long nowMillis = timer.nowMillis();
+    if (nowMillis >= known.modelUntilMillis) {
+      known.model = median(service, known);
+      known.modelUntilMillis = nowMillis + MEDIAN_MILLIS;
+    }
+    return known.model;
+  }
+
+  /** Tells whether the gap target of a route is too short for engines that read long prompts. */
+  public boolean isTight(String service, Route route) {
+    return service(service)
+        .gaps
+        .isTight(route.targetGapMillis(), model(service), timer.nowMillis());
+  }
+
+  /** Splits the engines of a service by the number of streams with short gap targets. */
+  EnginePools split(String service, List<Upstream> engines, double tightStreams) {
+    Service known = service(service);
+    long shortestMillis = known.gaps.shortestMillis(timer.nowMillis());
+    known.pools =
+        shortestMillis > 0
+            ? EnginePools.split(engines, tightStreams, shortestMillis)
+            : EnginePools.NONE;
+    return known.pools;
+  }
+
+  /** Returns what this entry itself has learned, by service, for the other entries. */
+  public Map<String, EngineModel> toTell() {
+    Map<String, EngineModel> told = new HashMap<>();
+    services.forEach(
+        (name, known) -> known.learner.model().ifPresent(model -> told.put(name, model)));
+    return told;
+  }
+
+  // -- what is learned
+
+  /** Notes a pause between two events of a stream. */
+  public void notePause(Upstream upstream, long millis) {
+    Service known = service(upstream.service());
+    known.learner.notePause(millis, !known.pools.tight().contains(upstream.id()));
+  }
+
+  /**
+   * Notes the first event of a request that found nothing unread at its engine.
+   *
+   * @param cachedTokens tokens of its prompt that were expected in the engine's cache
+   * @param millis time from its sending to the event
+   */
+  public void noteRead(Upstream upstream, PromptShape shape, int cachedTokens, long millis) {
+    service(upstream.service()).learner.noteRead(shape.promptTokens(), cachedTokens, millis);
+  }
+
+  // -- parts
+
+  private Service service(String name) {
+    return services.computeIfAbsent(name, key -> new Service());
+  }
+
+  private EngineModel median(String name, Service known) {
+    List<EngineModel> models = new ArrayList<>(peers.engineModels(name));
+    Optional<EngineModel> own = known.learner.model();
+    own.ifPresent(models::add);
+    if (models.isEmpty()) {
+      return EngineModel.UNKNOWN;
+    }
+    return new EngineModel(
+        median(models, EngineModel::prefillTokensPerMilli),
+        median(models, EngineModel::idlePauseMillis),
+        median(models, EngineModel::readingPauseMillis));
+  }
+
+  /** Returns the median of what is known of a figure, 0 standing for what is not known. */
+  private static double median(List<EngineModel> models, ToDoubleFunction<EngineModel> figure) {
+    double[] known =
+        models.stream().mapToDouble(figure).filter(each -> each > 0).sorted().toArray();
+    return known.length == 0 ? 0 : known[known.length / 2];
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -13,6 +13,7 @@
 import org.limpetvale.core.placement.Choice;
 import org.limpetvale.core.placement.EnginePlacement;
 import org.limpetvale.core.placement.EnginePools;
+import org.limpetvale.core.placement.PlacementRequest;
 import org.limpetvale.core.placement.PrefixBook;
 import org.limpetvale.core.placement.PromptShape;
 import org.limpetvale.core.placement.Rendezvous;
@@ -39,17 +40,24 @@
   private final Supplier<FleetView> fleet;
   private final PeerBook peers;
   private final LoadBook loads;
+  private final EngineBook engines;
   private final TimerService timer;
   private final PrefixBook prefixes = PrefixBook.empty();
   private final RecentPlacements recent = new RecentPlacements();
   private final StreamEstimate tightStreams = StreamEstimate.empty();
 
   private Placer(
-      String zone, Supplier<FleetView> fleet, PeerBook peers, LoadBook loads, TimerService timer) {
+      String zone,
+      Supplier<FleetView> fleet,
+      PeerBook peers,
+      LoadBook loads,
+      EngineBook engines,
+      TimerService timer) {
     this.zone = Objects.requireNonNull(zone, "zone is null");
     this.fleet = Objects.requireNonNull(fleet, "fleet is null");
     this.peers = Objects.requireNonNull(peers, "peers is null");
     this.loads = Objects.requireNonNull(loads, "loads is null");
+    this.engines = Objects.requireNonNull(engines, "engines is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
   }
 
@@ -59,10 +67,16 @@
    * @param zone availability zone of this entry
    * @param fleet the upstreams that are known
    * @param peers what the other entries have told of the upstreams
+   * @param engines what is learned of the engines
    */
   public static Placer of(
-      String zone, Supplier<FleetView> fleet, PeerBook peers, LoadBook loads, TimerService timer) {
-    return new Placer(zone, fleet, peers, loads, timer);
+      String zone,
+      Supplier<FleetView> fleet,
+      PeerBook peers,
+      LoadBook loads,
+      EngineBook engines,
+      TimerService timer) {
+    return new Placer(zone, fleet, peers, loads, engines, timer);
   }
 
   /**
@@ -83,8 +97,9 @@
       return ServicePlacement.choose(
           zone, candidates.stream().map(each -> load(each, 0, 0, nowMillis)).toList());
     }
-    EnginePools pools = pools(ready);
-    List<String> preferred = preferred(plan, shape, pools, ready);
+    boolean tight = engines.isTight(plan.service(), plan.route());
+    EnginePools pools = pools(plan.service(), ready);
+    List<String> preferred = preferred(tight, shape, pools, ready);
     List<Upstream> sample =
         CandidateSample.of(
             candidates,
@@ -94,7 +109,8 @@
     List<UpstreamLoad> rated =
         sample.stream().map(each -> rated(each, shape, preferred, nowMillis)).toList();
     boolean patient = waitedMillis < PATIENT_SHARE * plan.route().targetLatencyMillis();
-    return EnginePlacement.choose(plan.route(), shape, zone, pools, patient, rated);
+    PlacementRequest request = new PlacementRequest(plan.route(), shape, zone, tight, patient);
+    return EnginePlacement.choose(request, engines.model(plan.service()), pools, rated);
   }
 
   /** Notes that an engine reads a prompt. */
@@ -123,6 +139,11 @@
     partIds.forEach(partId -> prefixes.noteRead(upstream, partId, timer.nowMillis()));
   }
 
+  /** Returns what is learned of the engines. */
+  public EngineBook engines() {
+    return engines;
+  }
+
   /** Returns the load book. */
   public LoadBook loads() {
     return loads;
@@ -157,15 +178,14 @@
     return loads.state(upstream).load(cachedTokens, affinityRank, others, nowMillis);
   }
 
-  private EnginePools pools(List<Upstream> ready) {
+  private EnginePools pools(String service, List<Upstream> ready) {
     int now = loads.tightStreams() + peers.tightStreams();
-    return EnginePools.split(ready, tightStreams.note(now, timer.nowMillis()));
+    return engines.split(service, ready, tightStreams.note(now, timer.nowMillis()));
   }
 
   /** Returns the engines of a request's pool in the order in which all entries prefer them. */
   private static List<String> preferred(
-      RequestPlan plan, PromptShape shape, EnginePools pools, List<Upstream> ready) {
-    boolean tight = EnginePlacement.isTight(plan.route());
+      boolean tight, PromptShape shape, EnginePools pools, List<Upstream> ready) {
     List<Upstream> pool =
         ready.stream().filter(each -> pools.tight().contains(each.id()) == tight).toList();
     return shape
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -10,9 +10,10 @@
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.Choice;
-import org.limpetvale.core.placement.EnginePlacement;
+import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.RequestBody;
+import org.limpetvale.forward.place.EngineBook;
 import org.limpetvale.forward.place.UpstreamState;
 import org.limpetvale.forward.route.RequestPlan;
 import org.limpetvale.forward.spi.AnswerHead;
@@ -71,11 +72,21 @@
   private final Upstream upstream;
   private final UpstreamState state;
   private final UpstreamConnection connection;
+  private final EngineBook engines;
   private final TimerService timer;
+
+  /** What was known of the upstream when the request was placed. */
+  private final UpstreamLoad load;
+
   private final boolean tight;
   private final int freshTokens;
   private final Optional<EventBoundary> events;
+  private long beganMillis;
   private long lastSignMillis;
+
+  /** When the last part of a stream came; 0 before the first. */
+  private long lastEventMillis;
+
   private boolean sent;
   private boolean promptPending;
   private int status;
@@ -94,6 +105,7 @@
       Choice choice,
       UpstreamState state,
       UpstreamConnection connection,
+      EngineBook engines,
       TimerService timer) {
     this.listener = listener;
     this.plan = plan;
@@ -102,14 +114,17 @@
     this.freshTokens = Math.max(0, request.shape().promptTokens() - choice.load().cachedTokens());
     this.state = state;
     this.connection = connection;
+    this.engines = engines;
     this.timer = timer;
-    this.tight = EnginePlacement.isTight(plan.route());
+    this.load = choice.load();
+    this.tight = isForEngine() && engines.isTight(plan.service(), plan.route());
     this.events = plan.route().resumable() ? Optional.of(new EventBoundary()) : Optional.empty();
   }
 
   /** Sends the request; its body may follow as it arrives. */
   void send(HttpRequest message, RequestBody body) {
-    lastSignMillis = timer.nowMillis();
+    beganMillis = timer.nowMillis();
+    lastSignMillis = beganMillis;
     promptPending = true;
     state.begin(this, freshTokens, tight);
     connection.send(message, body, request.requestId(), this);
@@ -192,6 +207,7 @@
     }
     if (!notRun) {
       begun();
+      notePace();
     }
     byte[] copy = new byte[bytes.readableBytes()];
     bytes.getBytes(bytes.readerIndex(), copy);
@@ -205,6 +221,24 @@
     }
   }
 
+  /** Lets the entry learn how its engine reads and answers. */
+  private void notePace() {
+    if (!isForEngine() || !Statuses.isSuccess(status)) {
+      return;
+    }
+    if (lastEventMillis > 0) {
+      engines.notePause(upstream, lastSignMillis - lastEventMillis);
+    } else if (load.pendingPromptTokens() == 0) {
+      long millis = lastSignMillis - beganMillis;
+      engines.noteRead(upstream, request.shape(), load.cachedTokens(), millis);
+    }
+    lastEventMillis = lastSignMillis;
+  }
+
+  private boolean isForEngine() {
+    return request.shape().isModelRequest();
+  }
+
   private void hold(byte[] bytes) {
     heldBody.writeBytes(bytes);
     if (heldBody.size() > MOST_HELD_BYTES) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -16,6 +16,7 @@
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.Choice;
+import org.limpetvale.core.placement.EngineModel;
 import org.limpetvale.core.result.Ran;
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.Result;
@@ -144,7 +145,8 @@
     boolean waits =
         choice.isPresent()
             && head.shape().isModelRequest()
-            && !BacklogLimit.admits(route(), head.shape().promptTokens(), choice.get());
+            && !BacklogLimit.admits(
+                route(), head.shape().promptTokens(), choice.get(), engineModel());
     if (!waits) {
       go(choice);
     }
@@ -155,6 +157,10 @@
     return parts.placer().place(plan, head.shape(), waitedMillis(), tried);
   }
 
+  private EngineModel engineModel() {
+    return parts.placer().engines().model(plan.service());
+  }
+
   private long waitedMillis() {
     return parts.timer().nowMillis() - input.arrivedMillis();
   }
@@ -245,7 +251,9 @@
     sentAttempts++;
     parts.metrics().count(Counter.ATTEMPTS);
     parts.placer().sent(upstream, head.shape());
-    attempt = new Attempt(this, plan, head, choice, state, connection, parts.timer());
+    attempt =
+        new Attempt(
+            this, plan, head, choice, state, connection, parts.placer().engines(), parts.timer());
     attempt.send(UpstreamRequest.of(parts.dialect(), input, grant(upstream, left)), input.body());
   }
 
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.placement.EngineModel;
 import org.limpetvale.forward.testing.ManualTimer;
 
 final class PeerBookTest {
@@ -22,6 +23,7 @@
         Map.of("u", Set.of("part-1", "part-2")),
         Map.of("service", 2),
         Map.of("digest", Set.of("process"), "served", Set.of()),
+        Map.of("service", new EngineModel(42.5, 20, 165.5)),
         4);
   }
 
@@ -54,6 +56,7 @@
             Map.of(),
             Map.of(),
             Map.of(),
+            Map.of(),
             0));
     assertThat(book.usage(7)).containsEntry("a.1", Map.of("w", 9L));
     assertThat(book.othersAt("u").requests()).isZero();
