Bytes without end from an upstream are bounded, in a head and in a body

Cause: the codec skips blank lines and hands interim answers on without end, the body of an answer to another request was skipped to its end, and a body or an event without a length was relayed until the route's timeout.

Change: ReceiveLimit before the codec counts bytes between two steps of progress (256 KiB; 16 MiB and a quarter for a whole answer of the store or the duties' interface); at most 16 other answers are skipped, and the body of one within 1 s; a body without a stated length ends at 16 MiB or 50,000 parts, an event at 1 MiB. The connection is closed; the caller gets 502 as it may have run, or the stream is cut; what may run again goes elsewhere. A body with a stated length passes whole at any size.

--- a/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
@@ -35,6 +35,10 @@
  */
 public final class HttpCaller {
   private static final int LARGEST_ANSWER_BYTES = 16 * 1024 * 1024;
+
+  /** Bytes of an answer with its header and whatever comes before it. */
+  private static final long MOST_RECEIVED_BYTES = LARGEST_ANSWER_BYTES + 256L * 1024;
+
   private static final int MOST_IDLE = 4;
 
   private final Transport transport;
@@ -86,11 +90,13 @@
                 new ChannelInitializer<>() {
                   @Override
                   protected void initChannel(Channel channel) {
+                    ReceiveLimit received = ReceiveLimit.of(MOST_RECEIVED_BYTES);
                     channel
                         .pipeline()
+                        .addLast(received)
                         .addLast(new HttpClientCodec())
                         .addLast(new HttpObjectAggregator(LARGEST_ANSWER_BYTES))
-                        .addLast(new Connection(channel));
+                        .addLast(new Connection(channel, received));
                   }
                 })
             .connect(address);
@@ -121,15 +127,18 @@
   /** One connection with at most one call under way. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final Channel channel;
+    private final ReceiveLimit received;
     private CompletableFuture<HttpReply> reply;
     private Future<?> timeout;
 
-    Connection(Channel channel) {
+    Connection(Channel channel, ReceiveLimit received) {
       this.channel = channel;
+      this.received = received;
     }
 
     void send(HttpCall call, CompletableFuture<HttpReply> waiting) {
       reply = waiting;
+      received.progress();
       timeout =
           channel
               .eventLoop()
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -14,10 +15,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.RequestBody;
+import org.limpetvale.forward.http.ReceiveLimit;
 import org.limpetvale.forward.spi.AnswerHead;
 import org.limpetvale.forward.spi.RequestDialect;
 
@@ -37,7 +40,14 @@
   /** Idle time within which a connection is used when its upstream tells no timeout. */
   private static final long UNKNOWN_IDLE_MILLIS = 800;
 
+  /** Interim answers, and answers to other requests, that are skipped before the one awaited. */
+  private static final int MOST_SKIPPED_ANSWERS = 16;
+
+  /** Time for the body of an answer to another request, from its header to its end. */
+  private static final long LONGEST_SKIP_MILLIS = 1_000;
+
   private final Channel channel;
+  private final ReceiveLimit received;
   private final RequestDialect dialect;
   private final TimerService timer;
   private final Owner owner;
@@ -47,6 +57,9 @@
   /** Whether the answer that is being read is for another request. */
   private boolean skipping;
 
+  private int skippedAnswers;
+  private TimerService.Subscription skipEnd = () -> {};
+  private AnswerBounds bounds;
   private boolean answerKeepsAlive;
   private boolean framedByLength;
   private boolean requestWritten;
@@ -68,8 +81,14 @@
     void ended(UpstreamConnection connection);
   }
 
-  UpstreamConnection(Channel channel, RequestDialect dialect, TimerService timer, Owner owner) {
+  UpstreamConnection(
+      Channel channel,
+      ReceiveLimit received,
+      RequestDialect dialect,
+      TimerService timer,
+      Owner owner) {
     this.channel = Objects.requireNonNull(channel, "channel is null");
+    this.received = Objects.requireNonNull(received, "received is null");
     this.dialect = Objects.requireNonNull(dialect, "dialect is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.owner = Objects.requireNonNull(owner, "owner is null");
@@ -87,6 +106,8 @@
     sink = answers;
     requestId = id;
     skipping = false;
+    skippedAnswers = 0;
+    received.progress();
     answered = false;
     requestWritten = false;
     boolean whole = request instanceof FullHttpRequest;
@@ -186,8 +207,11 @@
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL
             || (!head.requestId().isEmpty() && !head.requestId().equals(requestId));
     if (skipping) {
+      skip(response);
       return;
     }
+    received.progress();
+    bounds = AnswerBounds.of(response);
     answered = true;
     answerKeepsAlive = HttpUtil.isKeepAlive(response);
     framedByLength =
@@ -196,6 +220,24 @@
     sink.head(response, head);
   }
 
+  /** Lets an answer pass that is not the one awaited, within bounds. */
+  private void skip(HttpResponse response) {
+    skippedAnswers++;
+    if (skippedAnswers > MOST_SKIPPED_ANSWERS) {
+      breakOff(AnswerSink.Break.SPOILED, "more than " + MOST_SKIPPED_ANSWERS + " other answers");
+      return;
+    }
+    if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+      skipEnd = timer.after(LONGEST_SKIP_MILLIS, this::skipTooLong);
+    }
+  }
+
+  private void skipTooLong() {
+    if (skipping && sink != null) {
+      breakOff(AnswerSink.Break.SPOILED, "the answer to another request does not end");
+    }
+  }
+
   private void noteTimeout(HttpResponse response) {
     String keepAlive = response.headers().get("Keep-Alive", "");
     Matcher matcher = TIMEOUT.matcher(keepAlive);
@@ -208,6 +250,12 @@
   private void readContent(HttpContent content) {
     if (!skipping) {
       if (content.content().isReadable()) {
+        received.progress();
+        Optional<String> exceeded = bounds.exceededBy(content.content());
+        if (exceeded.isPresent()) {
+          breakOff(AnswerSink.Break.SPOILED, exceeded.get());
+          return;
+        }
         sink.content(content.content());
       }
       if (content instanceof LastHttpContent && sink != null) {
@@ -215,6 +263,7 @@
       }
     } else if (content instanceof LastHttpContent) {
       skipping = false;
+      skipEnd.cancel();
     }
   }
 
@@ -262,6 +311,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof TooLongFrameException) {
+      breakOff(AnswerSink.Break.SPOILED, cause.getMessage());
+      return;
+    }
     reset = true;
     channel.config().setOption(ChannelOption.SO_LINGER, 0);
     breakOff(AnswerSink.Break.CONNECTION_LOST, cause.toString());
@@ -276,6 +329,7 @@
   private void breakOff(AnswerSink.Break why, String detail) {
     AnswerSink broken = sink;
     sink = null;
+    skipEnd.cancel();
     endUpload();
     channel.close();
     if (broken != null) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
@@ -16,6 +16,7 @@
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.http.ReceiveLimit;
 import org.limpetvale.forward.http.Transport;
 import org.limpetvale.forward.spi.RequestDialect;
 
@@ -39,6 +40,9 @@
   private static final int LARGEST_HEADER_BYTES = 65_536;
   private static final int LARGEST_CHUNK_BYTES = 65_536;
 
+  /** Bytes that an upstream may send without getting on with the answer that is awaited. */
+  private static final long MOST_STALLED_BYTES = 256 * 1024;
+
   private final Transport transport;
   private final RequestDialect dialect;
   private final TimerService timer;
@@ -104,10 +108,12 @@
                 new ChannelInitializer<>() {
                   @Override
                   protected void initChannel(Channel channel) {
+                    ReceiveLimit received = ReceiveLimit.of(MOST_STALLED_BYTES);
                     channel
                         .pipeline()
+                        .addLast(received)
                         .addLast(new HttpClientCodec(decoderConfig(), false, false))
-                        .addLast(new UpstreamConnection(channel, dialect, timer, own));
+                        .addLast(new UpstreamConnection(channel, received, dialect, timer, own));
                   }
                 })
             .connect(address);
