A stop ends within its grace whatever the store does

Cause: the last rows are written 0.9 s before the end of the grace, and a call to a silent store is given up after 1.5 s (1 s to connect and 1.5 s more when it accepts none).

Change: the stop waits for its last write until 0.3 s before the end of the grace. The rows are still sent; only their answer is not awaited. The line stopped tells whether they were confirmed.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -53,6 +53,9 @@
   /** Part of the grace that is kept for the last writes. */
   private static final long LAST_WRITES_MILLIS = 900;
 
+  /** Part of the grace that is kept for the end of the process. */
+  private static final long EXIT_MILLIS = 300;
+
   private static final long STOP_CHECK_MILLIS = 50;
   private static final int BOOT_ID_LENGTH = 8;
 
@@ -120,7 +123,7 @@
     LoadBook loads = LoadBook.empty();
     TrueClock clock = TrueClock.of(timer);
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
-    EngineBook engines = EngineBook.of(peerBook, timer);
+    EngineBook engines = EngineBook.of(peerBook, timer, log);
     Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, engines, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
     this.crashes = CrashGuard.of(timer, log);
@@ -287,10 +290,13 @@
     finished = true;
     CompletableFuture<Boolean> left = duties.stop();
     peers.send();
+    long leftMillis = lastMillis + LAST_WRITES_MILLIS - EXIT_MILLIS - timer.nowMillis();
+    timer.after(leftMillis, () -> left.complete(false));
     left.thenAccept(
-        done -> {
+        written -> {
           peers.send();
-          log.change("stopped", field("running", forwarder.running()));
+          log.change(
+              "stopped", field("running", forwarder.running()), field("lastRowsWritten", written));
           onEnd.run();
         });
   }
