Slow upstreams are known by their answers, and told between entries

Cause: speed was always 1.

Change: UpstreamPace compares the time to the first bytes with the time that was predicted, and that with the same of all upstreams of the service; more than twice counts as slow, for 4 s after the last answer. Entries tell it with what they have there; what an entry knows itself goes first. An engine of half the speed costs 200 ms more. The line gap_target_rated tells when a gap target is found too short, and why.

--- a/core/src/main/java/org/limpetvale/core/placement/DecayingHistogram.java
+++ b/core/src/main/java/org/limpetvale/core/placement/DecayingHistogram.java
@@ -15,29 +15,33 @@
 
   private static final double SMALLEST = 0.1;
 
-  /** Samples after which an old one weighs a third. */
-  private static final double MEMORY_SAMPLES = 1_000;
-
   private static final double LARGEST_STEP = 1e9;
 
+  private final double growth;
   private final double[] weights = new double[BUCKETS];
   private double total;
 
   /** Weight of the next sample; growing it lets all earlier ones decay. */
   private double step = 1;
 
-  private DecayingHistogram() {}
+  private DecayingHistogram(double growth) {
+    this.growth = growth;
+  }
 
-  /** Returns a histogram without numbers. */
-  static DecayingHistogram empty() {
-    return new DecayingHistogram();
+  /**
+   * Returns a histogram without numbers.
+   *
+   * @param samples samples after which an old one weighs a third
+   */
+  static DecayingHistogram remembering(double samples) {
+    return new DecayingHistogram(1 + 1 / samples);
   }
 
   /** Adds a number. */
   void add(double value) {
     weights[bucket(value)] += step;
     total += step;
-    step *= 1 + 1 / MEMORY_SAMPLES;
+    step *= growth;
     if (step > LARGEST_STEP) {
       rescale();
     }
--- a/core/src/main/java/org/limpetvale/core/placement/EngineLearner.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EngineLearner.java
@@ -26,6 +26,9 @@
   /** A stream has tens of pauses, and one that is too long makes it late. */
   private static final double READING_QUANTILE = 0.95;
 
+  /** Samples after which an old one weighs a third. */
+  private static final double MEMORY_SAMPLES = 1_000;
+
   /** Samples before an estimate is used. */
   private static final double FEWEST_SAMPLES = 20;
 
@@ -37,9 +40,9 @@
 
   private static final double SHORTEST_READ_MILLIS = 5;
 
-  private final DecayingHistogram pauses = DecayingHistogram.empty();
-  private final DecayingHistogram readingPauses = DecayingHistogram.empty();
-  private final DecayingHistogram tokensPerMilli = DecayingHistogram.empty();
+  private final DecayingHistogram pauses = DecayingHistogram.remembering(MEMORY_SAMPLES);
+  private final DecayingHistogram readingPauses = DecayingHistogram.remembering(MEMORY_SAMPLES);
+  private final DecayingHistogram tokensPerMilli = DecayingHistogram.remembering(MEMORY_SAMPLES);
 
   private EngineLearner() {}
 
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -57,6 +57,10 @@
   private static final double MEDIUM_IN_TIGHT_POOL_MILLIS = 300;
 
   private static final double TIGHT_OUTSIDE_POOL_MILLIS = 150;
+
+  /** Cost of an engine of half the usual speed, for the events that a stream makes there. */
+  private static final double HALF_SPEED_MILLIS = 200;
+
   private static final double SILENT_MILLIS = 5_000;
   private static final double FAILURE_MILLIS = 2_000;
 
@@ -130,7 +134,8 @@
   }
 
   private static double riskMillis(UpstreamLoad load) {
-    return load.failureShare() * FAILURE_MILLIS + (load.silent() ? SILENT_MILLIS : 0);
+    double slowMillis = (1 / load.speed() - 1) * HALF_SPEED_MILLIS;
+    return slowMillis + load.failureShare() * FAILURE_MILLIS + (load.silent() ? SILENT_MILLIS : 0);
   }
 
   private static double poolMillis(
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -89,7 +89,8 @@
 
   /**
    * Returns what the other entries have at an upstream, as far as they have reported lately: sums,
-   * and the mean of their failure shares, so that one with a bad path does not speak for all.
+   * and the means of their failure shares and of the speeds that they know, so that one with a bad
+   * path does not speak for all.
    */
   public PeerReport.Load othersAt(String upstreamId) {
     long nowMillis = timer.nowMillis();
@@ -98,6 +99,8 @@
     int tightStreams = 0;
     int failurePercents = 0;
     int witnesses = 0;
+    int speedPercents = 0;
+    int speedWitnesses = 0;
     for (Heard each : reports.values()) {
       PeerReport.Load load = each.report().loads().get(upstreamId);
       if (load != null && isFresh(each, nowMillis)) {
@@ -106,10 +109,14 @@
         tightStreams += load.tightStreams();
         failurePercents += load.failurePercent();
         witnesses++;
+        speedPercents += load.speedPercent();
+        speedWitnesses += load.speedPercent() > 0 ? 1 : 0;
       }
     }
     int failurePercent = witnesses == 0 ? 0 : failurePercents / witnesses;
-    return new PeerReport.Load(requests, pendingPromptTokens, tightStreams, failurePercent);
+    int speedPercent = speedWitnesses == 0 ? 0 : speedPercents / speedWitnesses;
+    return new PeerReport.Load(
+        requests, pendingPromptTokens, tightStreams, failurePercent, speedPercent);
   }
 
   /** Returns the streams with a short gap target that other entries have open. */
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -71,10 +71,16 @@
    * @param pendingPromptTokens prompt tokens of requests without a first event
    * @param tightStreams streams with a short gap target
    * @param failurePercent share of recent requests that the upstream failed
+   * @param speedPercent speed of the upstream against its peers; 0 while it is not known
    */
-  public record Load(int requests, int pendingPromptTokens, int tightStreams, int failurePercent) {
+  public record Load(
+      int requests,
+      int pendingPromptTokens,
+      int tightStreams,
+      int failurePercent,
+      int speedPercent) {
     /** Nothing at an upstream that fails nothing. */
-    public static final Load NONE = new Load(0, 0, 0, 0);
+    public static final Load NONE = new Load(0, 0, 0, 0, 0);
   }
 
   public PeerReport {
@@ -133,7 +139,8 @@
                 .add(load.requests())
                 .add(load.pendingPromptTokens())
                 .add(load.tightStreams())
-                .add(load.failurePercent()));
+                .add(load.failurePercent())
+                .add(load.speedPercent()));
     if (!placements.isEmpty()) {
       putLists(node.putObject(PLACEMENTS), placements);
     }
@@ -252,7 +259,8 @@
               values.path(0).asInt(),
               values.path(1).asInt(),
               values.path(2).asInt(),
-              values.path(3).asInt()));
+              values.path(3).asInt(),
+              values.path(4).asInt()));
     }
     return loads;
   }
--- a/forward/src/main/java/org/limpetvale/forward/place/EngineBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/EngineBook.java
@@ -1,5 +1,7 @@
 package org.limpetvale.forward.place;
 
+import static org.limpetvale.forward.log.EventLog.field;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +17,7 @@
 import org.limpetvale.core.placement.PromptShape;
 import org.limpetvale.core.placement.TightGaps;
 import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.peer.PeerBook;
 
 /**
@@ -29,25 +32,31 @@
 
   private final PeerBook peers;
   private final TimerService timer;
+  private final EventLog log;
   private final Map<String, Service> services = new HashMap<>();
 
   /** What is known of the engines of one service. */
   private static final class Service {
     private final EngineLearner learner = EngineLearner.empty();
     private final TightGaps gaps = TightGaps.empty();
+
+    /** How each gap target was last logged. */
+    private final Map<Long, Boolean> loggedTight = new HashMap<>();
+
     private EngineModel model = EngineModel.UNKNOWN;
     private long modelUntilMillis = Long.MIN_VALUE;
     private EnginePools pools = EnginePools.NONE;
   }
 
-  private EngineBook(PeerBook peers, TimerService timer) {
+  private EngineBook(PeerBook peers, TimerService timer, EventLog log) {
     this.peers = Objects.requireNonNull(peers, "peers is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.log = Objects.requireNonNull(log, "log is null");
   }
 
   /** Returns a book of engines that have not been seen at work. */
-  public static EngineBook of(PeerBook peers, TimerService timer) {
-    return new EngineBook(peers, timer);
+  public static EngineBook of(PeerBook peers, TimerService timer, EventLog log) {
+    return new EngineBook(peers, timer, log);
   }
 
   // -- what is known
@@ -65,9 +74,23 @@
 
   /** Tells whether the gap target of a route is too short for engines that read long prompts. */
   public boolean isTight(String service, Route route) {
-    return service(service)
-        .gaps
-        .isTight(route.targetGapMillis(), model(service), timer.nowMillis());
+    Service known = service(service);
+    long targetMillis = route.targetGapMillis();
+    EngineModel model = model(service);
+    boolean tight = known.gaps.isTight(targetMillis, model, timer.nowMillis());
+    Boolean before = known.loggedTight.put(targetMillis, tight);
+    if (tight != Boolean.TRUE.equals(before)) {
+      log.change(
+          "gap_target_rated",
+          field("service", service),
+          field("targetGapMillis", targetMillis),
+          field("tight", tight),
+          field("readingPauseMillis", model.readingPauseMillis()),
+          field("idlePauseMillis", model.idlePauseMillis()),
+          field("prefillTokensPerMilli", model.prefillTokensPerMilli()),
+          field("entriesHeard", peers.engineModels(service).size()));
+    }
+    return tight;
   }
 
   /** Splits the engines of a service by the number of streams with short gap targets. */
--- a/forward/src/main/java/org/limpetvale/forward/place/LoadBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/LoadBook.java
@@ -4,12 +4,19 @@
 import java.util.Map;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.UpstreamPace;
 import org.limpetvale.forward.peer.PeerReport;
 
 /** The states of all upstream processes that this entry knows of; for the event loop only. */
 public final class LoadBook {
+  /** Answers after which one says little of how fast the upstreams of a service are now. */
+  private static final double PACE_SAMPLES = 200;
+
   private final Map<String, UpstreamState> states = new HashMap<>();
 
+  /** The pace of all upstreams of each service. */
+  private final Map<String, UpstreamPace> paces = new HashMap<>();
+
   private LoadBook() {}
 
   /** Returns a book without upstreams. */
@@ -24,7 +31,9 @@
       known.describe(upstream);
       return known;
     }
-    UpstreamState fresh = new UpstreamState(upstream);
+    UpstreamPace pace =
+        paces.computeIfAbsent(upstream.service(), name -> UpstreamPace.empty(PACE_SAMPLES));
+    UpstreamState fresh = new UpstreamState(upstream, pace);
     states.put(upstream.id(), fresh);
     return fresh;
   }
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.UpstreamLoad;
+import org.limpetvale.core.placement.UpstreamPace;
 import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.spi.AnswerHead;
 
@@ -30,7 +31,12 @@
     long silentAfterMillis();
   }
 
+  /** Answers after which one says little of how fast the upstream is now. */
+  private static final double PACE_SAMPLES = 6;
+
   private final Set<Sent> sent = new LinkedHashSet<>();
+  private final UpstreamPace pace = UpstreamPace.empty(PACE_SAMPLES);
+  private final UpstreamPace peersPace;
   private Upstream upstream;
   private int pendingPromptTokens;
   private int tightStreams;
@@ -41,8 +47,9 @@
   private long pauseMillis;
   private long pausedUntilMillis;
 
-  UpstreamState(Upstream upstream) {
+  UpstreamState(Upstream upstream, UpstreamPace peersPace) {
     this.upstream = Objects.requireNonNull(upstream, "upstream is null");
+    this.peersPace = peersPace;
   }
 
   /** Returns the upstream. */
@@ -97,6 +104,17 @@
     failureAtMillis = nowMillis;
   }
 
+  /**
+   * Notes an answer that begins now.
+   *
+   * @param millis time from the sending of its request
+   * @param predictedMillis the time that was predicted
+   */
+  public void answerBegan(double millis, double predictedMillis, long nowMillis) {
+    pace.note(millis, predictedMillis, nowMillis);
+    peersPace.note(millis, predictedMillis, nowMillis);
+  }
+
   private double failureShare(long nowMillis) {
     double age = Math.max(0, nowMillis - failureAtMillis);
     return failureShare * Math.pow(0.5, age / FAILURE_HALF_LIFE_MILLIS);
@@ -133,7 +151,7 @@
    */
   UpstreamLoad load(
       int cachedTokens, int affinityRank, Optional<PeerReport.Load> peers, long nowMillis) {
-    PeerReport.Load others = peers.orElse(new PeerReport.Load(othersTold(nowMillis), 0, 0, 0));
+    PeerReport.Load others = peers.orElse(new PeerReport.Load(othersTold(nowMillis), 0, 0, 0, 0));
     return new UpstreamLoad(
         upstream,
         sent.size(),
@@ -143,11 +161,20 @@
         tightStreams + others.tightStreams(),
         cachedTokens,
         affinityRank,
-        1,
+        speed(others, nowMillis),
         Math.max(failureShare(nowMillis), others.failurePercent() / PERCENT),
         silent(nowMillis));
   }
 
+  /** Returns the speed that this entry knows itself, else the one that others tell. */
+  private double speed(PeerReport.Load others, long nowMillis) {
+    double own = pace.speed(peersPace, nowMillis);
+    if (own > 0) {
+      return own;
+    }
+    return others.speedPercent() > 0 ? others.speedPercent() / PERCENT : 1;
+  }
+
   int tightStreams() {
     return tightStreams;
   }
@@ -155,8 +182,14 @@
   /** Returns what this entry has there, for the other entries. */
   PeerReport.Load own(long nowMillis) {
     int failurePercent = (int) Math.round(failureShare(nowMillis) * PERCENT);
+    int speedPercent = (int) Math.round(pace.speed(peersPace, nowMillis) * PERCENT);
+    boolean usualSpeed = sent.isEmpty() && speedPercent == PERCENT;
     return new PeerReport.Load(
-        sent.size(), Math.max(0, pendingPromptTokens), tightStreams, failurePercent);
+        sent.size(),
+        Math.max(0, pendingPromptTokens),
+        tightStreams,
+        failurePercent,
+        usualSpeed ? 0 : speedPercent);
   }
 
   private int othersTold(long nowMillis) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -81,6 +81,10 @@
   private final boolean tight;
   private final int freshTokens;
   private final Optional<EventBoundary> events;
+
+  /** The time to the first event that was predicted, with the speed that was known. */
+  private final double predictedMillis;
+
   private long beganMillis;
   private long lastSignMillis;
 
@@ -117,6 +121,7 @@
     this.engines = engines;
     this.timer = timer;
     this.load = choice.load();
+    this.predictedMillis = choice.predictedMillis();
     this.tight = isForEngine() && engines.isTight(plan.service(), plan.route());
     this.events = plan.route().resumable() ? Optional.of(new EventBoundary()) : Optional.empty();
   }
@@ -221,20 +226,26 @@
     }
   }
 
-  /** Lets the entry learn how its engine reads and answers. */
+  /** Lets the entry learn how its upstream reads and answers. */
   private void notePace() {
-    if (!isForEngine() || !Statuses.isSuccess(status)) {
+    if (!Statuses.isSuccess(status)) {
       return;
     }
-    if (lastEventMillis > 0) {
+    if (lastEventMillis > 0 && isForEngine()) {
       engines.notePause(upstream, lastSignMillis - lastEventMillis);
-    } else if (load.pendingPromptTokens() == 0) {
-      long millis = lastSignMillis - beganMillis;
-      engines.noteRead(upstream, request.shape(), load.cachedTokens(), millis);
+    } else if (lastEventMillis == 0) {
+      noteBeginning(lastSignMillis - beganMillis);
     }
     lastEventMillis = lastSignMillis;
   }
 
+  private void noteBeginning(long millis) {
+    state.answerBegan(millis, predictedMillis * load.speed(), lastSignMillis);
+    if (isForEngine() && load.pendingPromptTokens() == 0) {
+      engines.noteRead(upstream, request.shape(), load.cachedTokens(), millis);
+    }
+  }
+
   private boolean isForEngine() {
     return request.shape().isModelRequest();
   }
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerBookTest.java
@@ -19,7 +19,7 @@
         1_700_000_000_000L,
         6,
         Map.of(7L, Map.of("w", count)),
-        Map.of("u", new PeerReport.Load(requests, 100 * requests, 1, 10 * requests)),
+        Map.of("u", new PeerReport.Load(requests, 100 * requests, 1, 10 * requests, 20 * requests)),
         Map.of("u", Set.of("part-1", "part-2")),
         Map.of("service", 2),
         Map.of("digest", Set.of("process"), "served", Set.of()),
@@ -83,7 +83,7 @@
   void loadsOfAllOthersAddUpWhileTheyAreFresh() {
     book.take(report("a.1", 1, 0, 2));
     book.take(report("b.1", 1, 0, 3));
-    assertThat(book.othersAt("u")).isEqualTo(new PeerReport.Load(5, 500, 2, 25));
+    assertThat(book.othersAt("u")).isEqualTo(new PeerReport.Load(5, 500, 2, 25, 50));
     timer.advance(1_500);
     assertThat(book.hasFresh()).isFalse();
     assertThat(book.othersAt("u")).isEqualTo(PeerReport.Load.NONE);
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
@@ -9,7 +9,7 @@
 
 final class UpstreamStateTest {
   private final UpstreamState state =
-      new UpstreamState(new Upstream("u", "s", "10.0.0.1", 80, "z", 8, false, 1));
+      LoadBook.empty().state(new Upstream("u", "s", "10.0.0.1", 80, "z", 8, false, 1));
 
   private double failureShare(Optional<PeerReport.Load> others, long nowMillis) {
     return state.load(0, 0, others, nowMillis).failureShare();
@@ -37,10 +37,52 @@
 
   @Test
   void failuresAtOtherEntriesCountBeforeThisEntryHasMetThem() {
-    PeerReport.Load others = new PeerReport.Load(0, 0, 0, 60);
+    PeerReport.Load others = new PeerReport.Load(0, 0, 0, 60, 0);
     assertThat(failureShare(Optional.of(others), 1_000)).isEqualTo(0.6);
   }
 
+  private static UpstreamState state(LoadBook book, String id) {
+    return book.state(new Upstream(id, "s", "10.0.0.1", 80, "z", 8, false, 1));
+  }
+
+  private static double speed(UpstreamState state, Optional<PeerReport.Load> others, long millis) {
+    return state.load(0, 0, others, millis).speed();
+  }
+
+  /** One of six upstreams turns eight times slower and answers on, with good health. */
+  @Test
+  void anUpstreamThatTakesSeveralTimesAsLongAsItsPeersIsKnownToBeSlow() {
+    LoadBook book = LoadBook.empty();
+    for (int i = 0; i < 30; i++) {
+      state(book, "u" + i % 5).answerBegan(60, 40, 1_000 + i);
+    }
+    for (int i = 0; i < 3; i++) {
+      state(book, "slow").answerBegan(480, 40, 1_100 + i);
+    }
+    assertThat(speed(state(book, "slow"), Optional.empty(), 1_200)).isBetween(0.1, 0.16);
+    assertThat(speed(state(book, "u0"), Optional.empty(), 1_200)).isEqualTo(1);
+    assertThat(book.own(1_200).get("slow").speedPercent()).isBetween(10, 16);
+    assertThat(speed(state(book, "slow"), Optional.empty(), 6_000)).as("tried again").isEqualTo(1);
+  }
+
+  @Test
+  void aQueueThatWasForeseenIsNoSignOfASlowUpstream() {
+    LoadBook book = LoadBook.empty();
+    for (int i = 0; i < 30; i++) {
+      state(book, "u" + i % 5).answerBegan(60, 50, 1_000 + i);
+    }
+    for (int i = 0; i < 3; i++) {
+      state(book, "queue").answerBegan(600, 500, 1_100 + i);
+    }
+    assertThat(speed(state(book, "queue"), Optional.empty(), 1_200)).isEqualTo(1);
+  }
+
+  @Test
+  void aSlowUpstreamIsKnownFromOtherEntriesBeforeThisOneHasTriedIt() {
+    PeerReport.Load others = new PeerReport.Load(0, 0, 0, 0, 25);
+    assertThat(speed(state, Optional.of(others), 1_000)).isEqualTo(0.25);
+  }
+
   @Test
   void otherEntriesAreToldOfFailuresAlsoWhenNothingIsUnderWay() {
     LoadBook book = LoadBook.empty();
