Placing costs less: sums over reports, prefixes and preferred engines are looked up, not searched

Change: PeerBook keeps sums for 20 ms; PrefixBook looks a part up once; Rendezvous.first finds the two preferred engines without a sort; the split is made anew when the engines or the number of streams change; waiting requests are tried at most every 5 ms.

--- a/core/src/main/java/org/limpetvale/core/placement/PrefixBook.java
+++ b/core/src/main/java/org/limpetvale/core/placement/PrefixBook.java
@@ -1,5 +1,6 @@
 package org.limpetvale.core.placement;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +18,7 @@
  * <p>Not safe for use by several threads.
  */
 public final class PrefixBook {
-  private static final int MOST_ENTRIES = 20_000;
+  private static final int MOST_PARTS = 20_000;
 
   /** Time after which a part that was not used again is no longer counted on. */
   private static final long KEPT_MILLIS = 20_000;
@@ -25,22 +26,37 @@
   /** Shares of a prefix that are counted on at the engines where all entries send it first. */
   private static final double[] SHARED_CONFIDENCE = {0.8, 0.4};
 
-  private final Map<String, Long> seenAtMillis =
+  private final Map<String, Sightings> byPart =
       new LinkedHashMap<>(16, 0.75f, true) {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > MOST_ENTRIES;
+        protected boolean removeEldestEntry(Map.Entry<String, Sightings> eldest) {
+          return size() > MOST_PARTS;
         }
       };
 
-  /** When each part was last sent to any engine. */
-  private final Map<String, Long> sentAtMillis =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > MOST_ENTRIES;
-        }
-      };
+  /** The engines that have lately read a part. */
+  private static final class Sightings {
+    private final Map<String, Sighting> byEngine = new HashMap<>();
+
+    /** When the part was last sent to any engine. */
+    private long newestMillis;
+
+    void note(Upstream upstream, long nowMillis) {
+      byEngine.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
+      byEngine.put(upstream.id(), new Sighting(upstream.bornMillis(), nowMillis));
+      newestMillis = nowMillis;
+    }
+
+    boolean has(Upstream upstream, long nowMillis) {
+      Sighting known = byEngine.get(upstream.id());
+      return known != null
+          && known.bornMillis() == upstream.bornMillis()
+          && nowMillis - known.atMillis() <= KEPT_MILLIS;
+    }
+  }
+
+  /** That the process of an engine that was born at a time has read a part. */
+  private record Sighting(long bornMillis, long atMillis) {}
 
   private PrefixBook() {}
 
@@ -58,8 +74,7 @@
 
   /** Notes that an engine has read a part of a prompt. */
   public void noteRead(Upstream upstream, String partId, long nowMillis) {
-    seenAtMillis.put(key(upstream, partId), nowMillis);
-    sentAtMillis.put(partId, nowMillis);
+    byPart.computeIfAbsent(partId, id -> new Sightings()).note(upstream, nowMillis);
   }
 
   /**
@@ -88,23 +103,19 @@
     if (shared.isEmpty()) {
       return false;
     }
-    Long at = sentAtMillis.get(shared.getLast().id());
-    return at != null && nowMillis - at <= KEPT_MILLIS;
+    Sightings known = byPart.get(shared.getLast().id());
+    return known != null && nowMillis - known.newestMillis <= KEPT_MILLIS;
   }
 
   private int knownTokens(Upstream upstream, List<PromptShape.Part> parts, long nowMillis) {
     int tokens = 0;
     for (PromptShape.Part part : parts) {
-      Long at = seenAtMillis.get(key(upstream, part.id()));
-      if (at == null || nowMillis - at > KEPT_MILLIS) {
+      Sightings known = byPart.get(part.id());
+      if (known == null || !known.has(upstream, nowMillis)) {
         return tokens;
       }
       tokens += part.tokens();
     }
     return tokens;
   }
-
-  private static String key(Upstream upstream, String partId) {
-    return upstream.id() + '/' + upstream.bornMillis() + '/' + partId;
-  }
 }
--- a/core/src/main/java/org/limpetvale/core/placement/Rendezvous.java
+++ b/core/src/main/java/org/limpetvale/core/placement/Rendezvous.java
@@ -26,6 +26,44 @@
         .toList();
   }
 
+  /**
+   * Returns the first upstreams of the order for a key.
+   *
+   * @param count how many
+   */
+  public static List<Upstream> first(String key, List<Upstream> upstreams, int count) {
+    long seed = mix(key.hashCode());
+    Upstream[] first = new Upstream[Math.min(count, upstreams.size())];
+    long[] weights = new long[first.length];
+    for (Upstream each : upstreams) {
+      insert(each, weight(seed, each), first, weights);
+    }
+    return List.of(first);
+  }
+
+  /** Puts an upstream in its place among the first ones, if it is one of them. */
+  private static void insert(Upstream upstream, long weight, Upstream[] first, long[] weights) {
+    Upstream moving = upstream;
+    long movingWeight = weight;
+    for (int i = 0; i < first.length; i++) {
+      if (first[i] == null || precedes(moving, movingWeight, first[i], weights[i])) {
+        Upstream displaced = first[i];
+        long displacedWeight = weights[i];
+        first[i] = moving;
+        weights[i] = movingWeight;
+        if (displaced == null) {
+          return;
+        }
+        moving = displaced;
+        movingWeight = displacedWeight;
+      }
+    }
+  }
+
+  private static boolean precedes(Upstream one, long weight, Upstream other, long otherWeight) {
+    return weight < otherWeight || weight == otherWeight && one.id().compareTo(other.id()) < 0;
+  }
+
   private static long weight(long seed, Upstream upstream) {
     return mix(seed ^ mix(upstream.id().hashCode()));
   }
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -242,6 +242,17 @@
         .allMatch(count -> count > 60);
   }
 
+  @Test
+  void theFirstOfAnOrderAreThoseOfTheWholeOrder() {
+    List<Upstream> all = upstreams(39);
+    for (int i = 0; i < 200; i++) {
+      String key = "key-" + i;
+      assertThat(Rendezvous.first(key, all, 2)).isEqualTo(Rendezvous.order(key, all).subList(0, 2));
+    }
+    assertThat(Rendezvous.first("key", all.subList(0, 1), 2)).hasSize(1);
+    assertThat(Rendezvous.first("key", List.of(), 2)).isEmpty();
+  }
+
   private static String first(String key, List<Upstream> upstreams) {
     return Rendezvous.order(key, upstreams).getFirst().id();
   }
--- a/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
@@ -14,6 +14,12 @@
   /** Time after which waiting requests are tried again, also without news. */
   private static final long RETRY_PERIOD_MILLIS = 20;
 
+  /**
+   * Time between two goes: under load many engines make room at once, and each go places all that
+   * may have a chance.
+   */
+  private static final long SHORTEST_PERIOD_MILLIS = 5;
+
   /** Requests that are tried in one go. */
   private static final int MOST_TRIES = 24;
 
@@ -36,7 +42,9 @@
   private final TimerService timer;
   private final List<Waiter> waiting = new ArrayList<>();
   private boolean scheduled;
+  private boolean wakeScheduled;
   private boolean trying;
+  private long wokenMillis = Long.MIN_VALUE;
 
   private WaitingRequests(TimerService timer) {
     this.timer = Objects.requireNonNull(timer, "timer is null");
@@ -70,13 +78,29 @@
     return counts;
   }
 
-  /** Tries the waiting requests in their order, as there may be room. */
+  /** Tries the waiting requests in their order, as there may be room: now or in a moment. */
   public void wake() {
-    if (waiting.isEmpty() || trying) {
+    if (waiting.isEmpty() || trying || wakeScheduled) {
+      return;
+    }
+    long sinceMillis = timer.nowMillis() - wokenMillis;
+    if (wokenMillis != Long.MIN_VALUE && sinceMillis < SHORTEST_PERIOD_MILLIS) {
+      wakeScheduled = true;
+      timer.after(SHORTEST_PERIOD_MILLIS - sinceMillis, this::wakeLater);
       return;
     }
+    tryInOrder();
+  }
+
+  private void wakeLater() {
+    wakeScheduled = false;
+    wake();
+  }
+
+  private void tryInOrder() {
     trying = true;
     long nowMillis = timer.nowMillis();
+    wokenMillis = nowMillis;
     Comparator<WaitOrder.Place> order = WaitOrder.at(nowMillis);
     List<Waiter> first =
         waiting.stream()
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -23,11 +23,16 @@
   /** Age after which an entry's report is dropped. */
   private static final long KEPT_MILLIS = 60_000;
 
+  /** Time for which sums over all reports are used, as each placement asks for many of them. */
+  private static final long SUMS_MILLIS = 20;
+
   private final TimerService timer;
   private Consumer<PeerReport> onReport = report -> {};
   private final Map<String, Heard> reports = new HashMap<>();
 
   private Optional<Release> release = Optional.empty();
+  private Sums sums = Sums.NONE;
+  private long sumsAtMillis = Long.MIN_VALUE;
 
   private record Heard(PeerReport report, long atMillis) {}
 
@@ -83,8 +88,7 @@
 
   /** Tells whether any other entry has reported lately. */
   public boolean hasFresh() {
-    long nowMillis = timer.nowMillis();
-    return reports.values().stream().anyMatch(each -> isFresh(each, nowMillis));
+    return sums().fresh() > 0;
   }
 
   /**
@@ -93,40 +97,88 @@
    * path does not speak for all.
    */
   public PeerReport.Load othersAt(String upstreamId) {
+    return sums().byUpstream().getOrDefault(upstreamId, PeerReport.Load.NONE);
+  }
+
+  /** Returns the streams with a short gap target that other entries have open. */
+  public int tightStreams() {
+    return sums().tightStreams();
+  }
+
+  /** Returns the number of other entries that have reported lately, and so count as running. */
+  public int liveEntries() {
+    return sums().live();
+  }
+
+  private Sums sums() {
     long nowMillis = timer.nowMillis();
-    int requests = 0;
-    int pendingPromptTokens = 0;
-    int tightStreams = 0;
-    int failurePercents = 0;
-    int witnesses = 0;
-    int speedPercents = 0;
-    int speedWitnesses = 0;
+    if (sumsAtMillis == Long.MIN_VALUE || nowMillis - sumsAtMillis >= SUMS_MILLIS) {
+      sums = sumUp(nowMillis);
+      sumsAtMillis = nowMillis;
+    }
+    return sums;
+  }
+
+  private Sums sumUp(long nowMillis) {
+    Map<String, LoadSum> byUpstream = new HashMap<>();
+    int fresh = 0;
+    int live = 0;
     for (Heard each : reports.values()) {
-      PeerReport.Load load = each.report().loads().get(upstreamId);
-      if (load != null && isFresh(each, nowMillis)) {
-        requests += load.requests();
-        pendingPromptTokens += load.pendingPromptTokens();
-        tightStreams += load.tightStreams();
-        failurePercents += load.failurePercent();
-        witnesses++;
-        speedPercents += load.speedPercent();
-        speedWitnesses += load.speedPercent() > 0 ? 1 : 0;
+      live += nowMillis - each.atMillis() <= LIVE_MILLIS ? 1 : 0;
+      if (isFresh(each, nowMillis)) {
+        fresh++;
+        each.report()
+            .loads()
+            .forEach((id, load) -> byUpstream.computeIfAbsent(id, key -> new LoadSum()).add(load));
       }
     }
-    int failurePercent = witnesses == 0 ? 0 : failurePercents / witnesses;
-    int speedPercent = speedWitnesses == 0 ? 0 : speedPercents / speedWitnesses;
-    return new PeerReport.Load(
-        requests, pendingPromptTokens, tightStreams, failurePercent, speedPercent);
+    Map<String, PeerReport.Load> loads = new HashMap<>();
+    byUpstream.forEach((id, sum) -> loads.put(id, sum.load()));
+    int tight = loads.values().stream().mapToInt(PeerReport.Load::tightStreams).sum();
+    return new Sums(loads, tight, fresh, live);
   }
 
-  /** Returns the streams with a short gap target that other entries have open. */
-  public int tightStreams() {
-    long nowMillis = timer.nowMillis();
-    return reports.values().stream()
-        .filter(each -> isFresh(each, nowMillis))
-        .flatMap(each -> each.report().loads().values().stream())
-        .mapToInt(PeerReport.Load::tightStreams)
-        .sum();
+  /**
+   * What the reports tell together.
+   *
+   * @param byUpstream what the others have at each upstream
+   * @param tightStreams streams with a short gap target that they have open
+   * @param fresh reports that are fresh
+   * @param live entries that count as running
+   */
+  private record Sums(
+      Map<String, PeerReport.Load> byUpstream, int tightStreams, int fresh, int live) {
+    private static final Sums NONE = new Sums(Map.of(), 0, 0, 0);
+  }
+
+  /** Adds up what entries have at one upstream. */
+  private static final class LoadSum {
+    private int requests;
+    private int pendingPromptTokens;
+    private int tightStreams;
+    private int failurePercents;
+    private int witnesses;
+    private int speedPercents;
+    private int speedWitnesses;
+
+    void add(PeerReport.Load load) {
+      requests += load.requests();
+      pendingPromptTokens += load.pendingPromptTokens();
+      tightStreams += load.tightStreams();
+      failurePercents += load.failurePercent();
+      witnesses++;
+      speedPercents += load.speedPercent();
+      speedWitnesses += load.speedPercent() > 0 ? 1 : 0;
+    }
+
+    PeerReport.Load load() {
+      return new PeerReport.Load(
+          requests,
+          pendingPromptTokens,
+          tightStreams,
+          failurePercents / witnesses,
+          speedWitnesses == 0 ? 0 : speedPercents / speedWitnesses);
+    }
   }
 
   /** Returns what the other entries have learned of the engines of a service. */
--- a/forward/src/main/java/org/limpetvale/forward/place/EngineBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/EngineBook.java
@@ -46,6 +46,9 @@
     private EngineModel model = EngineModel.UNKNOWN;
     private long modelUntilMillis = Long.MIN_VALUE;
     private EnginePools pools = EnginePools.NONE;
+
+    /** What the pools were made of; null while there are none. */
+    private Split split;
   }
 
   private EngineBook(PeerBook peers, TimerService timer, EventLog log) {
@@ -97,13 +100,31 @@
   EnginePools split(String service, List<Upstream> engines, double tightStreams) {
     Service known = service(service);
     long shortestMillis = known.gaps.shortestMillis(timer.nowMillis());
-    known.pools =
-        shortestMillis > 0
-            ? EnginePools.split(engines, tightStreams, shortestMillis)
-            : EnginePools.NONE;
+    if (shortestMillis <= 0) {
+      known.pools = EnginePools.NONE;
+      known.split = null;
+      return known.pools;
+    }
+    Split split = new Split(engines, Math.ceil(tightStreams), shortestMillis);
+    if (!split.sameAs(known.split)) {
+      known.pools = EnginePools.split(engines, split.streams(), shortestMillis);
+      known.split = split;
+    }
     return known.pools;
   }
 
+  /** What a split of engines was made of. */
+  private record Split(List<Upstream> engines, double streams, long shortestMillis) {
+    /** Compares the engines by identity, as a view hands the same list out while it holds. */
+    @SuppressWarnings("ReferenceEquality")
+    boolean sameAs(Split other) {
+      return other != null
+          && engines == other.engines
+          && streams == other.streams
+          && shortestMillis == other.shortestMillis;
+    }
+  }
+
   /** Returns what this entry itself has learned, by service, for the other entries. */
   public Map<String, EngineModel> toTell() {
     Map<String, EngineModel> told = new HashMap<>();
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -30,7 +30,7 @@
   /** Shared tokens from which an engine that has them is worth looking at. */
   private static final int LONG_PREFIX_TOKENS = 1_000;
 
-  /** Engines in the order of preference that are always looked at. */
+  /** Engines in the order of preference that matter: they are always looked at. */
   private static final int PREFERRED = 2;
 
   /** Share of its target that a request waits for an engine that has its prefix. */
@@ -103,7 +103,7 @@
     List<Upstream> sample =
         CandidateSample.of(
             candidates,
-            1 + peers.live().size(),
+            1 + peers.liveEntries(),
             each -> mayHavePrefix(each, shape, preferred, nowMillis),
             ThreadLocalRandom.current()::nextDouble);
     List<UpstreamLoad> rated =
@@ -155,8 +155,7 @@
 
   private boolean mayHavePrefix(
       Upstream upstream, PromptShape shape, List<String> preferred, long nowMillis) {
-    int place = preferred.indexOf(upstream.id());
-    if (place >= 0 && place < PREFERRED) {
+    if (preferred.contains(upstream.id())) {
       return true;
     }
     int shared = shape.sharedTokens();
@@ -183,14 +182,14 @@
     return engines.split(service, ready, tightStreams.note(now, timer.nowMillis()));
   }
 
-  /** Returns the engines of a request's pool in the order in which all entries prefer them. */
+  /** Returns the engines of a request's pool that all entries prefer, in their order. */
   private static List<String> preferred(
       boolean tight, PromptShape shape, EnginePools pools, List<Upstream> ready) {
     List<Upstream> pool =
         ready.stream().filter(each -> pools.tight().contains(each.id()) == tight).toList();
     return shape
         .affinityKey()
-        .map(key -> Rendezvous.order(key, pool).stream().map(Upstream::id).toList())
+        .map(key -> Rendezvous.first(key, pool, PREFERRED).stream().map(Upstream::id).toList())
         .orElse(List.of());
   }
 }
