Requests of callers that left while the entry stood still reach no upstream

Cause: an entry that gets no processor for a second or more finds request and close behind each other in its sockets. It read the request and sent it on kept connections at once, before it read the close.

Change: a request begins as a task of its own, after all that has arrived was read, and only if its connection still stands.

--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerHandler.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerHandler.java
@@ -205,6 +205,17 @@
     body = input.body();
     body.onRoom(this::adjustReading);
     long serial = ++requestSerial;
+    channel.eventLoop().execute(() -> beginUnlessGone(input, serial));
+  }
+
+  /**
+   * Begins a request after all that has arrived was read: after this process has stood still, its
+   * caller may have left long ago, and the close comes right behind the request.
+   */
+  private void beginUnlessGone(RequestInput input, long serial) {
+    if (!channel.isActive() || ending || !answering || serial != requestSerial) {
+      return;
+    }
     Exchanges.Running begun = server.exchanges().begin(input, this);
     if (answering && serial == requestSerial) {
       running = begun;
