--- a/core/src/main/java/org/limpetvale/core/placement/TightGaps.java
+++ b/core/src/main/java/org/limpetvale/core/placement/TightGaps.java
@@ -7,8 +7,10 @@
  * The gap targets of a service's streams that are too short for engines that read long prompts.
  *
  * <p>The load that it answers: streams with several gap targets beside prompts of all lengths.
- * Which of the targets break depends on the engines; a target near the limit must not change sides
- * with each sample, as its streams would move between engines.
+ * Which of the targets break depends on the engines. Of those that do, only the shortest are kept
+ * apart: the prompts of streams with longer targets would break the shorter ones beside them. A
+ * target near the limit must not change sides with each sample, as its streams would move between
+ * engines.
  *
  * <p>Not safe for use by several threads.
  */
@@ -16,12 +18,15 @@
   /** Share of a target that the pauses must fall below before it counts as long enough again. */
   private static final double LEAVE_SHARE = 0.8;
 
+  /** Targets up to this many times the shortest that breaks are kept apart with it. */
+  private static final double NEAR_SHORTEST = 1.25;
+
   /** Time after which a target that no request had is forgotten. */
   private static final long KEPT_MILLIS = 10_000;
 
   private final Map<Long, Seen> targets = new HashMap<>();
 
-  private record Seen(boolean tight, long atMillis) {}
+  private record Seen(boolean breaks, long atMillis) {}
 
   private TightGaps() {}
 
@@ -42,17 +47,17 @@
       return false;
     }
     Seen before = targets.get(targetGapMillis);
-    boolean was = before != null && before.tight();
-    boolean tight = model.breaks(targetGapMillis, was ? LEAVE_SHARE : 1);
-    targets.put(targetGapMillis, new Seen(tight, nowMillis));
-    return tight;
+    boolean did = before != null && before.breaks();
+    boolean breaks = model.breaks(targetGapMillis, did ? LEAVE_SHARE : 1);
+    targets.put(targetGapMillis, new Seen(breaks, nowMillis));
+    return breaks && targetGapMillis <= NEAR_SHORTEST * shortestMillis(nowMillis);
   }
 
-  /** Returns the shortest target lately seen that is too short; 0 if there is none. */
+  /** Returns the shortest target lately seen that breaks; 0 if there is none. */
   public long shortestMillis(long nowMillis) {
     targets.values().removeIf(each -> nowMillis - each.atMillis() > KEPT_MILLIS);
     return targets.entrySet().stream()
-        .filter(each -> each.getValue().tight())
+        .filter(each -> each.getValue().breaks())
         .mapToLong(Map.Entry::getKey)
         .min()
         .orElse(0);
--- a/core/src/test/java/org/limpetvale/core/placement/TightGapsTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/TightGapsTest.java
@@ -43,6 +43,19 @@
     assertThat(gaps.isTight(200, reading(150), 3)).isFalse();
   }
 
+  /**
+   * Summaries with 250 ms and questions with 150 ms on engines whose pauses reach 260 ms: on the
+   * same engines the prompts of the summaries make the questions late.
+   */
+  @Test
+  void onlyTheShortestOfTheTargetsThatBreakIsKeptApart() {
+    TightGaps gaps = TightGaps.empty();
+    assertThat(gaps.isTight(150, reading(260), 0)).isTrue();
+    assertThat(gaps.isTight(250, reading(260), 1)).isFalse();
+    assertThat(gaps.isTight(180, reading(260), 2)).isTrue();
+    assertThat(gaps.isTight(250, reading(260), 20_000)).as("alone").isTrue();
+  }
+
   @Test
   void theShortestOfTheTargetsThatAreTooShortIsKnownWhileRequestsHaveIt() {
     TightGaps gaps = TightGaps.empty();
