Repeats wait for room at engines as first tries do

All entries choose the same few engines by prefix; up to 260,000 unread prompt tokens (4 s of reading) stood at some while others had none, so route-plan p95 came after 5.5 s and driver-query beside them paused 250 to 350 ms. 141 lines of placing with more than 100,000 unread tokens, all of second attempts. Ruled out: pools that change sides (each entry rated its gap target once). Change: a request that is placed again, after a failure or a refused connection, waits as the first time; it counts at its upstream from its placement, not from its sending. The retry is taken again when it is sent, as before.

--- a/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
+++ b/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
@@ -44,7 +44,7 @@
     if (pending == 0) {
       return true;
     }
-    int fresh = Math.max(0, promptTokens - choice.load().cachedTokens());
+    int fresh = choice.load().freshTokens(promptTokens);
     boolean urgent = route.targetLatencyMillis() <= URGENT_TARGET_MILLIS;
     double most = model.tokensIn(urgent ? URGENT_MILLIS : USUAL_MILLIS);
     int own = choice.load().ownPendingPromptTokens();
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -109,7 +109,7 @@
   private static Choice rate(
       PlacementRequest request, EngineModel model, EnginePools pools, UpstreamLoad load) {
     PromptShape shape = request.shape();
-    int fresh = Math.max(0, shape.promptTokens() - load.cachedTokens());
+    int fresh = load.freshTokens(shape.promptTokens());
     double ownMillis =
         prefillMillis(model, shape.promptTokens(), load.cachedTokens()) / load.speed();
     double predicted = BASE_MILLIS + queueMillis(model, load) + ownMillis;
--- a/core/src/main/java/org/limpetvale/core/placement/UpstreamLoad.java
+++ b/core/src/main/java/org/limpetvale/core/placement/UpstreamLoad.java
@@ -36,6 +36,11 @@
     Objects.requireNonNull(upstream, "upstream is null");
   }
 
+  /** Returns the tokens of the request's prompt that it would have to read. */
+  public int freshTokens(int promptTokens) {
+    return Math.max(0, promptTokens - cachedTokens);
+  }
+
   /** Returns the requests there, of this entry and of others. */
   public int requests() {
     return ownRequests + otherRequests;
--- a/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
@@ -108,8 +108,10 @@
             .limit(MOST_TRIES)
             .toList();
     for (Waiter waiter : first) {
-      if (waiter.tryAgain()) {
-        waiting.remove(waiter);
+      // Taken out before, as one that is placed may fail at once and wait again.
+      waiting.remove(waiter);
+      if (!waiter.tryAgain()) {
+        waiting.add(waiter);
       }
     }
     trying = false;
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -38,6 +38,7 @@
   private final UpstreamPace pace = UpstreamPace.empty(PACE_SAMPLES);
   private final UpstreamPace peersPace;
   private Upstream upstream;
+  private int reserved;
   private int pendingPromptTokens;
   private int tightStreams;
   private double others;
@@ -68,6 +69,22 @@
 
   // -- requests
 
+  /**
+   * Counts a request that is placed here and has no connection yet.
+   *
+   * @param freshTokens tokens of its prompt that the upstream has to read
+   */
+  public void reserve(int freshTokens) {
+    reserved++;
+    pendingPromptTokens += freshTokens;
+  }
+
+  /** Counts it no more, as it is sent now or was given up. */
+  public void release(int freshTokens) {
+    reserved--;
+    pendingPromptTokens -= freshTokens;
+  }
+
   /**
    * Notes a request that is sent now.
    *
@@ -154,7 +171,7 @@
     PeerReport.Load others = peers.orElse(new PeerReport.Load(othersTold(nowMillis), 0, 0, 0, 0));
     return new UpstreamLoad(
         upstream,
-        sent.size(),
+        sent.size() + reserved,
         others.requests(),
         Math.max(0, pendingPromptTokens) + others.pendingPromptTokens(),
         Math.max(0, pendingPromptTokens),
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -115,7 +115,7 @@
     this.plan = plan;
     this.request = request;
     this.upstream = choice.upstream();
-    this.freshTokens = Math.max(0, request.shape().promptTokens() - choice.load().cachedTokens());
+    this.freshTokens = choice.load().freshTokens(request.shape().promptTokens());
     this.state = state;
     this.connection = connection;
     this.engines = engines;
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -103,9 +103,7 @@
         endMillis = input.arrivedMillis() + allowed;
         timeout = parts.timer().after(Math.max(0, leftMillis()), this::timedOut);
         parts.budgets().request(plan.service());
-        if (!tryAgain()) {
-          parts.waiting().add(this);
-        }
+        placeOrWait();
       }
     }
   }
@@ -165,9 +163,11 @@
     return parts.timer().nowMillis() - input.arrivedMillis();
   }
 
-  /** Places the request without waiting for room, as after a failed attempt. */
-  private void placeNow() {
-    go(choose());
+  /** Places the request, first or again, or lets it wait for room. */
+  private void placeOrWait() {
+    if (!tryAgain()) {
+      parts.waiting().add(this);
+    }
   }
 
   private void go(Optional<Choice> choice) {
@@ -178,12 +178,22 @@
     Upstream upstream = choice.get().upstream();
     lines.placed(plan, choice.get(), waitedMillis(), sentAttempts + 1);
     tried.add(upstream.id());
-    parts.pool().acquire(upstream, route().mayRepeat(), lease -> connected(choice.get(), lease));
-  }
-
-  private void connected(Choice choice, UpstreamPool.Lease lease) {
-    Upstream upstream = choice.upstream();
     UpstreamState state = parts.placer().loads().state(upstream);
+    int freshTokens = choice.get().load().freshTokens(head.shape().promptTokens());
+    state.reserve(freshTokens);
+    parts
+        .pool()
+        .acquire(
+            upstream,
+            route().mayRepeat(),
+            lease -> {
+              state.release(freshTokens);
+              connected(choice.get(), state, lease);
+            });
+  }
+
+  private void connected(Choice choice, UpstreamState state, UpstreamPool.Lease lease) {
+    Upstream upstream = choice.upstream();
     switch (lease) {
       case UpstreamPool.Lease.Unreachable(String detail) -> {
         state.connectFailed(parts.timer().nowMillis());
@@ -202,7 +212,7 @@
         if (ended || !stillReady(upstream)) {
           connection.close();
           if (!ended) {
-            placeNow();
+            placeOrWait();
           }
           return;
         }
@@ -216,7 +226,7 @@
     if (connectFailures >= MOST_CONNECT_FAILURES || leftMillis() < LEAST_RETRY_MILLIS) {
       giveUp(ResultCode.NO_UPSTREAM, "no connection to any upstream tried");
     } else {
-      placeNow();
+      placeOrWait();
     }
   }
 
@@ -355,7 +365,7 @@
     if (takeRetry(ran)) {
       parts.metrics().count(passed.hasBegun() ? Counter.RESUMES : Counter.RETRIES);
       mayHaveRun |= ran;
-      placeNow();
+      placeOrWait();
       return;
     }
     mayHaveRun |= ran;
--- a/forward/src/test/java/org/limpetvale/forward/admit/WaitingRequestsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/admit/WaitingRequestsTest.java
@@ -14,6 +14,7 @@
   private static final class Waiter implements WaitingRequests.Waiter {
     private int tries;
     private boolean hasRoom;
+    private Runnable whenTried = () -> {};
 
     @Override
     public String service() {
@@ -28,6 +29,7 @@
     @Override
     public boolean tryAgain() {
       tries++;
+      whenTried.run();
       return hasRoom;
     }
   }
@@ -56,4 +58,15 @@
     timer.advance(6);
     assertThat(waiting.size()).isZero();
   }
+
+  /** Its connection may be refused within the call, and it waits for another engine. */
+  @Test
+  void aRequestThatIsPlacedAndWaitsAgainAtOnceIsKept() {
+    Waiter waiter = new Waiter();
+    waiter.hasRoom = true;
+    waiter.whenTried = () -> waiting.add(waiter);
+    waiting.add(waiter);
+    waiting.wake();
+    assertThat(waiting.size()).isEqualTo(1);
+  }
 }
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.forward.peer.PeerReport;
 
 final class UpstreamStateTest {
@@ -41,6 +42,19 @@
     assertThat(failureShare(Optional.of(others), 1_000)).isEqualTo(0.6);
   }
 
+  /** Many requests are placed while the connections of the first are still made. */
+  @Test
+  void aRequestCountsFromItsPlacementAndNotFromItsSending() {
+    state.reserve(3_000);
+    UpstreamLoad placed = state.load(0, 0, Optional.empty(), 1_000);
+    assertThat(placed.ownRequests()).isEqualTo(1);
+    assertThat(placed.ownPendingPromptTokens()).isEqualTo(3_000);
+    state.release(3_000);
+    UpstreamLoad given = state.load(0, 0, Optional.empty(), 1_000);
+    assertThat(given.ownRequests()).isZero();
+    assertThat(given.ownPendingPromptTokens()).isZero();
+  }
+
   private static UpstreamState state(LoadBook book, String id) {
     return book.state(new Upstream(id, "s", "10.0.0.1", 80, "z", 8, false, 1));
   }
