A reading speed that no entry has seen is not told as seen

An entry that knew only pauses told the speed that is assumed as if it had seen it, and the median of all took it; and 20 prompts that found nothing unread at their engine are rare under load.

--- a/core/src/main/java/org/limpetvale/core/placement/EngineModel.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EngineModel.java
@@ -3,7 +3,7 @@
 /**
  * How the engines of a service read prompts and make events, as learned from their answers.
  *
- * @param prefillTokensPerMilli prompt tokens that an engine reads in a millisecond
+ * @param prefillTokensPerMilli prompt tokens that an engine reads in a millisecond; 0 while unknown
  * @param idlePauseMillis pause between two events of a stream while its engine reads no prompt; 0
  *     while unknown
  * @param readingPauseMillis the same while its engine reads long prompts step after step; 0 while
@@ -11,18 +11,30 @@
  */
 public record EngineModel(
     double prefillTokensPerMilli, double idlePauseMillis, double readingPauseMillis) {
-  /** What is assumed of engines that have not been seen at work. */
-  public static final EngineModel UNKNOWN = new EngineModel(40, 0, 0);
+  /** Engines that have not been seen at work. */
+  public static final EngineModel UNKNOWN = new EngineModel(0, 0, 0);
+
+  /** Speed that is assumed of engines that nobody has seen reading. */
+  private static final double ASSUMED_TOKENS_PER_MILLI = 40;
 
   public EngineModel {
-    if (!(prefillTokensPerMilli > 0)) {
-      throw new IllegalArgumentException("prefillTokensPerMilli is not positive");
+    if (!(prefillTokensPerMilli >= 0)) {
+      throw new IllegalArgumentException("prefillTokensPerMilli is negative");
     }
   }
 
   /** Returns the prompt tokens that an engine reads in a time. */
   public double tokensIn(double millis) {
-    return prefillTokensPerMilli * Math.max(0, millis);
+    return speed() * Math.max(0, millis);
+  }
+
+  /** Returns the time in which an engine reads prompt tokens, in milliseconds. */
+  double millisFor(double tokens) {
+    return tokens / speed();
+  }
+
+  private double speed() {
+    return prefillTokensPerMilli > 0 ? prefillTokensPerMilli : ASSUMED_TOKENS_PER_MILLI;
   }
 
   /** Returns the unread prompt tokens that an engine can hold without a pause beyond a target. */
