A gap target counts as short before a burst breaks it

Cause, from the same trace: driver-query (200 ms) was rated short at 12.8 s, four seconds into the burst, as the pauses learned in calm stay just below 200 ms; before it a fifth of its streams already paused longer, and placement did not count them when it added long prompts beside them. Change: a target counts as short from 0.8 of it (until 0.65).

--- a/core/src/main/java/org/limpetvale/core/placement/TightGaps.java
+++ b/core/src/main/java/org/limpetvale/core/placement/TightGaps.java
@@ -15,8 +15,14 @@
  * <p>Not safe for use by several threads.
  */
 public final class TightGaps {
+  /**
+   * Share of a target that the pauses must pass before it counts as too short: they were learned
+   * beside fewer streams than a burst brings, and each stream makes a step longer.
+   */
+  private static final double ENTER_SHARE = 0.8;
+
   /** Share of a target that the pauses must fall below before it counts as long enough again. */
-  private static final double LEAVE_SHARE = 0.8;
+  private static final double LEAVE_SHARE = 0.65;
 
   /** Targets up to this many times the shortest that breaks are kept apart with it. */
   private static final double NEAR_SHORTEST = 1.25;
@@ -48,7 +54,7 @@
     }
     Seen before = targets.get(targetGapMillis);
     boolean did = before != null && before.breaks();
-    boolean breaks = model.breaks(targetGapMillis, did ? LEAVE_SHARE : 1);
+    boolean breaks = model.breaks(targetGapMillis, did ? LEAVE_SHARE : ENTER_SHARE);
     targets.put(targetGapMillis, new Seen(breaks, nowMillis));
     return breaks && targetGapMillis <= NEAR_SHORTEST * shortestMillis(nowMillis);
   }
