--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -21,7 +21,6 @@
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.Result;
 import org.limpetvale.core.result.ResultCode;
-import org.limpetvale.core.retry.FleetRetryBudget;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.CallerLink;
 import org.limpetvale.forward.accept.Exchanges;
@@ -62,12 +61,10 @@
   /** Whether an attempt that was given up may have run. */
   private boolean mayHaveRun;
 
-  /** What the budget has granted for the next attempt, until that is sent. */
-  private Optional<FleetRetryBudget.Decision> unsentRetry = Optional.empty();
-
   private boolean counted;
   private final AnswerPace pace;
   private final ExchangeLines lines;
+  private final RepeatRight repeatRight;
   private final PassedAnswer passed;
   private boolean ended;
   private Optional<String> resumeAfter = Optional.empty();
@@ -81,6 +78,7 @@
     this.passed = new PassedAnswer(link, input.head().method());
     this.pace = new AnswerPace(input.arrivedMillis());
     this.lines = new ExchangeLines(parts.log(), head);
+    this.repeatRight = new RepeatRight(parts.budgets(), parts.metrics(), lines);
   }
 
   // -- beginning
@@ -253,7 +251,7 @@
       giveUp(ResultCode.UPSTREAM_LOST, "the beginning of the body is not kept");
       return;
     }
-    if (unsentRetry.isPresent() && !takeRetryAgain()) {
+    if (repeatRight.isHeld() && !repeatRight.use(plan.service())) {
       connection.close();
       giveUp(ResultCode.RETRY_BUDGET_SPENT, "no retry is left as this one is to be sent");
       return;
@@ -381,34 +379,9 @@
     };
   }
 
-  /** Takes the right to another attempt out of the budget, once for each failed attempt. */
+  /** Takes the right to another attempt, once for each failed attempt. */
   private boolean takeRetry(boolean ran) {
-    if (unsentRetry.isEmpty() && canRetry(ran)) {
-      FleetRetryBudget.Decision decision = parts.budgets().tryTake(plan.service());
-      if (!decision.granted()) {
-        retryDenied(decision);
-        return false;
-      }
-      lines.repeat(plan.service(), decision);
-      unsentRetry = Optional.of(decision);
-    }
-    return unsentRetry.isPresent();
-  }
-
-  /** Takes it again when the attempt is sent, which may be later, as after failed connects. */
-  private boolean takeRetryAgain() {
-    FleetRetryBudget.Decision granted = unsentRetry.orElseThrow();
-    unsentRetry = Optional.empty();
-    FleetRetryBudget.Decision again = parts.budgets().takeAgain(plan.service(), granted);
-    if (!again.granted()) {
-      retryDenied(again);
-    }
-    return again.granted();
-  }
-
-  private void retryDenied(FleetRetryBudget.Decision decision) {
-    lines.repeat(plan.service(), decision);
-    parts.metrics().count(Counter.RETRIES_DENIED);
+    return repeatRight.isHeld() || canRetry(ran) && repeatRight.take(plan.service());
   }
 
   private boolean canRetry(boolean ran) {
@@ -510,7 +483,9 @@
   private void finish(String outcome, int status) {
     ended = true;
     attempt = null;
-    unsentRetry.ifPresent(unsent -> parts.budgets().giveBack(plan.service(), unsent));
+    if (plan != null) {
+      repeatRight.giveBack(plan.service());
+    }
     timeout.cancel();
     parts.waiting().remove(this);
     long millis = parts.timer().nowMillis() - input.arrivedMillis();
