An engine is given no more unread prompts than the streams there bear

Change: three quarters of a gap target may be filled, and a request waits at the entry while what is unread at its engine would break the gaps of its own kind (the limits of 300 and 450 ms of reading stay as upper bounds). BacklogLimitTest has a case that fails before by its numbers (3,500 + 500 tokens were admitted at 150 ms); it was not run on the code before.

--- a/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
+++ b/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
@@ -10,8 +10,8 @@
  *
  * <p>The load that it answers: bursts of long prompts. An engine reads what it was given in the
  * order that it came, keeps all of it in memory, and cannot give it back; so a request that waits
- * there delays more urgent ones that come later and pushes cached prefixes out. What waits at the
- * entry does neither.
+ * there delays more urgent ones that come later, breaks the gaps of the streams beside it, its own
+ * kind most of all, and pushes cached prefixes out. What waits at the entry does none of this.
  */
 public final class BacklogLimit {
   /** Reading time that an engine is given ahead by requests with a usual latency target. */
@@ -47,6 +47,9 @@
     int fresh = choice.load().freshTokens(promptTokens);
     boolean urgent = route.targetLatencyMillis() <= URGENT_TARGET_MILLIS;
     double most = model.tokensIn(urgent ? URGENT_MILLIS : USUAL_MILLIS);
+    if (route.targetGapMillis() > 0) {
+      most = Math.min(most, model.tokensInGap(route.targetGapMillis()));
+    }
     int own = choice.load().ownPendingPromptTokens();
     return pending + fresh <= most && (own == 0 || own + fresh <= OWN_SHARE * most);
   }
--- a/core/src/main/java/org/limpetvale/core/placement/EngineModel.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EngineModel.java
@@ -14,6 +14,12 @@
   /** Engines that have not been seen at work. */
   public static final EngineModel UNKNOWN = new EngineModel(0, 0, 0);
 
+  /**
+   * Share of a gap target that idle pause and unread prompts may fill, as other entries may have
+   * added some that are not heard of yet.
+   */
+  private static final double GAP_SHARE = 0.75;
+
   /** Speed that is assumed of engines that nobody has seen reading. */
   private static final double ASSUMED_TOKENS_PER_MILLI = 40;
 
@@ -37,9 +43,12 @@
     return prefillTokensPerMilli > 0 ? prefillTokensPerMilli : ASSUMED_TOKENS_PER_MILLI;
   }
 
-  /** Returns the unread prompt tokens that an engine can hold without a pause beyond a target. */
+  /**
+   * Returns the unread prompt tokens that an engine can hold without a pause beyond a target; 0 if
+   * the pause of an idle engine fills it.
+   */
   public double tokensInGap(long targetGapMillis) {
-    return tokensIn(targetGapMillis - idlePauseMillis);
+    return tokensIn(GAP_SHARE * targetGapMillis - idlePauseMillis);
   }
 
   /** Tells whether engines that read long prompts make pauses beyond a share of a gap target. */
--- a/core/src/test/java/org/limpetvale/core/admission/BacklogLimitTest.java
+++ b/core/src/test/java/org/limpetvale/core/admission/BacklogLimitTest.java
@@ -17,6 +17,10 @@
   private static final EngineModel MODEL = new EngineModel(40, 20, 220);
 
   private static Route route(long targetMillis) {
+    return route(targetMillis, 600);
+  }
+
+  private static Route route(long targetMillis, long targetGapMillis) {
     return new Route(
         "r",
         "h",
@@ -24,7 +28,7 @@
         Route.Kind.STREAMING,
         6_000,
         targetMillis,
-        600,
+        targetGapMillis,
         1,
         List.of(new Route.Split("s", 1)),
         1,
@@ -57,6 +61,17 @@
     assertThat(BacklogLimit.admits(URGENT, 5_000, choice(14_000, 0, 0), MODEL)).isFalse();
   }
 
+  /**
+   * A burst of short questions on one engine: each prompt more makes all the streams there late.
+   */
+  @Test
+  void aPromptWaitsWhileWhatIsUnreadWouldBreakTheGapsOfItsKind() {
+    Route shortGaps = route(500, 150);
+    assertThat(BacklogLimit.admits(shortGaps, 500, choice(2_500, 0, 0), MODEL)).isTrue();
+    assertThat(BacklogLimit.admits(shortGaps, 500, choice(3_500, 0, 0), MODEL)).isFalse();
+    assertThat(BacklogLimit.admits(shortGaps, 500, choice(0, 0, 0), MODEL)).isTrue();
+  }
+
   @Test
   void oneEntryFillsAtMostHalfOfTheRoom() {
     assertThat(BacklogLimit.admits(USUAL, 3_000, choice(3_000, 3_000, 0), MODEL)).isTrue();
