--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -1,5 +1,6 @@
 package org.limpetvale.forward.place;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -45,6 +46,7 @@
   private final PrefixBook prefixes = PrefixBook.empty();
   private final RecentPlacements recent = new RecentPlacements();
   private final StreamEstimate tightStreams = StreamEstimate.empty();
+  private final Map<String, StreamEstimate> allStreams = new HashMap<>();
 
   private Placer(
       String zone,
@@ -178,8 +180,19 @@
   }
 
   private EnginePools pools(String service, List<Upstream> ready) {
-    int now = loads.tightStreams() + peers.tightStreams();
-    return engines.split(service, ready, tightStreams.note(now, timer.nowMillis()));
+    long nowMillis = timer.nowMillis();
+    double tight = tightStreams.note(loads.tightStreams() + peers.tightStreams(), nowMillis);
+    double all =
+        allStreams
+            .computeIfAbsent(service, name -> StreamEstimate.empty())
+            .note(requestsAt(ready), nowMillis);
+    return engines.split(service, ready, tight, all);
+  }
+
+  private int requestsAt(List<Upstream> upstreams) {
+    return upstreams.stream()
+        .mapToInt(each -> loads.state(each).requests() + peers.othersAt(each.id()).requests())
+        .sum();
   }
 
   /** Returns the engines of a request's pool that all entries prefer, in their order. */
