A request that has waited long breaks gaps rather than wait on

Where the few engines for short gaps stay busy, a request waited at the entry for room that never came. Change: the limit by gap targets holds for the first 0.3 of its latency target, as the preference for an engine that has its prefix; then the limits of 300 and 450 ms of reading.

--- a/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
+++ b/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
@@ -37,8 +37,10 @@
    * @param promptTokens tokens of its prompt
    * @param choice the engine, with what is known of it
    * @param model what is known of all engines of the service
+   * @param patient whether it can still wait for an engine where it breaks no gaps
    */
-  public static boolean admits(Route route, int promptTokens, Choice choice, EngineModel model) {
+  public static boolean admits(
+      Route route, int promptTokens, Choice choice, EngineModel model, boolean patient) {
     Objects.requireNonNull(route, "route is null");
     int pending = choice.load().pendingPromptTokens();
     if (pending == 0) {
@@ -47,7 +49,7 @@
     int fresh = choice.load().freshTokens(promptTokens);
     boolean urgent = route.targetLatencyMillis() <= URGENT_TARGET_MILLIS;
     double most = model.tokensIn(urgent ? URGENT_MILLIS : USUAL_MILLIS);
-    if (route.targetGapMillis() > 0) {
+    if (patient && route.targetGapMillis() > 0) {
       most = Math.min(most, model.tokensInGap(route.targetGapMillis()));
     }
     int own = choice.load().ownPendingPromptTokens();
--- a/core/src/test/java/org/limpetvale/core/admission/BacklogLimitTest.java
+++ b/core/src/test/java/org/limpetvale/core/admission/BacklogLimitTest.java
@@ -45,20 +45,20 @@
 
   @Test
   void anIdleEngineTakesAPromptOfAnySize() {
-    assertThat(BacklogLimit.admits(USUAL, 40_000, choice(0, 0, 0), MODEL)).isTrue();
+    assertThat(BacklogLimit.admits(USUAL, 40_000, choice(0, 0, 0), MODEL, true)).isTrue();
   }
 
   @Test
   void aPromptWaitsWhileItsEngineHasEnoughToRead() {
-    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(6_000, 0, 0), MODEL)).isTrue();
-    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(8_000, 0, 0), MODEL)).isFalse();
-    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(8_000, 0, 2_000), MODEL)).isTrue();
+    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(6_000, 0, 0), MODEL, true)).isTrue();
+    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(8_000, 0, 0), MODEL, true)).isFalse();
+    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(8_000, 0, 2_000), MODEL, true)).isTrue();
   }
 
   @Test
   void urgentPromptsAreGivenMoreRoom() {
-    assertThat(BacklogLimit.admits(URGENT, 5_000, choice(12_000, 0, 0), MODEL)).isTrue();
-    assertThat(BacklogLimit.admits(URGENT, 5_000, choice(14_000, 0, 0), MODEL)).isFalse();
+    assertThat(BacklogLimit.admits(URGENT, 5_000, choice(12_000, 0, 0), MODEL, true)).isTrue();
+    assertThat(BacklogLimit.admits(URGENT, 5_000, choice(14_000, 0, 0), MODEL, true)).isFalse();
   }
 
   /**
@@ -67,21 +67,29 @@
   @Test
   void aPromptWaitsWhileWhatIsUnreadWouldBreakTheGapsOfItsKind() {
     Route shortGaps = route(500, 150);
-    assertThat(BacklogLimit.admits(shortGaps, 500, choice(2_500, 0, 0), MODEL)).isTrue();
-    assertThat(BacklogLimit.admits(shortGaps, 500, choice(3_500, 0, 0), MODEL)).isFalse();
-    assertThat(BacklogLimit.admits(shortGaps, 500, choice(0, 0, 0), MODEL)).isTrue();
+    assertThat(BacklogLimit.admits(shortGaps, 500, choice(2_500, 0, 0), MODEL, true)).isTrue();
+    assertThat(BacklogLimit.admits(shortGaps, 500, choice(3_500, 0, 0), MODEL, true)).isFalse();
+    assertThat(BacklogLimit.admits(shortGaps, 500, choice(0, 0, 0), MODEL, true)).isTrue();
+  }
+
+  /** Engines that are busy for good: it would be late at the entry as well, and hold its caller. */
+  @Test
+  void aPromptThatHasWaitedLongBreaksGapsRatherThanWaitOn() {
+    Route shortGaps = route(500, 150);
+    assertThat(BacklogLimit.admits(shortGaps, 500, choice(3_500, 0, 0), MODEL, false)).isTrue();
+    assertThat(BacklogLimit.admits(shortGaps, 500, choice(18_000, 0, 0), MODEL, false)).isFalse();
   }
 
   @Test
   void oneEntryFillsAtMostHalfOfTheRoom() {
-    assertThat(BacklogLimit.admits(USUAL, 3_000, choice(3_000, 3_000, 0), MODEL)).isTrue();
-    assertThat(BacklogLimit.admits(USUAL, 3_500, choice(3_000, 3_000, 0), MODEL)).isFalse();
+    assertThat(BacklogLimit.admits(USUAL, 3_000, choice(3_000, 3_000, 0), MODEL, true)).isTrue();
+    assertThat(BacklogLimit.admits(USUAL, 3_500, choice(3_000, 3_000, 0), MODEL, true)).isFalse();
   }
 
   @Test
   void enginesThatReadTwiceAsFastAreGivenTwiceAsMuch() {
     EngineModel fast = new EngineModel(80, 20, 110);
-    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(18_000, 0, 0), fast)).isTrue();
-    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(20_000, 0, 0), fast)).isFalse();
+    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(18_000, 0, 0), fast, true)).isTrue();
+    assertThat(BacklogLimit.admits(USUAL, 5_000, choice(20_000, 0, 0), fast, true)).isFalse();
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -34,7 +34,7 @@
   /** Engines in the order of preference that matter: they are always looked at. */
   private static final int PREFERRED = 2;
 
-  /** Share of its target that a request waits for an engine that has its prefix. */
+  /** Share of its target that a request waits for an engine that suits it. */
   private static final double PATIENT_SHARE = 0.3;
 
   private final String zone;
@@ -110,11 +110,16 @@
             ThreadLocalRandom.current()::nextDouble);
     List<UpstreamLoad> rated =
         sample.stream().map(each -> rated(each, shape, preferred, nowMillis)).toList();
-    boolean patient = waitedMillis < PATIENT_SHARE * plan.route().targetLatencyMillis();
-    PlacementRequest request = new PlacementRequest(plan.route(), shape, zone, tight, patient);
+    PlacementRequest request =
+        new PlacementRequest(plan.route(), shape, zone, tight, isPatient(plan, waitedMillis));
     return EnginePlacement.choose(request, engines.model(plan.service()), pools, rated);
   }
 
+  /** Tells whether a request can still wait for an engine that suits it better than others. */
+  public boolean isPatient(RequestPlan plan, long waitedMillis) {
+    return waitedMillis < PATIENT_SHARE * plan.route().targetLatencyMillis();
+  }
+
   /** Notes that an engine reads a prompt. */
   public void sent(Upstream upstream, PromptShape shape) {
     if (shape.isModelRequest()) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -142,7 +142,11 @@
         choice.isPresent()
             && head.shape().isModelRequest()
             && !BacklogLimit.admits(
-                route(), head.shape().promptTokens(), choice.get(), engineModel());
+                route(),
+                head.shape().promptTokens(),
+                choice.get(),
+                engineModel(),
+                parts.placer().isPatient(plan, waitedMillis()));
     if (!waits) {
       go(choice);
     }
