Back to the limits before: reading speed as seen, limit by gap targets, pools by demand, patience

Conclusion: a larger pool takes engines that the long prompts need, and a tighter limit moves the queue to the entry, where the urgent hold up the rest. All four are reverted.

--- a/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
+++ b/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
@@ -10,8 +10,8 @@
  *
  * <p>The load that it answers: bursts of long prompts. An engine reads what it was given in the
  * order that it came, keeps all of it in memory, and cannot give it back; so a request that waits
- * there delays more urgent ones that come later, breaks the gaps of the streams beside it, its own
- * kind most of all, and pushes cached prefixes out. What waits at the entry does none of this.
+ * there delays more urgent ones that come later and pushes cached prefixes out. What waits at the
+ * entry does neither.
  */
 public final class BacklogLimit {
   /** Reading time that an engine is given ahead by requests with a usual latency target. */
@@ -37,10 +37,8 @@
    * @param promptTokens tokens of its prompt
    * @param choice the engine, with what is known of it
    * @param model what is known of all engines of the service
-   * @param patient whether it can still wait for an engine where it breaks no gaps
    */
-  public static boolean admits(
-      Route route, int promptTokens, Choice choice, EngineModel model, boolean patient) {
+  public static boolean admits(Route route, int promptTokens, Choice choice, EngineModel model) {
     Objects.requireNonNull(route, "route is null");
     int pending = choice.load().pendingPromptTokens();
     if (pending == 0) {
@@ -49,9 +47,6 @@
     int fresh = choice.load().freshTokens(promptTokens);
     boolean urgent = route.targetLatencyMillis() <= URGENT_TARGET_MILLIS;
     double most = model.tokensIn(urgent ? URGENT_MILLIS : USUAL_MILLIS);
-    if (patient && route.targetGapMillis() > 0) {
-      most = Math.min(most, model.tokensInGap(route.targetGapMillis()));
-    }
     int own = choice.load().ownPendingPromptTokens();
     return pending + fresh <= most && (own == 0 || own + fresh <= OWN_SHARE * most);
   }
--- a/core/src/main/java/org/limpetvale/core/placement/EngineLearner.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EngineLearner.java
@@ -32,9 +32,6 @@
   /** Samples before an estimate is used. */
   private static final double FEWEST_SAMPLES = 20;
 
-  /** The same for prompts that were read alone, which are rare under load. */
-  private static final double FEWEST_READS = 5;
-
   /** Tokens of a prompt from which the time to read them outweighs the rest of its time. */
   private static final int LONG_PROMPT_TOKENS = 2_000;
 
@@ -89,20 +86,18 @@
 
   /** Returns what has been learned; empty before the first estimate. */
   public Optional<EngineModel> model() {
-    if (!isKnown(pauses) && !knowsSpeed()) {
+    if (!isKnown(pauses) && !isKnown(tokensPerMilli)) {
       return Optional.empty();
     }
     return Optional.of(
         new EngineModel(
-            knowsSpeed() ? tokensPerMilli.quantile(0.5) : 0,
+            isKnown(tokensPerMilli)
+                ? tokensPerMilli.quantile(0.5)
+                : EngineModel.UNKNOWN.prefillTokensPerMilli(),
             isKnown(pauses) ? pauses.quantile(IDLE_QUANTILE) : 0,
             isKnown(readingPauses) ? readingPauses.quantile(READING_QUANTILE) : 0));
   }
 
-  private boolean knowsSpeed() {
-    return tokensPerMilli.weight() >= FEWEST_READS;
-  }
-
   private static boolean isKnown(DecayingHistogram samples) {
     return samples.weight() >= FEWEST_SAMPLES;
   }
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -97,7 +97,7 @@
   /** Returns the time to read the rest of a prompt, in milliseconds. */
   static double prefillMillis(EngineModel model, int promptTokens, int cachedTokens) {
     double fresh = Math.max(0, promptTokens - cachedTokens);
-    return model.millisFor(fresh) + attentionMillis(promptTokens, cachedTokens);
+    return fresh / model.prefillTokensPerMilli() + attentionMillis(promptTokens, cachedTokens);
   }
 
   /** Returns the part of that time which grows with the square of the prompt. */
@@ -128,7 +128,7 @@
   }
 
   private static double queueMillis(EngineModel model, UpstreamLoad load) {
-    double reading = model.millisFor(load.pendingPromptTokens()) / load.speed();
+    double reading = load.pendingPromptTokens() / model.prefillTokensPerMilli() / load.speed();
     int over = Math.max(0, load.requests() - load.upstream().slots());
     return reading + load.requests() * RUNNING_MILLIS + over * SLOT_WAIT_MILLIS;
   }
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
@@ -25,11 +25,8 @@
    */
   private static final double SLOT_SHARE = 0.5;
 
-  /** Share of the engines that may be set apart whatever else is asked of them. */
-  private static final double USUAL_SHARE = 0.4;
-
-  /** Largest share that is set apart, when streams with short gap targets are most of all. */
-  private static final double LARGEST_SHARE = 0.7;
+  /** Largest share of the engines that are set apart. */
+  private static final double LARGEST_SHARE = 0.4;
 
   private static final int FEWEST_ENGINES_TO_SPLIT = 4;
   private static final int FEWEST_TIGHT_ENGINES = 2;
@@ -44,17 +41,15 @@
    *
    * @param engines the engines that take new requests
    * @param tightStreams streams with short gap targets in the whole fleet, estimated
-   * @param allStreams streams of all kinds in the whole fleet, estimated
-   * @param shortestGapMillis the shortest of the short targets; 0 without such streams
+   * @param shortestGapMillis the shortest of these targets; 0 without such streams
    */
   public static EnginePools split(
-      List<Upstream> engines, double tightStreams, double allStreams, long shortestGapMillis) {
+      List<Upstream> engines, double tightStreams, long shortestGapMillis) {
     if (tightStreams <= 0 || engines.size() < FEWEST_ENGINES_TO_SPLIT) {
       return new EnginePools(Set.of(), shortestGapMillis);
     }
     int wanted = (int) Math.ceil(tightStreams / streamsPerEngine(engines));
-    double share = Math.clamp(tightStreams / Math.max(1, allStreams), USUAL_SHARE, LARGEST_SHARE);
-    int most = (int) Math.max(1, Math.floor(engines.size() * share));
+    int most = (int) Math.max(1, Math.floor(engines.size() * LARGEST_SHARE));
     int count = Math.min(most, Math.max(FEWEST_TIGHT_ENGINES, wanted));
     return new EnginePools(
         Rendezvous.order(POOL_KEY, engines).stream()
--- a/forward/src/main/java/org/limpetvale/forward/place/EngineBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/EngineBook.java
@@ -30,9 +30,6 @@
   /** Time for which a median of what all entries have learned is used. */
   private static final long MEDIAN_MILLIS = 250;
 
-  /** Streams of all kinds are counted in steps, as each new step splits the engines anew. */
-  private static final double COUNTED_STREAMS = 16;
-
   private final PeerBook peers;
   private final TimerService timer;
   private final EventLog log;
@@ -100,8 +97,7 @@
   }
 
   /** Splits the engines of a service by the number of streams with short gap targets. */
-  EnginePools split(
-      String service, List<Upstream> engines, double tightStreams, double allStreams) {
+  EnginePools split(String service, List<Upstream> engines, double tightStreams) {
     Service known = service(service);
     long shortestMillis = known.gaps.shortestMillis(timer.nowMillis());
     if (shortestMillis <= 0) {
@@ -109,24 +105,22 @@
       known.split = null;
       return known.pools;
     }
-    double coarseAll = Math.ceil(allStreams / COUNTED_STREAMS) * COUNTED_STREAMS;
-    Split split = new Split(engines, Math.ceil(tightStreams), coarseAll, shortestMillis);
+    Split split = new Split(engines, Math.ceil(tightStreams), shortestMillis);
     if (!split.sameAs(known.split)) {
-      known.pools = EnginePools.split(engines, split.streams(), split.all(), shortestMillis);
+      known.pools = EnginePools.split(engines, split.streams(), shortestMillis);
       known.split = split;
     }
     return known.pools;
   }
 
   /** What a split of engines was made of. */
-  private record Split(List<Upstream> engines, double streams, double all, long shortestMillis) {
+  private record Split(List<Upstream> engines, double streams, long shortestMillis) {
     /** Compares the engines by identity, as a view hands the same list out while it holds. */
     @SuppressWarnings("ReferenceEquality")
     boolean sameAs(Split other) {
       return other != null
           && engines == other.engines
           && streams == other.streams
-          && all == other.all
           && shortestMillis == other.shortestMillis;
     }
   }
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -1,6 +1,5 @@
 package org.limpetvale.forward.place;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -34,7 +33,7 @@
   /** Engines in the order of preference that matter: they are always looked at. */
   private static final int PREFERRED = 2;
 
-  /** Share of its target that a request waits for an engine that suits it. */
+  /** Share of its target that a request waits for an engine that has its prefix. */
   private static final double PATIENT_SHARE = 0.3;
 
   private final String zone;
@@ -46,7 +45,6 @@
   private final PrefixBook prefixes = PrefixBook.empty();
   private final RecentPlacements recent = new RecentPlacements();
   private final StreamEstimate tightStreams = StreamEstimate.empty();
-  private final Map<String, StreamEstimate> allStreams = new HashMap<>();
 
   private Placer(
       String zone,
@@ -110,16 +108,11 @@
             ThreadLocalRandom.current()::nextDouble);
     List<UpstreamLoad> rated =
         sample.stream().map(each -> rated(each, shape, preferred, nowMillis)).toList();
-    PlacementRequest request =
-        new PlacementRequest(plan.route(), shape, zone, tight, isPatient(plan, waitedMillis));
+    boolean patient = waitedMillis < PATIENT_SHARE * plan.route().targetLatencyMillis();
+    PlacementRequest request = new PlacementRequest(plan.route(), shape, zone, tight, patient);
     return EnginePlacement.choose(request, engines.model(plan.service()), pools, rated);
   }
 
-  /** Tells whether a request can still wait for an engine that suits it better than others. */
-  public boolean isPatient(RequestPlan plan, long waitedMillis) {
-    return waitedMillis < PATIENT_SHARE * plan.route().targetLatencyMillis();
-  }
-
   /** Notes that an engine reads a prompt. */
   public void sent(Upstream upstream, PromptShape shape) {
     if (shape.isModelRequest()) {
@@ -185,19 +178,8 @@
   }
 
   private EnginePools pools(String service, List<Upstream> ready) {
-    long nowMillis = timer.nowMillis();
-    double tight = tightStreams.note(loads.tightStreams() + peers.tightStreams(), nowMillis);
-    double all =
-        allStreams
-            .computeIfAbsent(service, name -> StreamEstimate.empty())
-            .note(requestsAt(ready), nowMillis);
-    return engines.split(service, ready, tight, all);
-  }
-
-  private int requestsAt(List<Upstream> upstreams) {
-    return upstreams.stream()
-        .mapToInt(each -> loads.state(each).requests() + peers.othersAt(each.id()).requests())
-        .sum();
+    int now = loads.tightStreams() + peers.tightStreams();
+    return engines.split(service, ready, tightStreams.note(now, timer.nowMillis()));
   }
 
   /** Returns the engines of a request's pool that all entries prefer, in their order. */
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -142,11 +142,7 @@
         choice.isPresent()
             && head.shape().isModelRequest()
             && !BacklogLimit.admits(
-                route(),
-                head.shape().promptTokens(),
-                choice.get(),
-                engineModel(),
-                parts.placer().isPatient(plan, waitedMillis()));
+                route(), head.shape().promptTokens(), choice.get(), engineModel());
     if (!waits) {
       go(choice);
     }
