--- a/core/src/main/java/org/limpetvale/core/placement/UpstreamPace.java
+++ b/core/src/main/java/org/limpetvale/core/placement/UpstreamPace.java
@@ -51,7 +51,7 @@
   }
 
   /** Returns the usual time as a multiple of the predicted one; 0 while it is not known. */
-  public double usualTimes() {
+  private double usualTimes() {
     return times.weight() >= FEWEST_SAMPLES - 1 ? times.quantile(MEDIAN) : 0;
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerBook.java
@@ -124,7 +124,7 @@
     int fresh = 0;
     int live = 0;
     for (Heard each : reports.values()) {
-      live += nowMillis - each.atMillis() <= LIVE_MILLIS ? 1 : 0;
+      live += isLive(each, nowMillis) ? 1 : 0;
       if (isFresh(each, nowMillis)) {
         fresh++;
         each.report()
@@ -185,7 +185,7 @@
   public List<EngineModel> engineModels(String service) {
     long nowMillis = timer.nowMillis();
     return reports.values().stream()
-        .filter(each -> nowMillis - each.atMillis() <= LIVE_MILLIS)
+        .filter(each -> isLive(each, nowMillis))
         .flatMap(each -> Stream.ofNullable(each.report().engines().get(service)))
         .toList();
   }
@@ -199,6 +199,10 @@
         .sum();
   }
 
+  private static boolean isLive(Heard heard, long nowMillis) {
+    return nowMillis - heard.atMillis() <= LIVE_MILLIS;
+  }
+
   private static boolean isFresh(Heard heard, long nowMillis) {
     return nowMillis - heard.atMillis() <= FRESH_MILLIS;
   }
