Waiting requests are taken out and put back without a search

Since each waiting request that is tried is taken out first, which searched the list for each of them; a set in order of arrival does it at once. The order is the same.

--- a/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
@@ -1,11 +1,12 @@
 package org.limpetvale.forward.admit;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import org.limpetvale.core.admission.WaitOrder;
 import org.limpetvale.core.time.TimerService;
 
@@ -40,7 +41,7 @@
   }
 
   private final TimerService timer;
-  private final List<Waiter> waiting = new ArrayList<>();
+  private final Set<Waiter> waiting = new LinkedHashSet<>();
   private boolean scheduled;
   private boolean wakeScheduled;
   private boolean trying;
