Entries log the limits that upstreams name, and what they send beside them

The collected data of the incident cannot tell an entry that never reads a limit from one that keeps it by itself: nothing that a daemon writes shows what it knows of it. Decodes the limit once, in the platform's codec, into a typed statement (none, a rate, or unreadable), and keeps it with the upstream's process. A change is one log line (upstream_limit_changed, with the sends of the last 4 s); place lines carry the limit in force and the recent sends; a gauge counts limited upstreams. An answer without a limit ends it only if its request was sent after the limit was last stated, since answers overtake each other. No decision uses any of it yet.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -28,6 +28,7 @@
 import org.limpetvale.forward.peer.PeerReports;
 import org.limpetvale.forward.place.EngineProfiles;
 import org.limpetvale.forward.place.Placer;
+import org.limpetvale.forward.place.UpstreamLimits;
 import org.limpetvale.forward.place.UpstreamStates;
 import org.limpetvale.forward.relay.Forwarder;
 import org.limpetvale.forward.route.Planner;
@@ -126,7 +127,9 @@
     FleetClock clock = FleetClock.of(timer);
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
     EngineProfiles engines = EngineProfiles.of(peerBook, timer, log);
-    Placer placer = Placer.of(settings.zone(), upstreams::view, peerBook, loads, engines, timer);
+    UpstreamLimits limits = UpstreamLimits.of(loads, clock::millis, timer, log);
+    Placer placer =
+        Placer.of(settings.zone(), upstreams::view, peerBook, loads, limits, engines, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
     this.crashes = CrashGuard.of(timer, log);
     peerBook.onReport(
@@ -139,6 +142,7 @@
         ForwardMetrics.Gauge.RETRY_ALLOWANCE_PART, () -> members.share().fraction());
     metrics.registerGauge(
         ForwardMetrics.Gauge.MEMBERS_READ_AGE_MILLIS, () -> members.share().readAgeMillis());
+    metrics.registerGauge(ForwardMetrics.Gauge.LIMITED_UPSTREAMS, loads::limitedUpstreams);
     this.forwarder =
         Forwarder.of(
             transport,
--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -31,6 +31,8 @@
   /** The gauges; the metric names are derived from these names. */
   public enum Gauge {
     OPEN_CONNECTIONS,
+    /** Number of upstreams that have named a limit on the requests of all entries. */
+    LIMITED_UPSTREAMS,
     /** Number of entries that share the retry budget. */
     RETRY_SHARERS,
     /** This entry's share of the retry allowance, from 0 to 1. */
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -43,6 +43,7 @@
   private final Supplier<FleetView> fleet;
   private final PeerReports peers;
   private final UpstreamStates loads;
+  private final UpstreamLimits limits;
   private final EngineProfiles engines;
   private final TimerService timer;
   private final PrefixCacheIndex prefixes = PrefixCacheIndex.empty();
@@ -54,12 +55,14 @@
       Supplier<FleetView> fleet,
       PeerReports peers,
       UpstreamStates loads,
+      UpstreamLimits limits,
       EngineProfiles engines,
       TimerService timer) {
     this.zone = Objects.requireNonNull(zone, "zone is null");
     this.fleet = Objects.requireNonNull(fleet, "fleet is null");
     this.peers = Objects.requireNonNull(peers, "peers is null");
     this.loads = Objects.requireNonNull(loads, "loads is null");
+    this.limits = Objects.requireNonNull(limits, "limits is null");
     this.engines = Objects.requireNonNull(engines, "engines is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
   }
@@ -70,6 +73,7 @@
    * @param zone availability zone of this entry
    * @param fleet supplies the known upstreams
    * @param peers reports of the other entries
+   * @param limits limits that upstreams have named
    * @param engines measured engine profiles
    */
   public static Placer of(
@@ -77,9 +81,10 @@
       Supplier<FleetView> fleet,
       PeerReports peers,
       UpstreamStates loads,
+      UpstreamLimits limits,
       EngineProfiles engines,
       TimerService timer) {
-    return new Placer(zone, fleet, peers, loads, engines, timer);
+    return new Placer(zone, fleet, peers, loads, limits, engines, timer);
   }
 
   /**
@@ -150,6 +155,11 @@
     return engines;
   }
 
+  /** Returns the limits that upstreams have named. */
+  public UpstreamLimits upstreamLimits() {
+    return limits;
+  }
+
   /** Returns the states of the upstreams. */
   public UpstreamStates upstreamStates() {
     return loads;
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -1,10 +1,13 @@
 package org.limpetvale.forward.place;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.placement.UpstreamLatencyRatio;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.forward.peer.PeerReport;
@@ -22,6 +25,9 @@
   private static final long INITIAL_PAUSE_MILLIS = 500;
   private static final long MAX_PAUSE_MILLIS = 4_000;
 
+  /** Time for which sends are remembered. */
+  private static final long RECENT_SENDS_MILLIS = 4_000;
+
   /** A request that this entry has sent to the upstream. */
   public interface SentRequest {
     /**
@@ -56,6 +62,9 @@
   private long failureAtMillis;
   private long pauseMillis;
   private long pausedUntilMillis;
+  private LimitNotice limit = LimitNotice.NONE;
+  private boolean unreadableLimitSeen;
+  private final Deque<Long> sentAtMillis = new ArrayDeque<>();
 
   UpstreamState(Upstream upstream, UpstreamLatencyRatio serviceLatencyRatio) {
     this.upstream = Objects.requireNonNull(upstream, "upstream is null");
@@ -157,6 +166,53 @@
     pausedUntilMillis = 0;
   }
 
+  /** Returns what is known of the upstream's limit on the requests of all entries together. */
+  public LimitNotice limit() {
+    return limit;
+  }
+
+  void setLimit(LimitNotice notice) {
+    limit = notice;
+  }
+
+  /** Records a limit that cannot be understood; returns whether it is the first one. */
+  boolean unreadableLimitReceived() {
+    boolean first = !unreadableLimitSeen;
+    unreadableLimitSeen = true;
+    return first;
+  }
+
+  /** Records that this entry sends a request of any kind to the upstream. */
+  public void recordSend(long nowMillis) {
+    sentAtMillis.addLast(nowMillis);
+    removeOldSends(nowMillis);
+  }
+
+  /**
+   * The limit that an upstream has named, and this entry's use of it.
+   *
+   * @param requestsPerSecond the limit for all entries together; -1 if none is in force
+   * @param recentSends requests that this entry has sent in the last four seconds
+   */
+  public record LimitUse(double requestsPerSecond, int recentSends) {}
+
+  /** Returns the limit and this entry's use of it. */
+  public LimitUse limitUse(long nowMillis) {
+    return new LimitUse(limit.requestsPerSecond().orElse(-1), recentSends(nowMillis));
+  }
+
+  /** Returns how many requests this entry has recently sent to the upstream. */
+  int recentSends(long nowMillis) {
+    removeOldSends(nowMillis);
+    return sentAtMillis.size();
+  }
+
+  private void removeOldSends(long nowMillis) {
+    while (!sentAtMillis.isEmpty() && nowMillis - sentAtMillis.peekFirst() > RECENT_SENDS_MILLIS) {
+      sentAtMillis.removeFirst();
+    }
+  }
+
   /** Returns whether connection attempts are paused. */
   public boolean isPaused(long nowMillis) {
     return nowMillis < pausedUntilMillis;
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
@@ -65,6 +65,11 @@
     return own;
   }
 
+  /** Returns the number of upstreams that have named a limit. */
+  public int limitedUpstreams() {
+    return (int) states.values().stream().filter(each -> each.limit().isInForce()).count();
+  }
+
   /** Returns the number of open streams with a short gap target at this entry. */
   public int tightStreams() {
     return states.values().stream().mapToInt(UpstreamState::tightStreams).sum();
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -14,6 +14,7 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.RequestBody;
 import org.limpetvale.forward.place.EngineProfiles;
+import org.limpetvale.forward.place.UpstreamLimits;
 import org.limpetvale.forward.place.UpstreamState;
 import org.limpetvale.forward.route.RequestPlan;
 import org.limpetvale.forward.spi.RequestHead;
@@ -75,6 +76,7 @@
   private final UpstreamState state;
   private final UpstreamConnection connection;
   private final EngineProfiles engines;
+  private final UpstreamLimits limits;
   private final TimerService timer;
 
   /** The load of the upstream as known when the request was placed. */
@@ -116,6 +118,7 @@
       UpstreamState state,
       UpstreamConnection connection,
       EngineProfiles engines,
+      UpstreamLimits limits,
       TimerService timer) {
     this.listener = listener;
     this.plan = plan;
@@ -125,6 +128,7 @@
     this.state = state;
     this.connection = connection;
     this.engines = engines;
+    this.limits = limits;
     this.timer = timer;
     this.load = choice.load();
     this.predictedMillis = choice.predictedMillis();
@@ -138,6 +142,7 @@
     startedMillis = timer.nowMillis();
     lastActivityMillis = startedMillis;
     promptPending = true;
+    state.recordSend(startedMillis);
     state.requestSent(this, uncachedTokens, tight);
     connection.send(message, body, request.requestId(), this);
   }
@@ -187,6 +192,9 @@
     lastActivityMillis = timer.nowMillis();
     head.load().ifPresent(load -> state.loadReported(load, lastActivityMillis));
     status = response.status().code();
+    if (status != StatusCodes.MISDIRECTED) {
+      limits.responseReceived(upstream, head.limit(), startedMillis);
+    }
     notRun = head.notExecuted() || status == StatusCodes.MISDIRECTED;
     if (!notRun && !startsWithFirstEvent()) {
       markExecutionStarted();
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -175,9 +175,10 @@
       return;
     }
     Upstream upstream = choice.get().upstream();
-    log.placed(plan, choice.get(), waitedMillis(), sentAttempts + 1);
-    triedUpstreamIds.add(upstream.id());
     UpstreamState state = components.placer().upstreamStates().state(upstream);
+    UpstreamState.LimitUse limitUse = state.limitUse(components.timer().nowMillis());
+    log.placed(plan, choice.get(), limitUse, waitedMillis(), sentAttempts + 1);
+    triedUpstreamIds.add(upstream.id());
     int uncachedTokens = choice.get().load().uncachedTokens(head.shape().promptTokens());
     state.reserve(uncachedTokens);
     components
@@ -267,6 +268,7 @@
             state,
             connection,
             components.placer().engineProfiles(),
+            components.placer().upstreamLimits(),
             components.timer());
     attempt.send(
         UpstreamRequest.of(components.headerCodec(), request, grant(upstream, remainingMillis)),
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
@@ -7,6 +7,7 @@
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.retry.FleetRetryBudget;
 import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.place.UpstreamState;
 import org.limpetvale.forward.route.RequestPlan;
 import org.limpetvale.forward.spi.RequestHead;
 
@@ -21,7 +22,12 @@
   }
 
   /** Logs the placement of the request at an upstream. */
-  void placed(RequestPlan plan, Choice choice, long waitedMillis, int attempt) {
+  void placed(
+      RequestPlan plan,
+      Choice choice,
+      UpstreamState.LimitUse limitUse,
+      long waitedMillis,
+      int attempt) {
     log.decision(
         "place",
         head.requestId(),
@@ -39,6 +45,8 @@
         field("sharedTokens", head.shape().sharedTokens()),
         field("prefix", head.shape().affinityKey().orElse("")),
         field("attempt", attempt),
+        field("limitPerSecond", limitUse.requestsPerSecond()),
+        field("recentSends", limitUse.recentSends()),
         field("passedOver", choice.passedOver().map(ExchangeLog::summarize).orElse("")));
   }
 
