Entries keep, together, to the limit that an upstream names

What callers saw: nothing; the engines did.

Ruled out as designs: equal parts with a bucket each (340 idle entries may send at once, and one request in five minutes each starves the upstream), a few entries that alone use an upstream (the others have none when all upstreams of a small service are limited), parts that one entry grants (nobody grants while it is away).

Change: time is cut into turns of at least 0.5 s; in each, one entry alone may send to the upstream, by a hash of upstream, turn and entry that all compute alike. Unused turns are lost, so a window of 4 s holds at most 4 s of the limit and two turns, 5 x limit + 2 where 6 x limit + 5 are allowed, whatever the number of entries. Entries that count different members overlap by their share only; members are those that renew their rows or report, outages of the store make nobody silent, and an entry that has not read the rows sends nothing to limited upstreams. Limits spread by peer reports with the process they are about. Waiting requests of one service no longer take the tries of another's.

--- a/core/src/main/java/org/limpetvale/core/limit/LimitNotice.java
+++ b/core/src/main/java/org/limpetvale/core/limit/LimitNotice.java
@@ -46,6 +46,14 @@
     };
   }
 
+  /** Returns the later of this and another entry's notice; of two at the same time, the limit. */
+  public LimitNotice laterOf(LimitNotice other) {
+    boolean otherIsLater =
+        other.statedAtMillis > statedAtMillis
+            || other.statedAtMillis == statedAtMillis && other.isInForce();
+    return otherIsLater ? other : this;
+  }
+
   /** Returns whether a limit is in force. */
   public boolean isInForce() {
     return requestsPerSecond.isPresent();
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/limit/SendTurns.java
@@ -0,0 +1,95 @@
+package org.limpetvale.core.limit;
+
+import java.util.Collection;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Divides the limit of one upstream among the entries of a fleet, in time.
+ *
+ * <p>Time is cut into turns, and in each turn one entry alone may send to the upstream. Which one
+ * follows from a hash of the upstream, the turn and the entry's id, so the entries agree without
+ * talking to each other. What an entry does not use in its turn is lost, hence entries that were
+ * idle cannot send together. A window of {@code w} seconds overlaps at most {@code w / turn + 2}
+ * turns, so it contains at most {@code w * rate} requests and those of two turns.
+ *
+ * <p>Entries that count different members use different turns: one that misses members takes turns
+ * that are theirs as well. On average, an entry that counts {@code n} members uses {@code 1 / n} of
+ * the limit.
+ *
+ * @param upstreamId id of the upstream
+ * @param requestsPerSecond requests that all entries together may send per second
+ */
+public record SendTurns(String upstreamId, double requestsPerSecond) {
+  /**
+   * Lowest rate. A limit of zero would never be heard to end, because nobody would send a request
+   * whose response could say so.
+   */
+  private static final double MIN_REQUESTS_PER_SECOND = 0.1;
+
+  /** Rate above which a limit is of no effect in practice, and turns would be too short. */
+  private static final double MAX_REQUESTS_PER_SECOND = 10_000;
+
+  /** Length of a turn if the limit allows a request in that time. */
+  private static final double TURN_SECONDS = 0.5;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final long MIX_A = 0xbf58476d1ce4e5b9L;
+  private static final long MIX_B = 0x94d049bb133111ebL;
+
+  public SendTurns {
+    Objects.requireNonNull(upstreamId, "upstreamId is null");
+    requestsPerSecond =
+        Math.clamp(requestsPerSecond, MIN_REQUESTS_PER_SECOND, MAX_REQUESTS_PER_SECOND);
+  }
+
+  /** Returns the number of requests that may be sent in one turn. */
+  public int requestsPerTurn() {
+    return (int) Math.max(1, Math.ceil(requestsPerSecond * TURN_SECONDS));
+  }
+
+  /** Returns the length of a turn in milliseconds. */
+  public double turnMillis() {
+    return requestsPerTurn() / requestsPerSecond * MILLIS_PER_SECOND;
+  }
+
+  /** Returns the number of the turn at a time. */
+  public long turnAt(long fleetMillis) {
+    return (long) Math.floor(fleetMillis / turnMillis());
+  }
+
+  /** Returns the time since the start of the turn in progress. */
+  public double elapsedMillis(long fleetMillis) {
+    return fleetMillis - turnAt(fleetMillis) * turnMillis();
+  }
+
+  /** Returns the number of requests that may have been sent by a time of the turn in progress. */
+  public int allowedSoFar(long fleetMillis) {
+    double elapsedShare = elapsedMillis(fleetMillis) / turnMillis();
+    return Math.min(requestsPerTurn(), 1 + (int) (elapsedShare * requestsPerTurn()));
+  }
+
+  /** Returns the member whose turn it is; empty without members. */
+  public Optional<String> owner(long turn, Collection<String> members) {
+    long seed = mix(mix(upstreamId.hashCode()) ^ turn);
+    String owner = null;
+    long lowest = 0;
+    for (String member : members) {
+      long weight = mix(seed ^ mix(member.hashCode()));
+      boolean precedes =
+          weight < lowest || weight == lowest && owner != null && member.compareTo(owner) < 0;
+      if (owner == null || precedes) {
+        owner = member;
+        lowest = weight;
+      }
+    }
+    return Optional.ofNullable(owner);
+  }
+
+  private static long mix(long value) {
+    long x = value + 0x9e3779b97f4a7c15L;
+    x = (x ^ (x >>> 30)) * MIX_A;
+    x = (x ^ (x >>> 27)) * MIX_B;
+    return x ^ (x >>> 31);
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -13,6 +13,7 @@
 import org.limpetvale.forward.admit.CrashGuard;
 import org.limpetvale.forward.duty.Demand;
 import org.limpetvale.forward.duty.DutyLoop;
+import org.limpetvale.forward.duty.EntryRoster;
 import org.limpetvale.forward.duty.Members;
 import org.limpetvale.forward.duty.ScalingDuty;
 import org.limpetvale.forward.fleet.ConfigCache;
@@ -121,13 +122,21 @@
     this.upstreamFollower =
         TableFollower.of(
             platform.store(), RowTable.UPSTREAMS, UPSTREAM_PACE, upstreams, timer, log);
+    DutyLoop.Identity self =
+        new DutyLoop.Identity(
+            settings.name(),
+            UUID.randomUUID().toString().substring(0, BOOT_ID_LENGTH),
+            settings.peers(),
+            settings.bounds().leaseMillis());
     Members members = Members.of(settings.bounds().retries().windowMillis(), timer);
     PeerReports peerBook = PeerReports.of(timer);
     UpstreamStates loads = UpstreamStates.empty();
     FleetClock clock = FleetClock.of(timer);
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
     EngineProfiles engines = EngineProfiles.of(peerBook, timer, log);
-    UpstreamLimits limits = UpstreamLimits.of(loads, clock::millis, timer, log);
+    EntryRoster roster = EntryRoster.of(self.writer(), members, peerBook, timer);
+    UpstreamLimits limits =
+        UpstreamLimits.of(loads, self.writer(), roster::entries, clock::millis, timer, log);
     Placer placer =
         Placer.of(settings.zone(), upstreams::view, peerBook, loads, limits, engines, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
@@ -136,6 +145,7 @@
         report -> {
           crashes.peerReported(report.writer(), report.crashes());
           placer.peerReported(report);
+          limits.peerReported(report, upstreams.view());
         });
     metrics.registerGauge(ForwardMetrics.Gauge.RETRY_SHARERS, () -> members.share().sharers());
     metrics.registerGauge(
@@ -157,12 +167,6 @@
             log,
             timer);
     this.callers = CallerServer.of(transport, timer, log, config::limits, forwarder);
-    DutyLoop.Identity self =
-        new DutyLoop.Identity(
-            settings.name(),
-            UUID.randomUUID().toString().substring(0, BOOT_ID_LENGTH),
-            settings.peers(),
-            settings.bounds().leaseMillis());
     Demand demand = new Demand(upstreams::view, loads, peerBook, forwarder::waiting);
     ScalingDuty scaling =
         ScalingDuty.of(
@@ -200,6 +204,7 @@
                       forwarder.waiting(),
                       crashes.localCrashes(),
                       engines.ownModels(),
+                      limits.recentNotices(),
                       duties.releasedEpoch());
               return parts.withUsage() ? report : report.withoutUsage();
             },
--- a/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
@@ -21,7 +21,7 @@
    */
   private static final long MIN_WAKE_INTERVAL_MILLIS = 5;
 
-  /** Maximum number of requests tried in one pass. */
+  /** Maximum number of requests of one service tried in one pass. */
   private static final int MAX_TRIES_PER_WAKE = 24;
 
   /** A waiting request. */
@@ -29,6 +29,12 @@
     /** Returns the service that the request is sent to. */
     String service();
 
+    /** Returns the name of the request's route. */
+    String routeName();
+
+    /** Returns whether the request waits for a turn at an upstream that has named a limit. */
+    boolean awaitsTurn();
+
     /** Returns the position of the request in the dispatch order. */
     DispatchOrder.SortKey place();
 
@@ -79,6 +85,37 @@
     return counts;
   }
 
+  /** Returns the number of requests for a service that wait for a turn at a limited upstream. */
+  public int awaitingTurn(String service) {
+    return (int) waiting.stream().filter(each -> awaitsTurn(each, service)).count();
+  }
+
+  /**
+   * Returns the number of requests that wait for a turn at an upstream of the same service and are
+   * dispatched before a request. The oldest request of a route counts none, so that a route is not
+   * refused entirely while routes of a higher rank use all turns; it is dispatched once most of its
+   * time has passed.
+   */
+  public int countAhead(Waiter waiter) {
+    DispatchOrder.SortKey key = waiter.place();
+    Comparator<DispatchOrder.SortKey> order = DispatchOrder.at(timer.nowMillis());
+    boolean oldestOfRoute = true;
+    int ahead = 0;
+    for (Waiter other : waiting) {
+      if (other == waiter || !awaitsTurn(other, waiter.service())) {
+        continue;
+      }
+      boolean sameRoute = other.routeName().equals(waiter.routeName());
+      oldestOfRoute &= !sameRoute || other.place().arrivedMillis() > key.arrivedMillis();
+      ahead += order.compare(other.place(), key) < 0 ? 1 : 0;
+    }
+    return oldestOfRoute ? 0 : ahead;
+  }
+
+  private static boolean awaitsTurn(Waiter waiter, String service) {
+    return waiter.awaitsTurn() && waiter.service().equals(service);
+  }
+
   /**
    * Retries the waiting requests in dispatch order because capacity may be free: immediately, or
    * once the minimum interval since the last pass has elapsed.
@@ -106,12 +143,13 @@
     long nowMillis = timer.nowMillis();
     lastWakeMillis = nowMillis;
     Comparator<DispatchOrder.SortKey> order = DispatchOrder.at(nowMillis);
-    List<Waiter> candidates =
-        waiting.stream()
-            .sorted(Comparator.comparing(Waiter::place, order))
-            .limit(MAX_TRIES_PER_WAKE)
-            .toList();
-    for (Waiter waiter : candidates) {
+    List<Waiter> inOrder =
+        waiting.stream().sorted(Comparator.comparing(Waiter::place, order)).toList();
+    Map<String, Integer> triesByService = new HashMap<>();
+    for (Waiter waiter : inOrder) {
+      if (triesByService.merge(waiter.service(), 1, Integer::sum) > MAX_TRIES_PER_WAKE) {
+        continue;
+      }
       // Removed before the attempt: a placed request may fail synchronously and add itself again.
       waiting.remove(waiter);
       if (!waiter.tryAgain()) {
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.limpetvale.core.retry.AllowanceEntitlement;
 import org.limpetvale.core.retry.AllowanceShare;
@@ -33,6 +34,7 @@
   private final long retentionMillis;
   private AllowanceEntitlement claim;
   private long readAtMillis;
+  private OptionalLong firstReadMillis = OptionalLong.empty();
 
   /**
    * An entry's row.
@@ -104,6 +106,7 @@
     Map<String, Row> changed = new HashMap<>(rows);
     observations.forEach((name, observation) -> changed.remove(name, observation.row()));
     readAtMillis = nowMillis;
+    firstReadMillis = OptionalLong.of(firstReadMillis.orElse(nowMillis));
     rows.forEach(
         (name, row) ->
             observations.merge(
@@ -129,17 +132,32 @@
     return live;
   }
 
+  /** Returns the monotonic time of the first read of the rows; empty before it. */
+  OptionalLong firstReadMillis() {
+    return firstReadMillis;
+  }
+
+  /**
+   * Returns the entries that have not left and have not been silent for long while the rows could
+   * be read.
+   */
+  Set<String> active() {
+    Set<String> active = new HashSet<>();
+    observations.forEach(
+        (name, each) -> {
+          if (each.silentMillis() <= LIVENESS_TIMEOUT_MILLIS && !each.row().hasLeft()) {
+            active.add(name);
+          }
+        });
+    return active;
+  }
+
   /**
    * Returns the number of entries that sort before a name and were considered live at the last
    * read.
    */
   int countBefore(String name) {
-    return (int)
-        observations.entrySet().stream()
-            .filter(each -> each.getValue().silentMillis() <= LIVENESS_TIMEOUT_MILLIS)
-            .filter(each -> !each.getValue().row().hasLeft())
-            .filter(each -> each.getKey().compareTo(name) < 0)
-            .count();
+    return (int) active().stream().filter(each -> each.compareTo(name) < 0).count();
   }
 
   /** Decides whether an entry has been silent for so long that its row may be removed. */
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -12,6 +12,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.placement.EngineModel;
 
 /**
@@ -30,6 +31,7 @@
  * @param crashes ids of the upstream processes that crashed on a request, by the request's digest;
  *     an empty set if the request was served since
  * @param engines engine models measured by the entry, by service
+ * @param limits limits recently heard from upstreams, by upstream
  * @param releasedEpoch fencing token of the lease that the entry finally released; 0 if there is
  *     none
  */
@@ -44,6 +46,7 @@
     Map<String, Integer> waiting,
     Map<String, Set<String>> crashes,
     Map<String, EngineModel> engines,
+    Map<String, Limit> limits,
     long releasedEpoch) {
   /** Value of the closed window in a report without usage. */
   public static final long USAGE_OMITTED = -1;
@@ -62,8 +65,12 @@
   private static final String WAITING = "q";
   private static final String CRASHES = "x";
   private static final String ENGINES = "e";
+  private static final String LIMITS = "m";
   private static final String RELEASED_EPOCH = "r";
 
+  /** Stands for a limit that has ended. */
+  private static final double NO_LIMIT = -1;
+
   /**
    * The load of an entry on an upstream.
    *
@@ -83,6 +90,18 @@
     public static final Load NONE = new Load(0, 0, 0, 0, 0);
   }
 
+  /**
+   * A limit on the requests of all entries, as stated by an upstream.
+   *
+   * @param notice what the upstream stated
+   * @param startedMillis start time of the upstream's process
+   */
+  public record Limit(LimitNotice notice, long startedMillis) {
+    public Limit {
+      Objects.requireNonNull(notice, "notice is null");
+    }
+  }
+
   public PeerReport {
     Objects.requireNonNull(writer, "writer is null");
     usage = Map.copyOf(Objects.requireNonNull(usage, "usage is null"));
@@ -91,6 +110,7 @@
     waiting = Map.copyOf(Objects.requireNonNull(waiting, "waiting is null"));
     crashes = Map.copyOf(Objects.requireNonNull(crashes, "crashes is null"));
     engines = Map.copyOf(Objects.requireNonNull(engines, "engines is null"));
+    limits = Map.copyOf(Objects.requireNonNull(limits, "limits is null"));
   }
 
   /** Returns this report without usage and thus without a closed window. */
@@ -115,6 +135,7 @@
         waiting,
         crashes,
         engines,
+        limits,
         releasedEpoch);
   }
 
@@ -149,6 +170,7 @@
       putLists(node.putObject(CRASHES), crashes);
     }
     putEngines(node);
+    putLimits(node);
     if (releasedEpoch > 0) {
       node.put(RELEASED_EPOCH, releasedEpoch);
     }
@@ -174,6 +196,7 @@
               counts(node.path(WAITING)),
               lists(node.path(CRASHES)),
               engines(node.path(ENGINES)),
+              limits(node.path(LIMITS)),
               node.path(RELEASED_EPOCH).asLong()));
     } catch (JsonProcessingException | NumberFormatException e) {
       return Optional.empty();
@@ -249,6 +272,34 @@
     return engines;
   }
 
+  private void putLimits(ObjectNode node) {
+    if (limits.isEmpty()) {
+      return;
+    }
+    ObjectNode inner = node.putObject(LIMITS);
+    limits.forEach(
+        (id, limit) ->
+            inner
+                .putArray(id)
+                .add(limit.notice().requestsPerSecond().orElse(NO_LIMIT))
+                .add(limit.notice().statedAtMillis())
+                .add(limit.startedMillis()));
+  }
+
+  private static Map<String, Limit> limits(JsonNode node) {
+    Map<String, Limit> limits = new HashMap<>();
+    for (Map.Entry<String, JsonNode> each : node.properties()) {
+      double requestsPerSecond = each.getValue().path(0).asDouble(NO_LIMIT);
+      long statedAtMillis = each.getValue().path(1).asLong();
+      LimitNotice notice =
+          requestsPerSecond >= 0
+              ? LimitNotice.of(requestsPerSecond, statedAtMillis)
+              : LimitNotice.ended(statedAtMillis);
+      limits.put(each.getKey(), new Limit(notice, each.getValue().path(2).asLong()));
+    }
+    return limits;
+  }
+
   private static Map<String, Load> loads(JsonNode node) {
     Map<String, Load> loads = new HashMap<>();
     for (Map.Entry<String, JsonNode> each : node.properties()) {
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placement.java
@@ -0,0 +1,31 @@
+package org.limpetvale.forward.place;
+
+import java.util.List;
+import java.util.Objects;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.Choice;
+
+/** The outcome of an attempt to place a request. */
+public sealed interface Placement {
+  /** An upstream can take the request now. */
+  record Chosen(Choice choice) implements Placement {
+    public Chosen {
+      Objects.requireNonNull(choice, "choice is null");
+    }
+  }
+
+  /**
+   * Only upstreams that have named a limit could take the request, and this entry may not send to
+   * any of them at present.
+   *
+   * @param upstreams these upstreams; never empty
+   */
+  record Limited(List<Upstream> upstreams) implements Placement {
+    public Limited {
+      upstreams = List.copyOf(upstreams);
+    }
+  }
+
+  /** No upstream can take the request. */
+  record Unavailable() implements Placement {}
+}
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -95,19 +95,50 @@
    * @param waitedMillis time that the request has waited
    * @param excluded ids of upstreams that must not be chosen
    */
-  public Optional<Choice> place(
+  public Placement place(
       RequestPlan plan, PromptShape shape, long waitedMillis, Set<String> excluded) {
     long nowMillis = timer.nowMillis();
     List<Upstream> ready = fleet.get().ready(plan.service());
-    List<Upstream> candidates =
+    List<Upstream> usable =
         ready.stream().filter(each -> isUsable(each, excluded, nowMillis)).toList();
-    if (!shape.isModelRequest()) {
-      return ServicePlacement.choose(
-          zone, candidates.stream().map(each -> load(each, 0, 0, nowMillis)).toList());
+    List<Upstream> candidates = usable.stream().filter(limits::maySend).toList();
+    if (candidates.isEmpty()) {
+      return usable.isEmpty() ? new Placement.Unavailable() : new Placement.Limited(usable);
     }
+    Optional<Choice> choice =
+        shape.isModelRequest()
+            ? chooseEngine(plan, shape, waitedMillis, unlimited(ready), candidates)
+            : chooseService(candidates, nowMillis);
+    return choice.<Placement>map(Placement.Chosen::new).orElseGet(Placement.Unavailable::new);
+  }
+
+  /** Returns the upstreams that have named no limit, or all if each has named one. */
+  private List<Upstream> unlimited(List<Upstream> ready) {
+    List<Upstream> unlimited = ready.stream().filter(each -> !limits.isLimited(each)).toList();
+    return unlimited.isEmpty() ? ready : unlimited;
+  }
+
+  private Optional<Choice> chooseService(List<Upstream> candidates, long nowMillis) {
+    return ServicePlacement.choose(
+        zone, candidates.stream().map(each -> load(each, 0, 0, nowMillis)).toList());
+  }
+
+  /**
+   * Chooses the engine of a model request.
+   *
+   * @param pooled engines that are divided into pools and whose caches are kept for prefixes
+   * @param candidates engines that may take the request now
+   */
+  private Optional<Choice> chooseEngine(
+      RequestPlan plan,
+      PromptShape shape,
+      long waitedMillis,
+      List<Upstream> pooled,
+      List<Upstream> candidates) {
+    long nowMillis = timer.nowMillis();
     boolean tight = engines.isTight(plan.service(), plan.route());
-    EnginePools pools = pools(plan.service(), ready);
-    List<String> preferred = preferred(tight, shape, pools, ready);
+    EnginePools pools = pools(plan.service(), pooled);
+    List<String> preferred = preferred(tight, shape, pools, pooled);
     List<Upstream> sample =
         CandidateSampler.sample(
             candidates,
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamLimits.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamLimits.java
@@ -2,27 +2,56 @@
 
 import static org.limpetvale.forward.log.EventLog.field;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.limit.LimitNotice;
+import org.limpetvale.core.limit.OwnTurns;
+import org.limpetvale.core.limit.ReturnSchedule;
 import org.limpetvale.core.limit.StatedLimit;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.peer.PeerReport;
 
 /**
- * The limits that upstreams name for the requests of all entries together. Must only be used on the
- * event loop.
+ * The limits that upstreams name for the requests of all entries together, and this entry's part of
+ * them. Must only be used on the event loop.
+ *
+ * <p>Every request to an upstream counts, also retries and requests that the upstream refuses. An
+ * entry hears of a limit from responses to its own requests and from the reports of the others.
  */
 public final class UpstreamLimits {
+  /**
+   * Time for which a notice is reported to the other entries, so that a lost report matters not.
+   */
+  private static final long REPORTED_MILLIS = 2_000;
+
+  private static final long MIN_RETURN_MILLIS = 200;
+  private static final long MAX_RETURN_MILLIS = 10_000;
+
   private final UpstreamStates states;
+  private final String self;
+  private final Supplier<List<String>> entries;
   private final LongSupplier fleetMillis;
   private final TimerService timer;
   private final EventLog log;
+  private final Map<String, ReturnSchedule> returnsByService = new HashMap<>();
 
   private UpstreamLimits(
-      UpstreamStates states, LongSupplier fleetMillis, TimerService timer, EventLog log) {
+      UpstreamStates states,
+      String self,
+      Supplier<List<String>> entries,
+      LongSupplier fleetMillis,
+      TimerService timer,
+      EventLog log) {
     this.states = Objects.requireNonNull(states, "states is null");
+    this.self = Objects.requireNonNull(self, "self is null");
+    this.entries = Objects.requireNonNull(entries, "entries is null");
     this.fleetMillis = Objects.requireNonNull(fleetMillis, "fleetMillis is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.log = Objects.requireNonNull(log, "log is null");
@@ -32,11 +61,19 @@
    * Returns limits of upstreams that have not named any.
    *
    * @param states states of the upstreams
+   * @param self id of this entry
+   * @param entries supplies the ids of the entries that share the limits, the same list until they
+   *     change
    * @param fleetMillis supplies the time of day that all entries agree on
    */
   public static UpstreamLimits of(
-      UpstreamStates states, LongSupplier fleetMillis, TimerService timer, EventLog log) {
-    return new UpstreamLimits(states, fleetMillis, timer, log);
+      UpstreamStates states,
+      String self,
+      Supplier<List<String>> entries,
+      LongSupplier fleetMillis,
+      TimerService timer,
+      EventLog log) {
+    return new UpstreamLimits(states, self, entries, fleetMillis, timer, log);
   }
 
   /**
@@ -46,32 +83,132 @@
    */
   public void responseReceived(Upstream upstream, StatedLimit stated, long sentMillis) {
     UpstreamState state = states.state(upstream);
-    LimitNotice known = state.limit();
     if (stated instanceof StatedLimit.Unreadable(String text)) {
-      if (state.unreadableLimitReceived()) {
-        log.stateChange(
-            "upstream_limit_unreadable", field("upstream", upstream.id()), field("text", text));
-      }
+      logUnreadable(state, text);
+      return;
+    }
+    if (stated instanceof StatedLimit.None && !state.limit().isInForce()) {
       return;
     }
     long nowFleetMillis = fleetMillis.getAsLong();
     long sentFleetMillis = nowFleetMillis - (timer.nowMillis() - sentMillis);
-    LimitNotice next = known.afterResponse(stated, sentFleetMillis, nowFleetMillis);
-    state.setLimit(next);
-    logChange(upstream, known, next, "response");
+    LimitNotice next = state.limit().afterResponse(stated, sentFleetMillis, nowFleetMillis);
+    state.setOwnNotice(next);
+    change(state, next, "response");
+  }
+
+  /** Records the notices that another entry has heard from upstreams. */
+  public void peerReported(PeerReport report, FleetView fleet) {
+    report
+        .limits()
+        .forEach(
+            (id, limit) ->
+                fleet
+                    .find(id)
+                    .filter(upstream -> upstream.startedMillis() == limit.startedMillis())
+                    .map(states::state)
+                    .ifPresent(
+                        state ->
+                            change(state, state.limit().laterOf(limit.notice()), report.writer())));
+  }
+
+  /** Returns the notices that this entry has recently heard itself, by upstream. */
+  public Map<String, PeerReport.Limit> recentNotices() {
+    long sinceMillis = fleetMillis.getAsLong() - REPORTED_MILLIS;
+    Map<String, PeerReport.Limit> recent = new HashMap<>();
+    states.forEach(
+        state -> {
+          LimitNotice own = state.ownNotice();
+          if (own.statedAtMillis() >= sinceMillis) {
+            Upstream upstream = state.upstream();
+            recent.put(upstream.id(), new PeerReport.Limit(own, upstream.startedMillis()));
+          }
+        });
+    return recent;
+  }
+
+  /** Returns whether an upstream has named a limit that is in force. */
+  public boolean isLimited(Upstream upstream) {
+    return states.state(upstream).limit().isInForce();
+  }
+
+  /** Returns whether this entry may send a request to an upstream now. */
+  public boolean maySend(Upstream upstream) {
+    UpstreamState state = states.state(upstream);
+    if (!state.limit().isInForce()) {
+      return true;
+    }
+    long nowFleetMillis = fleetMillis.getAsLong();
+    OwnTurns own = state.ownTurns(self, entries.get());
+    return own.allowedSoFar(nowFleetMillis) > sentInTurn(state, own, nowFleetMillis);
   }
 
-  private void logChange(Upstream upstream, LimitNotice known, LimitNotice next, String source) {
+  /**
+   * Returns how many requests this entry may send to limited upstreams in its turns until a time.
+   *
+   * @param untilMillis monotonic time
+   */
+  public int allowedUntil(List<Upstream> limited, long untilMillis) {
+    long nowFleetMillis = fleetMillis.getAsLong();
+    long untilFleetMillis = nowFleetMillis + untilMillis - timer.nowMillis();
+    int allowed = 0;
+    for (Upstream upstream : limited) {
+      UpstreamState state = states.state(upstream);
+      if (state.limit().isInForce()) {
+        OwnTurns own = state.ownTurns(self, entries.get());
+        int sent = sentInTurn(state, own, nowFleetMillis);
+        allowed += own.allowedUntil(nowFleetMillis, untilFleetMillis, sent);
+      }
+    }
+    return allowed;
+  }
+
+  /**
+   * Returns the time after which a caller that was refused because of limits should return.
+   *
+   * @param service service of the request
+   * @param limited upstreams that could take the request
+   * @param waiting requests for the service that wait at this entry
+   */
+  public long returnAfterMillis(String service, List<Upstream> limited, int waiting) {
+    double fleetPerSecond =
+        limited.stream()
+            .mapToDouble(each -> states.state(each).limit().requestsPerSecond().orElse(0))
+            .sum();
+    double ownPerSecond = fleetPerSecond / Math.max(1, entries.get().size());
+    return returnsByService
+        .computeIfAbsent(service, name -> ReturnSchedule.of(MIN_RETURN_MILLIS, MAX_RETURN_MILLIS))
+        .returnAfterMillis(timer.nowMillis(), ownPerSecond, waiting);
+  }
+
+  private int sentInTurn(UpstreamState state, OwnTurns own, long nowFleetMillis) {
+    double elapsedMillis = own.turns().elapsedMillis(nowFleetMillis);
+    return state.sendsSince(timer.nowMillis() - (long) Math.floor(elapsedMillis));
+  }
+
+  private void change(UpstreamState state, LimitNotice next, String source) {
+    LimitNotice known = state.limit();
+    state.setLimit(next);
     if (next.requestsPerSecond().equals(known.requestsPerSecond())) {
       return;
     }
     log.stateChange(
         "upstream_limit_changed",
-        field("upstream", upstream.id()),
-        field("service", upstream.service()),
+        field("upstream", state.upstream().id()),
+        field("service", state.upstream().service()),
         field("requestsPerSecond", next.requestsPerSecond().orElse(-1)),
         field("previous", known.requestsPerSecond().orElse(-1)),
         field("source", source),
-        field("ownSends", states.state(upstream).recentSends(timer.nowMillis())));
+        field("entries", entries.get().size()),
+        field("ownSends", state.limitUse(timer.nowMillis()).recentSends()));
+  }
+
+  private void logUnreadable(UpstreamState state, String text) {
+    if (state.unreadableLimitReceived()) {
+      log.stateChange(
+          "upstream_limit_unreadable",
+          field("upstream", state.upstream().id()),
+          field("text", text));
+    }
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -2,12 +2,16 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.limit.LimitNotice;
+import org.limpetvale.core.limit.OwnTurns;
+import org.limpetvale.core.limit.SendTurns;
 import org.limpetvale.core.placement.UpstreamLatencyRatio;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.forward.peer.PeerReport;
@@ -25,7 +29,10 @@
   private static final long INITIAL_PAUSE_MILLIS = 500;
   private static final long MAX_PAUSE_MILLIS = 4_000;
 
-  /** Time for which sends are remembered. */
+  /** Time for which sends are remembered; the longest turn of a limit is not longer. */
+  private static final long SEND_MEMORY_MILLIS = 10_000;
+
+  /** Time for which sends count as recent in the log. */
   private static final long RECENT_SENDS_MILLIS = 4_000;
 
   /** A request that this entry has sent to the upstream. */
@@ -63,7 +70,17 @@
   private long pauseMillis;
   private long pausedUntilMillis;
   private LimitNotice limit = LimitNotice.NONE;
+  private LimitNotice ownNotice = LimitNotice.NONE;
   private boolean unreadableLimitSeen;
+
+  /**
+   * This entry's turns at the upstream, and what they were computed from; null before first use.
+   */
+  private OwnTurns ownTurns;
+
+  private List<String> turnsOfEntries;
+  private double turnsOfLimit;
+
   private final Deque<Long> sentAtMillis = new ArrayDeque<>();
 
   UpstreamState(Upstream upstream, UpstreamLatencyRatio serviceLatencyRatio) {
@@ -175,6 +192,33 @@
     limit = notice;
   }
 
+  /** Returns the notice that this entry has last heard from the upstream itself. */
+  LimitNotice ownNotice() {
+    return ownNotice;
+  }
+
+  void setOwnNotice(LimitNotice notice) {
+    ownNotice = notice;
+  }
+
+  /**
+   * Returns this entry's turns at the upstream, whose limit must be in force.
+   *
+   * @param self id of this entry
+   * @param entries ids of the entries that share the limit
+   */
+  OwnTurns ownTurns(String self, List<String> entries) {
+    double requestsPerSecond = limit.requestsPerSecond().orElseThrow();
+    boolean current =
+        ownTurns != null && turnsOfEntries == entries && turnsOfLimit == requestsPerSecond;
+    if (!current) {
+      turnsOfEntries = entries;
+      turnsOfLimit = requestsPerSecond;
+      ownTurns = OwnTurns.of(new SendTurns(upstream.id(), requestsPerSecond), self, entries);
+    }
+    return ownTurns;
+  }
+
   /** Records a limit that cannot be understood; returns whether it is the first one. */
   boolean unreadableLimitReceived() {
     boolean first = !unreadableLimitSeen;
@@ -203,12 +247,21 @@
 
   /** Returns how many requests this entry has recently sent to the upstream. */
   int recentSends(long nowMillis) {
-    removeOldSends(nowMillis);
-    return sentAtMillis.size();
+    return sendsSince(nowMillis - RECENT_SENDS_MILLIS);
+  }
+
+  /** Returns how many requests this entry has sent to the upstream since a monotonic time. */
+  int sendsSince(long fromMillis) {
+    int count = 0;
+    Iterator<Long> newestFirst = sentAtMillis.descendingIterator();
+    while (newestFirst.hasNext() && newestFirst.next() >= fromMillis) {
+      count++;
+    }
+    return count;
   }
 
   private void removeOldSends(long nowMillis) {
-    while (!sentAtMillis.isEmpty() && nowMillis - sentAtMillis.peekFirst() > RECENT_SENDS_MILLIS) {
+    while (!sentAtMillis.isEmpty() && nowMillis - sentAtMillis.peekFirst() > SEND_MEMORY_MILLIS) {
       sentAtMillis.removeFirst();
     }
   }
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.UpstreamLatencyRatio;
@@ -65,6 +66,11 @@
     return own;
   }
 
+  /** Performs an action for the state of each upstream. */
+  void forEach(Consumer<UpstreamState> action) {
+    states.values().forEach(action);
+  }
+
   /** Returns the number of upstreams that have named a limit. */
   public int limitedUpstreams() {
     return (int) states.values().stream().filter(each -> each.limit().isInForce()).count();
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -142,7 +142,6 @@
     startedMillis = timer.nowMillis();
     lastActivityMillis = startedMillis;
     promptPending = true;
-    state.recordSend(startedMillis);
     state.requestSent(this, uncachedTokens, tight);
     connection.send(message, body, request.requestId(), this);
   }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -28,6 +29,7 @@
 import org.limpetvale.forward.accept.ResponseWriter;
 import org.limpetvale.forward.admit.WaitingRequests;
 import org.limpetvale.forward.metrics.ForwardMetrics.Counter;
+import org.limpetvale.forward.place.Placement;
 import org.limpetvale.forward.place.UpstreamState;
 import org.limpetvale.forward.route.RequestPlan;
 import org.limpetvale.forward.spi.HeaderCodec;
@@ -59,6 +61,9 @@
   private int sentAttempts;
   private int connectFailures;
 
+  /** Whether the request waits because all upstreams that could take it are at their limits. */
+  private boolean awaitsTurn;
+
   /** Whether an earlier attempt may have been executed. */
   private boolean mayHaveRun;
 
@@ -127,6 +132,16 @@
     return plan.service();
   }
 
+  @Override
+  public String routeName() {
+    return route().name();
+  }
+
+  @Override
+  public boolean awaitsTurn() {
+    return awaitsTurn;
+  }
+
   @Override
   public DispatchOrder.SortKey place() {
     return new DispatchOrder.SortKey(
@@ -138,20 +153,68 @@
     if (ended) {
       return true;
     }
-    Optional<Choice> choice = choose();
-    boolean waits =
-        choice.isPresent()
-            && head.shape().isModelRequest()
-            && !BacklogLimit.admits(
-                route(), head.shape().promptTokens(), choice.get(), engineModel());
-    if (!waits) {
-      dispatch(choice);
+    awaitsTurn = false;
+    return switch (choose()) {
+      case Placement.Chosen(Choice choice) -> dispatchIfAdmitted(choice);
+      case Placement.Limited(List<Upstream> limited) -> awaitTurnOrRefuse(limited);
+      case Placement.Unavailable() -> {
+        giveUp(ResultCode.NO_UPSTREAM, "no upstream of " + plan.service() + " can take it");
+        yield true;
+      }
+    };
+  }
+
+  /** Dispatches the request unless it has to wait; returns whether it no longer waits. */
+  private boolean dispatchIfAdmitted(Choice choice) {
+    if (head.shape().isModelRequest()
+        && !BacklogLimit.admits(route(), head.shape().promptTokens(), choice, engineModel())) {
+      return false;
     }
-    return !waits;
+    dispatch(choice);
+    return true;
   }
 
-  private Optional<Choice> choose() {
-    return components.placer().place(plan, head.shape(), waitedMillis(), triedUpstreamIds);
+  /**
+   * Waits for a turn at a limited upstream if one that leaves time for the answer is foreseen, and
+   * otherwise refuses the request; returns whether it no longer waits.
+   */
+  private boolean awaitTurnOrRefuse(List<Upstream> limited) {
+    if (isTurnForeseen(limited)) {
+      awaitsTurn = true;
+      return false;
+    }
+    int waiting = components.waitingRequests().awaitingTurn(plan.service());
+    long returnAfterMillis =
+        components.placer().upstreamLimits().returnAfterMillis(plan.service(), limited, waiting);
+    giveUp(
+        ResultCode.UPSTREAMS_LIMITED,
+        limited.size() + " upstreams are at their limits, " + waiting + " requests wait for them",
+        returnAfterMillis);
+    return true;
+  }
+
+  private boolean isTurnForeseen(List<Upstream> limited) {
+    long untilMillis = deadlineMillis - Math.max(MIN_RETRY_MILLIS, route().targetLatencyMillis());
+    if (untilMillis <= components.timer().nowMillis()) {
+      return false;
+    }
+    int allowed = components.placer().upstreamLimits().allowedUntil(limited, untilMillis);
+    return allowed > components.waitingRequests().countAhead(this);
+  }
+
+  /**
+   * Chooses an upstream. Requests that wait for a turn and come first in the dispatch order take
+   * limited upstreams before this one.
+   */
+  private Placement choose() {
+    Placement placement =
+        components.placer().place(plan, head.shape(), waitedMillis(), triedUpstreamIds);
+    if (placement instanceof Placement.Chosen(Choice choice)
+        && components.placer().upstreamLimits().isLimited(choice.upstream())
+        && components.waitingRequests().countAhead(this) > 0) {
+      return new Placement.Limited(List.of(choice.upstream()));
+    }
+    return placement;
   }
 
   private EngineModel engineModel() {
@@ -169,17 +232,14 @@
     }
   }
 
-  private void dispatch(Optional<Choice> choice) {
-    if (choice.isEmpty()) {
-      giveUp(ResultCode.NO_UPSTREAM, "no upstream of " + plan.service() + " can take it");
-      return;
-    }
-    Upstream upstream = choice.get().upstream();
+  private void dispatch(Choice choice) {
+    Upstream upstream = choice.upstream();
     UpstreamState state = components.placer().upstreamStates().state(upstream);
     UpstreamState.LimitUse limitUse = state.limitUse(components.timer().nowMillis());
-    log.placed(plan, choice.get(), limitUse, waitedMillis(), sentAttempts + 1);
+    log.placed(plan, choice, limitUse, waitedMillis(), sentAttempts + 1);
     triedUpstreamIds.add(upstream.id());
-    int uncachedTokens = choice.get().load().uncachedTokens(head.shape().promptTokens());
+    state.recordSend(components.timer().nowMillis());
+    int uncachedTokens = choice.load().uncachedTokens(head.shape().promptTokens());
     state.reserve(uncachedTokens);
     components
         .upstreamPool()
@@ -188,7 +248,7 @@
             route().isRetryable(),
             lease -> {
               state.release(uncachedTokens);
-              onAcquired(choice.get(), state, lease);
+              onAcquired(choice, state, lease);
             });
   }
 
@@ -411,7 +471,11 @@
     if (ran && !route().isRetryable()) {
       return false;
     }
-    return choose().isPresent();
+    return switch (choose()) {
+      case Placement.Chosen ignored -> true;
+      case Placement.Limited(List<Upstream> limited) -> isTurnForeseen(limited);
+      case Placement.Unavailable() -> false;
+    };
   }
 
   private void onTimeout() {
@@ -468,6 +532,10 @@
   }
 
   private void giveUp(ResultCode code, String detail) {
+    giveUp(code, detail, retryAfterMillis());
+  }
+
+  private void giveUp(ResultCode code, String detail, long retryAfterMillis) {
     if (callerResponse.isStarted()) {
       components.metrics().count(Counter.FAILED);
       finish("broken_off", 0);
@@ -475,7 +543,7 @@
       return;
     }
     if (!mayHaveRun) {
-      refuse(new Refusal(code, detail, ExecutionStatus.NOT_RUN, retryAfterMillis()));
+      refuse(new Refusal(code, detail, ExecutionStatus.NOT_RUN, retryAfterMillis));
       return;
     }
     boolean statesNotRun = code.executionStatus() == ExecutionStatus.NOT_RUN;
--- a/forward/src/test/java/org/limpetvale/forward/admit/WaitingRequestsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/admit/WaitingRequestsTest.java
@@ -21,6 +21,16 @@
       return "s";
     }
 
+    @Override
+    public String routeName() {
+      return "r";
+    }
+
+    @Override
+    public boolean awaitsTurn() {
+      return false;
+    }
+
     @Override
     public DispatchOrder.SortKey place() {
       return new DispatchOrder.SortKey(1, 0, 500, 6_000);
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.placement.EngineModel;
 import org.limpetvale.forward.testing.ManualTimer;
 
@@ -24,6 +25,9 @@
         Map.of("service", 2),
         Map.of("digest", Set.of("process"), "served", Set.of()),
         Map.of("service", new EngineModel(42.5, 20, 165.5)),
+        Map.of(
+            "u", new PeerReport.Limit(LimitNotice.of(2.1, 1_700_000_000_000L), 5),
+            "v", new PeerReport.Limit(LimitNotice.ended(1_700_000_000_001L), 6)),
         4);
   }
 
@@ -57,6 +61,7 @@
             Map.of(),
             Map.of(),
             Map.of(),
+            Map.of(),
             0));
     assertThat(peerReports.usageByEntry(7)).containsEntry("a.1", Map.of("w", 9L));
     assertThat(peerReports.peerLoad("u").requests()).isZero();
