--- a/forward/src/test/java/org/limpetvale/forward/admit/WaitingRequestsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/admit/WaitingRequestsTest.java
@@ -14,26 +14,31 @@
   private static final class Waiter implements WaitingRequests.Waiter {
     private int tries;
     private boolean hasCapacity;
+    private String service = "s";
+    private String route = "r";
+    private boolean awaitsTurn;
+    private int rank = 1;
+    private long arrivedMillis;
     private Runnable onTry = () -> {};
 
     @Override
     public String service() {
-      return "s";
+      return service;
     }
 
     @Override
     public String routeName() {
-      return "r";
+      return route;
     }
 
     @Override
     public boolean awaitsTurn() {
-      return false;
+      return awaitsTurn;
     }
 
     @Override
     public DispatchOrder.SortKey place() {
-      return new DispatchOrder.SortKey(1, 0, 500, 6_000);
+      return new DispatchOrder.SortKey(rank, arrivedMillis, 500, arrivedMillis + 6_000);
     }
 
     @Override
@@ -85,4 +90,48 @@
     waiting.wake();
     assertThat(waiting.size()).isEqualTo(1);
   }
+
+  private Waiter awaiting(String route, int rank, long agoMillis) {
+    Waiter waiter = new Waiter();
+    waiter.route = route;
+    waiter.rank = rank;
+    waiter.awaitsTurn = true;
+    waiter.arrivedMillis = timer.nowMillis() - agoMillis;
+    waiting.add(waiter);
+    return waiter;
+  }
+
+  @Test
+  void requestsOfHigherRankAndEarlierOnesOfTheSameRankAreAhead() {
+    awaiting("plan", 0, 10);
+    awaiting("look", 2, 300);
+    Waiter second = awaiting("look", 2, 200);
+    awaiting("look", 2, 100);
+    assertThat(waiting.countAhead(second)).isEqualTo(2);
+    assertThat(waiting.awaitingTurn("s")).isEqualTo(4);
+  }
+
+  /** Without this, routes of a low rank would be refused entirely under a lasting overload. */
+  @Test
+  void theOldestRequestOfARouteCountsNobodyAhead() {
+    for (int i = 0; i < 20; i++) {
+      awaiting("plan", 0, 10 + i);
+    }
+    assertThat(waiting.countAhead(awaiting("look", 2, 0))).isZero();
+  }
+
+  /** Guards against a limited service whose many waiting requests take all tries of a pass. */
+  @Test
+  void manyWaitingRequestsOfOneServiceDoNotHoldUpAnother() {
+    for (int i = 0; i < 200; i++) {
+      awaiting("plan", 0, 10);
+    }
+    Waiter other = new Waiter();
+    other.service = "other";
+    other.rank = 5;
+    other.arrivedMillis = timer.nowMillis();
+    waiting.add(other);
+    waiting.wake();
+    assertThat(other.tries).isEqualTo(1);
+  }
 }
