A limit outlives a moment in which the upstream's row is missing

What callers and upstreams saw: after a row had lapsed in an outage of the store, or could not be read for a moment, entries sent a limited upstream all they had until it answered them.

Cause: what an entry knows of an upstream was dropped with the row, and a row that came back named the same process. Kept for 60 s now.

--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
@@ -18,8 +18,14 @@
    */
   private static final double LATENCY_RATIO_SAMPLES = 200;
 
+  /** Time for which the state of an upstream is kept after it was last in the view. */
+  private static final long RETENTION_MILLIS = 60_000;
+
   private final Map<String, UpstreamState> states = new HashMap<>();
 
+  /** When the upstreams that are not in the view were first missing, by id. */
+  private final Map<String, Long> missingSinceMillis = new HashMap<>();
+
   /** The latency ratio of all upstreams of a service together, by service. */
   private final Map<String, UpstreamLatencyRatio> latencyRatios = new HashMap<>();
 
@@ -45,9 +51,23 @@
     return fresh;
   }
 
-  /** Removes the state of all upstreams that are not in the view. */
-  public void retainAll(FleetView view) {
-    states.keySet().removeIf(id -> view.find(id).isEmpty());
+  /**
+   * Removes the state of the upstreams that have not been in the view for a time. An upstream whose
+   * row lapsed or could not be read comes back as the same process, which what it has said of
+   * itself still holds for.
+   *
+   * @param nowMillis monotonic time
+   */
+  public void retainAll(FleetView view, long nowMillis) {
+    for (String id : states.keySet()) {
+      if (view.find(id).isPresent()) {
+        missingSinceMillis.remove(id);
+      } else {
+        missingSinceMillis.putIfAbsent(id, nowMillis);
+      }
+    }
+    missingSinceMillis.values().removeIf(since -> nowMillis - since > RETENTION_MILLIS);
+    states.keySet().removeIf(id -> view.find(id).isEmpty() && !missingSinceMillis.containsKey(id));
   }
 
   /**
@@ -73,7 +93,11 @@
 
   /** Returns the number of upstreams that have named a limit. */
   public int limitedUpstreams() {
-    return (int) states.values().stream().filter(each -> each.limit().isInForce()).count();
+    return (int)
+        states.entrySet().stream()
+            .filter(each -> !missingSinceMillis.containsKey(each.getKey()))
+            .filter(each -> each.getValue().limit().isInForce())
+            .count();
   }
 
   /** Returns the number of open streams with a short gap target at this entry. */
--- a/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
@@ -106,7 +106,7 @@
   public void fleetChanged(FleetView view) {
     components.upstreamPool().retainOnly(view);
     components.crashGuard().fleetChanged(view);
-    components.placer().upstreamStates().retainAll(view);
+    components.placer().upstreamStates().retainAll(view, components.timer().nowMillis());
     components.waitingRequests().wake();
   }
 }
