Scaling orders see the capacity that limits take away

An upstream at a limit of one or two requests a second counted as one with all its slots, so a service under load got no further upstreams while some of its own were limited. They no longer count as capacity; without demand nothing more is ordered. The log line of an order tells how many were limited.

--- a/core/src/main/java/org/limpetvale/core/scaling/UpstreamCounts.java
+++ b/core/src/main/java/org/limpetvale/core/scaling/UpstreamCounts.java
@@ -26,6 +26,8 @@
    * @param bounds minimum and maximum number of upstreams per zone
    * @param slots maximum number of concurrent requests per upstream
    * @param demand expected number of concurrent requests
+   * @param limitedUpstreams number of running upstreams that accept so few requests that they do
+   *     not count as capacity
    * @param zones zones of the service
    * @param failedZones zones that currently provide no upstreams; their desired number is the
    *     minimum
@@ -34,10 +36,12 @@
       ServicePolicy.ScalingBounds bounds,
       int slots,
       double demand,
+      int limitedUpstreams,
       Set<String> zones,
       Set<String> failedZones) {
     Objects.requireNonNull(bounds, "bounds is null");
-    int needed = (int) Math.ceil(demand / (Math.max(1, slots) * TARGET_UTILIZATION));
+    int needed =
+        limitedUpstreams + (int) Math.ceil(demand / (Math.max(1, slots) * TARGET_UTILIZATION));
     Map<String, Integer> counts = new TreeMap<>();
     zones.forEach(zone -> counts.put(zone, bounds.minPerZone()));
     int provided = 0;
--- a/core/src/test/java/org/limpetvale/core/scaling/UpstreamCountsTest.java
+++ b/core/src/test/java/org/limpetvale/core/scaling/UpstreamCountsTest.java
@@ -12,7 +12,7 @@
   private static final Set<String> ZONES = Set.of("a", "b", "c");
 
   private static Map<String, Integer> desired(double demand, Set<String> failedZones) {
-    return UpstreamCounts.desired(BOUNDS, 10, demand, ZONES, failedZones);
+    return UpstreamCounts.desired(BOUNDS, 10, demand, 0, ZONES, failedZones);
   }
 
   @Test
@@ -26,6 +26,14 @@
     assertThat(desired(31, Set.of()).values().stream().mapToInt(each -> each).sum()).isEqualTo(7);
   }
 
+  @Test
+  void upstreamsThatAcceptFewRequestsAreReplacedWhileDemandNeedsThem() {
+    assertThat(UpstreamCounts.desired(BOUNDS, 10, 30, 2, ZONES, Set.of()).values())
+        .satisfies(each -> assertThat(each.stream().mapToInt(i -> i).sum()).isEqualTo(8));
+    assertThat(UpstreamCounts.desired(BOUNDS, 10, 5, 2, ZONES, Set.of()))
+        .isEqualTo(Map.of("a", 1, "b", 1, "c", 1));
+  }
+
   @Test
   void noZoneExceedsItsMaximum() {
     assertThat(desired(10_000, Set.of())).isEqualTo(Map.of("a", 4, "b", 4, "c", 4));
--- a/forward/src/main/java/org/limpetvale/forward/duty/Demand.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Demand.java
@@ -41,4 +41,12 @@
     }
     return requests;
   }
+
+  /** Returns the number of ready upstreams of a service that have named a limit. */
+  int limitedUpstreams(String service) {
+    return (int)
+        fleet.get().ready(service).stream()
+            .filter(each -> loads.state(each).limit().isInForce())
+            .count();
+  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/duty/ScalingDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/ScalingDuty.java
@@ -163,7 +163,8 @@
           }
         });
     Map<ServiceZone, Integer> dueOrders = new HashMap<>();
-    UpstreamCounts.desired(bounds, slots, window.forecast(), zones, lost)
+    int limited = demand.limitedUpstreams(service);
+    UpstreamCounts.desired(bounds, slots, window.forecast(), limited, zones, lost)
         .forEach(
             (zone, count) -> {
               ServiceZone serviceZone = new ServiceZone(service, zone);
@@ -197,6 +198,7 @@
                   field("zone", serviceZone.zone()),
                   field("count", count),
                   field("expectedRequests", windows.get(serviceZone.service()).forecast()),
+                  field("limitedUpstreams", demand.limitedUpstreams(serviceZone.service())),
                   field("epoch", lease.epoch()),
                   field("outcome", reply.toString()));
               if (reply instanceof DutyReply.Taken) {
