An upstream that says it is leaving gets no further requests

What callers saw: requests went to an upstream that had said it was leaving, until its row said so or it ended; in our test, from all six entries for as long as the row said ready.

One typed notice (load, limit, leaving) is decoded now, and applied in one place with the process that it is about. The word wins over the row until another process takes the id, also for a request whose connection was being opened; requests in progress end as they are. Peers are told. Load that an upstream states in an answer for another process (421) is no longer taken for the one that was asked.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -30,6 +30,7 @@
 import org.limpetvale.forward.place.EngineProfiles;
 import org.limpetvale.forward.place.Placer;
 import org.limpetvale.forward.place.UpstreamLimits;
+import org.limpetvale.forward.place.UpstreamNotices;
 import org.limpetvale.forward.place.UpstreamStates;
 import org.limpetvale.forward.relay.Forwarder;
 import org.limpetvale.forward.route.Planner;
@@ -137,15 +138,16 @@
     EntryRoster roster = EntryRoster.of(self.writer(), members, peerBook, timer);
     UpstreamLimits limits =
         UpstreamLimits.of(loads, self.writer(), roster::entries, clock::millis, timer, log);
+    UpstreamNotices notices = UpstreamNotices.of(loads, limits, timer, log);
     Placer placer =
-        Placer.of(settings.zone(), upstreams::view, peerBook, loads, limits, engines, timer);
+        Placer.of(settings.zone(), upstreams::view, peerBook, loads, notices, engines, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
     this.crashes = CrashGuard.of(timer, log);
     peerBook.onReport(
         report -> {
           crashes.peerReported(report.writer(), report.crashes());
           placer.peerReported(report);
-          limits.peerReported(report, upstreams.view());
+          notices.peerReported(report, upstreams.view());
         });
     metrics.registerGauge(ForwardMetrics.Gauge.RETRY_SHARERS, () -> members.share().sharers());
     metrics.registerGauge(
@@ -205,6 +207,7 @@
                       crashes.localCrashes(),
                       engines.ownModels(),
                       limits.recentNotices(),
+                      notices.recentlyLeaving(),
                       duties.releasedEpoch());
               return parts.withUsage() ? report : report.withoutUsage();
             },
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -32,6 +32,7 @@
  *     an empty set if the request was served since
  * @param engines engine models measured by the entry, by service
  * @param limits limits recently heard from upstreams, by upstream
+ * @param leaving start times of the upstream processes recently heard to be leaving, by upstream
  * @param releasedEpoch fencing token of the lease that the entry finally released; 0 if there is
  *     none
  */
@@ -47,6 +48,7 @@
     Map<String, Set<String>> crashes,
     Map<String, EngineModel> engines,
     Map<String, Limit> limits,
+    Map<String, Long> leaving,
     long releasedEpoch) {
   /** Value of the closed window in a report without usage. */
   public static final long USAGE_OMITTED = -1;
@@ -66,6 +68,7 @@
   private static final String CRASHES = "x";
   private static final String ENGINES = "e";
   private static final String LIMITS = "m";
+  private static final String LEAVING = "v";
   private static final String RELEASED_EPOCH = "r";
 
   /** Stands for a limit that has ended. */
@@ -111,6 +114,7 @@
     crashes = Map.copyOf(Objects.requireNonNull(crashes, "crashes is null"));
     engines = Map.copyOf(Objects.requireNonNull(engines, "engines is null"));
     limits = Map.copyOf(Objects.requireNonNull(limits, "limits is null"));
+    leaving = Map.copyOf(Objects.requireNonNull(leaving, "leaving is null"));
   }
 
   /** Returns this report without usage and thus without a closed window. */
@@ -136,6 +140,7 @@
         crashes,
         engines,
         limits,
+        leaving,
         releasedEpoch);
   }
 
@@ -171,6 +176,7 @@
     }
     putEngines(node);
     putLimits(node);
+    putLeaving(node);
     if (releasedEpoch > 0) {
       node.put(RELEASED_EPOCH, releasedEpoch);
     }
@@ -197,6 +203,7 @@
               lists(node.path(CRASHES)),
               engines(node.path(ENGINES)),
               limits(node.path(LIMITS)),
+              startTimes(node.path(LEAVING)),
               node.path(RELEASED_EPOCH).asLong()));
     } catch (JsonProcessingException | NumberFormatException e) {
       return Optional.empty();
@@ -300,6 +307,19 @@
     return limits;
   }
 
+  private void putLeaving(ObjectNode node) {
+    if (!leaving.isEmpty()) {
+      ObjectNode inner = node.putObject(LEAVING);
+      leaving.forEach(inner::put);
+    }
+  }
+
+  private static Map<String, Long> startTimes(JsonNode node) {
+    Map<String, Long> startTimes = new HashMap<>();
+    node.properties().forEach(each -> startTimes.put(each.getKey(), each.getValue().asLong()));
+    return startTimes;
+  }
+
   private static Map<String, Load> loads(JsonNode node) {
     Map<String, Load> loads = new HashMap<>();
     for (Map.Entry<String, JsonNode> each : node.properties()) {
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -43,6 +43,7 @@
   private final Supplier<FleetView> fleet;
   private final PeerReports peers;
   private final UpstreamStates loads;
+  private final UpstreamNotices notices;
   private final UpstreamLimits limits;
   private final EngineProfiles engines;
   private final TimerService timer;
@@ -55,14 +56,15 @@
       Supplier<FleetView> fleet,
       PeerReports peers,
       UpstreamStates loads,
-      UpstreamLimits limits,
+      UpstreamNotices notices,
       EngineProfiles engines,
       TimerService timer) {
     this.zone = Objects.requireNonNull(zone, "zone is null");
     this.fleet = Objects.requireNonNull(fleet, "fleet is null");
     this.peers = Objects.requireNonNull(peers, "peers is null");
     this.loads = Objects.requireNonNull(loads, "loads is null");
-    this.limits = Objects.requireNonNull(limits, "limits is null");
+    this.notices = Objects.requireNonNull(notices, "notices is null");
+    this.limits = notices.limits();
     this.engines = Objects.requireNonNull(engines, "engines is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
   }
@@ -73,7 +75,7 @@
    * @param zone availability zone of this entry
    * @param fleet supplies the known upstreams
    * @param peers reports of the other entries
-   * @param limits limits that upstreams have named
+   * @param notices what upstreams have stated about themselves
    * @param engines measured engine profiles
    */
   public static Placer of(
@@ -81,10 +83,10 @@
       Supplier<FleetView> fleet,
       PeerReports peers,
       UpstreamStates loads,
-      UpstreamLimits limits,
+      UpstreamNotices notices,
       EngineProfiles engines,
       TimerService timer) {
-    return new Placer(zone, fleet, peers, loads, limits, engines, timer);
+    return new Placer(zone, fleet, peers, loads, notices, engines, timer);
   }
 
   /**
@@ -112,9 +114,12 @@
     return choice.<Placement>map(Placement.Chosen::new).orElseGet(Placement.Unavailable::new);
   }
 
-  /** Returns the upstreams that have named no limit, or all if each has named one. */
+  /** Returns the upstreams that neither are limited nor leave, or all if there are none. */
   private List<Upstream> unlimited(List<Upstream> ready) {
-    List<Upstream> unlimited = ready.stream().filter(each -> !limits.isLimited(each)).toList();
+    List<Upstream> unlimited =
+        ready.stream()
+            .filter(each -> !limits.isLimited(each) && !loads.state(each).isLeaving())
+            .toList();
     return unlimited.isEmpty() ? ready : unlimited;
   }
 
@@ -186,6 +191,11 @@
     return engines;
   }
 
+  /** Returns what upstreams have stated about themselves. */
+  public UpstreamNotices upstreamNotices() {
+    return notices;
+  }
+
   /** Returns the limits that upstreams have named. */
   public UpstreamLimits upstreamLimits() {
     return limits;
@@ -197,7 +207,8 @@
   }
 
   private boolean isUsable(Upstream upstream, Set<String> excluded, long nowMillis) {
-    return !excluded.contains(upstream.id()) && !loads.state(upstream).isPaused(nowMillis);
+    UpstreamState state = loads.state(upstream);
+    return !excluded.contains(upstream.id()) && !state.isLeaving() && !state.isPaused(nowMillis);
   }
 
   private boolean mayHavePrefix(
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -15,7 +15,7 @@
 import org.limpetvale.core.placement.UpstreamLatencyRatio;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.forward.peer.PeerReport;
-import org.limpetvale.forward.spi.ResponseHead;
+import org.limpetvale.forward.spi.UpstreamNotice;
 
 /** What this entry knows about one upstream process. Must only be used on the event loop. */
 public final class UpstreamState {
@@ -72,6 +72,7 @@
   private LimitNotice limit = LimitNotice.NONE;
   private LimitNotice ownNotice = LimitNotice.NONE;
   private boolean unreadableLimitSeen;
+  private boolean leaving;
 
   /**
    * This entry's turns at the upstream, and what they were computed from; null before first use.
@@ -142,7 +143,7 @@
   }
 
   /** Records the upstream's load as reported in a response header. */
-  public void loadReported(ResponseHead.Load load, long nowMillis) {
+  public void loadReported(UpstreamNotice.Load load, long nowMillis) {
     otherRequests = Math.max(0, load.running() + load.waiting() - sentRequests.size());
     otherRequestsAtMillis = nowMillis;
   }
@@ -192,6 +193,15 @@
     limit = notice;
   }
 
+  /** Returns whether the upstream has stated that it is leaving. */
+  public boolean isLeaving() {
+    return leaving;
+  }
+
+  void setLeaving() {
+    leaving = true;
+  }
+
   /** Returns the notice that this entry has last heard from the upstream itself. */
   LimitNotice ownNotice() {
     return ownNotice;
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -14,7 +14,7 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.RequestBody;
 import org.limpetvale.forward.place.EngineProfiles;
-import org.limpetvale.forward.place.UpstreamLimits;
+import org.limpetvale.forward.place.UpstreamNotices;
 import org.limpetvale.forward.place.UpstreamState;
 import org.limpetvale.forward.route.RequestPlan;
 import org.limpetvale.forward.spi.RequestHead;
@@ -76,7 +76,7 @@
   private final UpstreamState state;
   private final UpstreamConnection connection;
   private final EngineProfiles engines;
-  private final UpstreamLimits limits;
+  private final UpstreamNotices notices;
   private final TimerService timer;
 
   /** The load of the upstream as known when the request was placed. */
@@ -118,7 +118,7 @@
       UpstreamState state,
       UpstreamConnection connection,
       EngineProfiles engines,
-      UpstreamLimits limits,
+      UpstreamNotices notices,
       TimerService timer) {
     this.listener = listener;
     this.plan = plan;
@@ -128,7 +128,7 @@
     this.state = state;
     this.connection = connection;
     this.engines = engines;
-    this.limits = limits;
+    this.notices = notices;
     this.timer = timer;
     this.load = choice.load();
     this.predictedMillis = choice.predictedMillis();
@@ -189,10 +189,9 @@
   @Override
   public void onHead(HttpResponse response, ResponseHead head) {
     lastActivityMillis = timer.nowMillis();
-    head.load().ifPresent(load -> state.loadReported(load, lastActivityMillis));
     status = response.status().code();
     if (status != StatusCodes.MISDIRECTED) {
-      limits.responseReceived(upstream, head.limit(), startedMillis);
+      notices.responseReceived(upstream, head.notice(), startedMillis);
     }
     notRun = head.notExecuted() || status == StatusCodes.MISDIRECTED;
     if (!notRun && !startsWithFirstEvent()) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -269,7 +269,7 @@
       }
       case UpstreamPool.AcquireResult.Connected(UpstreamConnection connection) -> {
         state.connected();
-        if (ended || !isStillEligible(upstream)) {
+        if (ended || state.isLeaving() || !isStillEligible(upstream)) {
           connection.close();
           if (!ended) {
             placeOrWait();
@@ -328,7 +328,7 @@
             state,
             connection,
             components.placer().engineProfiles(),
-            components.placer().upstreamLimits(),
+            components.placer().upstreamNotices(),
             components.timer());
     attempt.send(
         UpstreamRequest.of(components.headerCodec(), request, grant(upstream, remainingMillis)),
--- a/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
@@ -134,6 +134,7 @@
               Map.of(),
               Map.of(),
               limits.recentNotices(),
+              Map.of(),
               0);
       for (Entry other : entries) {
         boolean lost = peersCut || other.peersCut || random.nextDouble() < reportLossShare;
--- /dev/null
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamNoticesTest.java
@@ -0,0 +1,69 @@
+package org.limpetvale.forward.place;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.limpetvale.core.fleet.FleetView;
+import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.limit.StatedLimit;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.peer.PeerReport;
+import org.limpetvale.forward.spi.UpstreamNotice;
+import org.limpetvale.forward.testing.ManualTimer;
+
+final class UpstreamNoticesTest {
+  private static final UpstreamNotice LEAVING =
+      new UpstreamNotice(Optional.empty(), StatedLimit.NONE, true);
+  private static final UpstreamNotice NOTHING =
+      new UpstreamNotice(Optional.empty(), StatedLimit.NONE, false);
+
+  private final ManualTimer timer = new ManualTimer();
+  private final UpstreamStates states = UpstreamStates.empty();
+  private final UpstreamNotices notices =
+      UpstreamNotices.of(
+          states,
+          UpstreamLimits.of(
+              states, "a.1", () -> List.of("a.1"), timer::wallMillis, timer, EventLog.silent()),
+          timer,
+          EventLog.silent());
+
+  private static Upstream process(long startedMillis) {
+    return new Upstream("i-1", "desk", "10.0.0.1", 80, "z", 8, false, startedMillis);
+  }
+
+  private boolean isLeaving(Upstream upstream) {
+    return states.state(upstream).isLeaving();
+  }
+
+  private static PeerReport report(String json) {
+    return PeerReport.parse(json).orElseThrow();
+  }
+
+  @Test
+  void anUpstreamIsLeavingUntilAnotherProcessTakesItsPlace() {
+    notices.responseReceived(process(1), LEAVING, 0);
+    notices.responseReceived(process(1), NOTHING, 0);
+    assertThat(isLeaving(process(1))).isTrue();
+    assertThat(isLeaving(process(2))).isFalse();
+  }
+
+  @Test
+  void otherEntriesLearnWhichProcessIsLeaving() {
+    notices.responseReceived(process(1), LEAVING, 0);
+    assertThat(notices.recentlyLeaving()).containsEntry("i-1", 1L);
+    timer.advance(2_001);
+    assertThat(notices.recentlyLeaving()).isEmpty();
+  }
+
+  @Test
+  void whatAnotherEntryReportsHoldsForTheSameProcessOnly() {
+    FleetView fleet = FleetView.of(List.of(process(1)));
+    notices.peerReported(report("{\"w\":\"b.1\",\"n\":1,\"v\":{\"i-1\":7,\"i-2\":1}}"), fleet);
+    assertThat(isLeaving(process(1))).isFalse();
+    notices.peerReported(report("{\"w\":\"b.1\",\"n\":2,\"v\":{\"i-1\":1}}"), fleet);
+    assertThat(isLeaving(process(1))).isTrue();
+    assertThat(notices.recentlyLeaving()).isEmpty();
+  }
+}
