Pauses that upstreams ask for are kept, and refusals send first attempts elsewhere

What callers saw: an upstream that refused got first attempts all the same, and a Retry-After of its 503 was only passed on.

Cause: as for the limit, the word was dropped where answers are decoded. Decoded now (seconds, fractions, a date; bounded by 300 s; junk is no pause) and kept with the process: the later of several ends holds, a little random time is added so that entries return one by one, and after the end the upstream gets single requests until it accepts one. A request whose connection was being opened moves on. When all upstreams of a service pause, callers wait if that leaves time, by rank, or are refused at once with the earliest end as Retry-After. A refusal without a time makes other upstreams preferred for 0.25 s, doubling up to 4 s while it goes on; if all refuse, none is avoided.

--- a/core/src/main/java/org/limpetvale/core/limit/ReturnSchedule.java
+++ b/core/src/main/java/org/limpetvale/core/limit/ReturnSchedule.java
@@ -33,12 +33,15 @@
    * Returns the time after which a caller should return.
    *
    * @param nowMillis current time
+   * @param acceptedFromMillis time from which requests are accepted; may have passed
    * @param requestsPerSecond rate at which returning callers can be served
    * @param waiting requests that are served before it
    */
-  public long returnAfterMillis(long nowMillis, double requestsPerSecond, int waiting) {
+  public long returnAfterMillis(
+      long nowMillis, long acceptedFromMillis, double requestsPerSecond, int waiting) {
     double intervalMillis = MILLIS_PER_SECOND / Math.max(requestsPerSecond, 1 / MILLIS_PER_SECOND);
-    double earliestMillis = nowMillis + Math.max(minMillis, waiting * intervalMillis);
+    double servedMillis = Math.max(nowMillis, acceptedFromMillis) + waiting * intervalMillis;
+    double earliestMillis = Math.max(nowMillis + minMillis, servedMillis);
     double returnMillis = Math.max(earliestMillis, nextReturnMillis);
     double latestMillis = nowMillis + (double) maxMillis;
     nextReturnMillis = Math.min(returnMillis + intervalMillis, latestMillis);
--- a/core/src/main/java/org/limpetvale/core/limit/package-info.java
+++ b/core/src/main/java/org/limpetvale/core/limit/package-info.java
@@ -1,2 +1,2 @@
-/** Request rates that upstreams ask the whole fleet to keep to. */
+/** Request rates that upstreams ask the fleet to keep to, and pauses that they ask an entry for. */
 package org.limpetvale.core.limit;
--- a/core/src/main/java/org/limpetvale/core/result/ResultCode.java
+++ b/core/src/main/java/org/limpetvale/core/result/ResultCode.java
@@ -47,11 +47,11 @@
   UPSTREAM_FULL(
       3010, 503, ExecutionStatus.NOT_RUN, "Every upstream that was tried refused the request."),
   MEMORY_SHORT(3011, 503, ExecutionStatus.NOT_RUN, "Too many request bodies are being held."),
-  UPSTREAMS_LIMITED(
+  UPSTREAMS_NOT_ACCEPTING(
       3012,
       503,
       ExecutionStatus.NOT_RUN,
-      "Every upstream that could take the request is at the limit that it has named."),
+      "Every upstream that could take the request has asked for fewer requests."),
   UPSTREAM_CRASHED(
       4001, 502, ExecutionStatus.MAY_HAVE_RUN, "The upstream crashed while it ran the request."),
   UPSTREAM_SILENT(4002, 504, ExecutionStatus.MAY_HAVE_RUN, "The upstream stopped answering."),
--- a/core/src/test/java/org/limpetvale/core/limit/ReturnScheduleTest.java
+++ b/core/src/test/java/org/limpetvale/core/limit/ReturnScheduleTest.java
@@ -11,28 +11,34 @@
   @Test
   void refusedCallersReturnAtTheRateAtWhichTheyCanBeServed() {
     for (int i = 0; i < 10; i++) {
-      assertThat(schedule.returnAfterMillis(0, 2, 0)).isEqualTo(200 + 500L * i);
+      assertThat(schedule.returnAfterMillis(0, 0, 2, 0)).isEqualTo(200 + 500L * i);
     }
   }
 
   @Test
   void callersReturnAfterTheRequestsThatWaitHaveBeenServed() {
-    assertThat(schedule.returnAfterMillis(0, 2, 6)).isEqualTo(3_000);
+    assertThat(schedule.returnAfterMillis(0, 0, 2, 6)).isEqualTo(3_000);
   }
 
   @Test
   void noCallerIsToldMoreThanTheLongestTime() {
     for (int i = 0; i < 100; i++) {
-      assertThat(schedule.returnAfterMillis(0, 2, 0)).isLessThanOrEqualTo(10_000);
+      assertThat(schedule.returnAfterMillis(0, 0, 2, 0)).isLessThanOrEqualTo(10_000);
     }
-    assertThat(schedule.returnAfterMillis(0, 0, 5)).isEqualTo(10_000);
+    assertThat(schedule.returnAfterMillis(0, 0, 0, 5)).isEqualTo(10_000);
   }
 
   @Test
   void theScheduleEmptiesAsTimePasses() {
     for (int i = 0; i < 6; i++) {
-      schedule.returnAfterMillis(0, 2, 0);
+      schedule.returnAfterMillis(0, 0, 2, 0);
     }
-    assertThat(schedule.returnAfterMillis(60_000, 2, 0)).isEqualTo(200);
+    assertThat(schedule.returnAfterMillis(60_000, 0, 2, 0)).isEqualTo(200);
+  }
+
+  @Test
+  void callersReturnFromTheEndOfAPauseOn() {
+    assertThat(schedule.returnAfterMillis(1_000, 4_000, 2, 0)).isEqualTo(3_000);
+    assertThat(schedule.returnAfterMillis(1_000, 4_000, 2, 0)).isEqualTo(3_500);
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.CallerServer;
 import org.limpetvale.forward.account.RetryBudgets;
@@ -138,7 +139,9 @@
     EntryRoster roster = EntryRoster.of(self.writer(), members, peerBook, timer);
     UpstreamLimits limits =
         UpstreamLimits.of(loads, self.writer(), roster::entries, clock::millis, timer, log);
-    UpstreamNotices notices = UpstreamNotices.of(loads, limits, timer, log);
+    UpstreamNotices notices =
+        UpstreamNotices.of(
+            loads, limits, () -> ThreadLocalRandom.current().nextDouble(), timer, log);
     Placer placer =
         Placer.of(settings.zone(), upstreams::view, peerBook, loads, notices, engines, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
--- a/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/WaitingRequests.java
@@ -32,8 +32,8 @@
     /** Returns the name of the request's route. */
     String routeName();
 
-    /** Returns whether the request waits for a turn at an upstream that has named a limit. */
-    boolean awaitsTurn();
+    /** Returns whether the request waits until an upstream accepts requests again. */
+    boolean isDeferred();
 
     /** Returns the position of the request in the dispatch order. */
     DispatchOrder.SortKey place();
@@ -85,16 +85,16 @@
     return counts;
   }
 
-  /** Returns the number of requests for a service that wait for a turn at a limited upstream. */
-  public int awaitingTurn(String service) {
-    return (int) waiting.stream().filter(each -> awaitsTurn(each, service)).count();
+  /** Returns the number of requests that wait until an upstream of a service accepts requests. */
+  public int deferred(String service) {
+    return (int) waiting.stream().filter(each -> isDeferred(each, service)).count();
   }
 
   /**
-   * Returns the number of requests that wait for a turn at an upstream of the same service and are
-   * dispatched before a request. The oldest request of a route counts none, so that a route is not
-   * refused entirely while routes of a higher rank use all turns; it is dispatched once most of its
-   * time has passed.
+   * Returns the number of requests that wait until an upstream of the same service accepts requests
+   * and are dispatched before a request. The oldest request of a route counts none, so that a route
+   * is not refused entirely while routes of a higher rank use all that is accepted; it is
+   * dispatched once most of its time has passed.
    */
   public int countAhead(Waiter waiter) {
     DispatchOrder.SortKey key = waiter.place();
@@ -102,7 +102,7 @@
     boolean oldestOfRoute = true;
     int ahead = 0;
     for (Waiter other : waiting) {
-      if (other == waiter || !awaitsTurn(other, waiter.service())) {
+      if (other == waiter || !isDeferred(other, waiter.service())) {
         continue;
       }
       boolean sameRoute = other.routeName().equals(waiter.routeName());
@@ -112,8 +112,8 @@
     return oldestOfRoute ? 0 : ahead;
   }
 
-  private static boolean awaitsTurn(Waiter waiter, String service) {
-    return waiter.awaitsTurn() && waiter.service().equals(service);
+  private static boolean isDeferred(Waiter waiter, String service) {
+    return waiter.isDeferred() && waiter.service().equals(service);
   }
 
   /**
--- a/forward/src/main/java/org/limpetvale/forward/place/Placement.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placement.java
@@ -15,13 +15,13 @@
   }
 
   /**
-   * Only upstreams that have named a limit could take the request, and this entry may not send to
-   * any of them at present.
+   * Only upstreams could take the request that have named a limit or asked for a pause, and accept
+   * no request of this entry at present.
    *
    * @param upstreams these upstreams; never empty
    */
-  record Limited(List<Upstream> upstreams) implements Placement {
-    public Limited {
+  record Deferred(List<Upstream> upstreams) implements Placement {
+    public Deferred {
       upstreams = List.copyOf(upstreams);
     }
   }
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -105,12 +105,15 @@
         ready.stream().filter(each -> isUsable(each, excluded, nowMillis)).toList();
     List<Upstream> candidates = usable.stream().filter(limits::maySend).toList();
     if (candidates.isEmpty()) {
-      return usable.isEmpty() ? new Placement.Unavailable() : new Placement.Limited(usable);
+      return usable.isEmpty() ? new Placement.Unavailable() : new Placement.Deferred(usable);
     }
+    List<Upstream> willing =
+        candidates.stream().filter(each -> !loads.state(each).isAvoided(nowMillis)).toList();
+    List<Upstream> preferred = willing.isEmpty() ? candidates : willing;
     Optional<Choice> choice =
         shape.isModelRequest()
-            ? chooseEngine(plan, shape, waitedMillis, unlimited(ready), candidates)
-            : chooseService(candidates, nowMillis);
+            ? chooseEngine(plan, shape, waitedMillis, unlimited(ready), preferred)
+            : chooseService(preferred, nowMillis);
     return choice.<Placement>map(Placement.Chosen::new).orElseGet(Placement.Unavailable::new);
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamLimits.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamLimits.java
@@ -19,8 +19,8 @@
 import org.limpetvale.forward.peer.PeerReport;
 
 /**
- * The limits that upstreams name for the requests of all entries together, and this entry's part of
- * them. Must only be used on the event loop.
+ * How many requests upstreams accept from this entry: its part of the limits that they name for all
+ * entries together, and the pauses that they ask it for. Must only be used on the event loop.
  *
  * <p>Every request to an upstream counts, also retries and requests that the upstream refuses. An
  * entry hears of a limit from responses to its own requests and from the reports of the others.
@@ -135,6 +135,9 @@
   /** Returns whether this entry may send a request to an upstream now. */
   public boolean maySend(Upstream upstream) {
     UpstreamState state = states.state(upstream);
+    if (!state.wantsRequest(timer.nowMillis())) {
+      return false;
+    }
     if (!state.limit().isInForce()) {
       return true;
     }
@@ -144,41 +147,50 @@
   }
 
   /**
-   * Returns how many requests this entry may send to limited upstreams in its turns until a time.
+   * Returns how many requests this entry may send until a time to upstreams that accept none now.
    *
    * @param untilMillis monotonic time
    */
-  public int allowedUntil(List<Upstream> limited, long untilMillis) {
-    long nowFleetMillis = fleetMillis.getAsLong();
-    long untilFleetMillis = nowFleetMillis + untilMillis - timer.nowMillis();
-    int allowed = 0;
-    for (Upstream upstream : limited) {
-      UpstreamState state = states.state(upstream);
-      if (state.limit().isInForce()) {
-        OwnTurns own = state.ownTurns(self, entries.get());
-        int sent = sentInTurn(state, own, nowFleetMillis);
-        allowed += own.allowedUntil(nowFleetMillis, untilFleetMillis, sent);
-      }
+  public int allowedUntil(List<Upstream> upstreams, long untilMillis) {
+    return upstreams.stream().mapToInt(each -> allowedUntil(states.state(each), untilMillis)).sum();
+  }
+
+  private int allowedUntil(UpstreamState state, long untilMillis) {
+    long nowMillis = timer.nowMillis();
+    long fromMillis = Math.max(nowMillis, state.askedPauseUntilMillis());
+    if (fromMillis >= untilMillis) {
+      return 0;
     }
-    return allowed;
+    if (!state.limit().isInForce()) {
+      return Math.max(1, state.upstream().slots() / Math.max(1, entries.get().size()));
+    }
+    long offsetMillis = fleetMillis.getAsLong() - nowMillis;
+    OwnTurns own = state.ownTurns(self, entries.get());
+    int sent = sentInTurn(state, own, fromMillis + offsetMillis);
+    return own.allowedUntil(fromMillis + offsetMillis, untilMillis + offsetMillis, sent);
   }
 
   /**
-   * Returns the time after which a caller that was refused because of limits should return.
+   * Returns the time after which a caller should return that was refused because no upstream
+   * accepts requests at present.
    *
    * @param service service of the request
-   * @param limited upstreams that could take the request
+   * @param upstreams upstreams that could take the request
    * @param waiting requests for the service that wait at this entry
    */
-  public long returnAfterMillis(String service, List<Upstream> limited, int waiting) {
-    double fleetPerSecond =
-        limited.stream()
-            .mapToDouble(each -> states.state(each).limit().requestsPerSecond().orElse(0))
-            .sum();
+  public long returnAfterMillis(String service, List<Upstream> upstreams, int waiting) {
+    long nowMillis = timer.nowMillis();
+    long earliestMillis = Long.MAX_VALUE;
+    double fleetPerSecond = 0;
+    for (Upstream upstream : upstreams) {
+      UpstreamState state = states.state(upstream);
+      earliestMillis = Math.min(earliestMillis, state.askedPauseUntilMillis());
+      fleetPerSecond += state.limit().requestsPerSecond().orElse(upstream.slots());
+    }
     double ownPerSecond = fleetPerSecond / Math.max(1, entries.get().size());
     return returnsByService
         .computeIfAbsent(service, name -> ReturnSchedule.of(MIN_RETURN_MILLIS, MAX_RETURN_MILLIS))
-        .returnAfterMillis(timer.nowMillis(), ownPerSecond, waiting);
+        .returnAfterMillis(nowMillis, earliestMillis, ownPerSecond, waiting);
   }
 
   private int sentInTurn(UpstreamState state, OwnTurns own, long nowFleetMillis) {
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamNotices.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamNotices.java
@@ -5,8 +5,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.DoubleSupplier;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.limit.StatedPause;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.peer.PeerReport;
@@ -28,11 +30,23 @@
   private final TimerService timer;
   private final EventLog log;
 
+  /** Share of a pause by which it is lengthened at random, so that entries return one by one. */
+  private static final double MAX_LENGTHENING_SHARE = 0.2;
+
+  private static final long MAX_LENGTHENING_MILLIS = 1_000;
+
+  private final DoubleSupplier random;
+
   /** When upstreams that are leaving were last heard to say so by this entry, by id. */
   private final Map<String, Long> leavingHeardMillis = new HashMap<>();
 
   private UpstreamNotices(
-      UpstreamStates states, UpstreamLimits limits, TimerService timer, EventLog log) {
+      UpstreamStates states,
+      UpstreamLimits limits,
+      DoubleSupplier random,
+      TimerService timer,
+      EventLog log) {
+    this.random = Objects.requireNonNull(random, "random is null");
     this.states = Objects.requireNonNull(states, "states is null");
     this.limits = Objects.requireNonNull(limits, "limits is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
@@ -43,10 +57,15 @@
    * Returns an instance that has not received any notices.
    *
    * @param limits receives the limits
+   * @param random supplies random numbers from 0 inclusive to 1 exclusive
    */
   public static UpstreamNotices of(
-      UpstreamStates states, UpstreamLimits limits, TimerService timer, EventLog log) {
-    return new UpstreamNotices(states, limits, timer, log);
+      UpstreamStates states,
+      UpstreamLimits limits,
+      DoubleSupplier random,
+      TimerService timer,
+      EventLog log) {
+    return new UpstreamNotices(states, limits, random, timer, log);
   }
 
   /**
@@ -58,12 +77,54 @@
     UpstreamState state = states.state(upstream);
     notice.load().ifPresent(load -> state.loadReported(load, timer.nowMillis()));
     limits.responseReceived(upstream, notice.limit(), sentMillis);
+    applyPause(state, notice.pause(), sentMillis);
     if (notice.leaving()) {
       leavingHeardMillis.put(upstream.id(), timer.nowMillis());
       markLeaving(state, "response");
     }
   }
 
+  /**
+   * Records whether an upstream has refused a request without having run it. Other upstreams are
+   * preferred for a time, which grows while it goes on refusing, so that few first attempts are
+   * spent on it.
+   */
+  public void requestAnswered(Upstream upstream, boolean refused) {
+    UpstreamState state = states.state(upstream);
+    if (refused) {
+      state.refused(timer.nowMillis());
+    } else {
+      state.notRefused();
+    }
+  }
+
+  private void applyPause(UpstreamState state, StatedPause pause, long sentMillis) {
+    long nowMillis = timer.nowMillis();
+    long millis = pause.millis(timer.wallMillis());
+    if (pause instanceof StatedPause.None) {
+      state.requestAccepted(sentMillis);
+      return;
+    }
+    if (millis == 0 || state.isAskedToPause(nowMillis + millis)) {
+      return;
+    }
+    long lengthening =
+        (long)
+            (random.getAsDouble()
+                * Math.min(MAX_LENGTHENING_MILLIS, millis * MAX_LENGTHENING_SHARE));
+    boolean newPause = !state.isAskedToPause(nowMillis);
+    state.extendAskedPause(nowMillis + millis + lengthening);
+    if (newPause) {
+      log.stateChange(
+          "upstream_asks_for_pause",
+          field("upstream", state.upstream().id()),
+          field("service", state.upstream().service()),
+          field("stated", pause),
+          field("millis", millis + lengthening),
+          field("ownRequests", state.ownRequests()));
+    }
+  }
+
   /** Applies the notices that another entry has received. */
   public void peerReported(PeerReport report, FleetView fleet) {
     limits.peerReported(report, fleet);
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -29,6 +29,14 @@
   private static final long INITIAL_PAUSE_MILLIS = 500;
   private static final long MAX_PAUSE_MILLIS = 4_000;
 
+  /** Time between two requests after a pause, until the upstream has accepted one. */
+  private static final long RETURN_INTERVAL_MILLIS = 1_000;
+
+  /** Time after a first refusal in which other upstreams are preferred; doubles with each more. */
+  private static final long MIN_AVOIDANCE_MILLIS = 250;
+
+  private static final long MAX_AVOIDANCE_MILLIS = 4_000;
+
   /** Time for which sends are remembered; the longest turn of a limit is not longer. */
   private static final long SEND_MEMORY_MILLIS = 10_000;
 
@@ -73,6 +81,12 @@
   private LimitNotice ownNotice = LimitNotice.NONE;
   private boolean unreadableLimitSeen;
   private boolean leaving;
+  private long askedPauseUntilMillis = Long.MIN_VALUE;
+  private long avoidanceMillis;
+  private long avoidedUntilMillis = Long.MIN_VALUE;
+
+  /** Whether no response has shown yet that the upstream accepts requests again after a pause. */
+  private boolean returning;
 
   /**
    * This entry's turns at the upstream, and what they were computed from; null before first use.
@@ -193,6 +207,56 @@
     limit = notice;
   }
 
+  /**
+   * Extends the pause that the upstream has asked this entry for; a shorter one does not end it.
+   */
+  void extendAskedPause(long untilMillis) {
+    askedPauseUntilMillis = Math.max(askedPauseUntilMillis, untilMillis);
+    returning = true;
+  }
+
+  /** Records a response that asks for no pause, to a request sent at the given time. */
+  void requestAccepted(long sentMillis) {
+    returning &= sentMillis < askedPauseUntilMillis;
+  }
+
+  /**
+   * Returns whether the upstream wants a request now. After a pause, it gets single requests until
+   * it has accepted one.
+   */
+  boolean wantsRequest(long nowMillis) {
+    boolean tried = returning && sendsSince(nowMillis - RETURN_INTERVAL_MILLIS) > 0;
+    return !isAskedToPause(nowMillis) && !tried;
+  }
+
+  /** Returns the time until which the upstream wants no requests; in the past if it wants them. */
+  long askedPauseUntilMillis() {
+    return askedPauseUntilMillis;
+  }
+
+  /** Returns whether the upstream wants no requests from this entry at present. */
+  public boolean isAskedToPause(long nowMillis) {
+    return nowMillis < askedPauseUntilMillis;
+  }
+
+  /** Records that the upstream has refused a request of this entry. */
+  void refused(long nowMillis) {
+    if (!isAvoided(nowMillis)) {
+      avoidanceMillis = Math.clamp(2 * avoidanceMillis, MIN_AVOIDANCE_MILLIS, MAX_AVOIDANCE_MILLIS);
+      avoidedUntilMillis = nowMillis + avoidanceMillis;
+    }
+  }
+
+  /** Records a response that is not a refusal. */
+  void notRefused() {
+    avoidanceMillis = 0;
+  }
+
+  /** Returns whether other upstreams are preferred because this one has refused requests. */
+  boolean isAvoided(long nowMillis) {
+    return nowMillis < avoidedUntilMillis;
+  }
+
   /** Returns whether the upstream has stated that it is leaving. */
   public boolean isLeaving() {
     return leaving;
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -190,10 +190,11 @@
   public void onHead(HttpResponse response, ResponseHead head) {
     lastActivityMillis = timer.nowMillis();
     status = response.status().code();
+    notRun = head.notExecuted() || status == StatusCodes.MISDIRECTED;
     if (status != StatusCodes.MISDIRECTED) {
       notices.responseReceived(upstream, head.notice(), startedMillis);
+      notices.requestAnswered(upstream, head.notExecuted());
     }
-    notRun = head.notExecuted() || status == StatusCodes.MISDIRECTED;
     if (!notRun && !startsWithFirstEvent()) {
       markExecutionStarted();
     }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -61,8 +61,8 @@
   private int sentAttempts;
   private int connectFailures;
 
-  /** Whether the request waits because all upstreams that could take it are at their limits. */
-  private boolean awaitsTurn;
+  /** Whether the request waits because no upstream that could take it accepts requests now. */
+  private boolean isDeferred;
 
   /** Whether an earlier attempt may have been executed. */
   private boolean mayHaveRun;
@@ -138,8 +138,8 @@
   }
 
   @Override
-  public boolean awaitsTurn() {
-    return awaitsTurn;
+  public boolean isDeferred() {
+    return isDeferred;
   }
 
   @Override
@@ -153,10 +153,10 @@
     if (ended) {
       return true;
     }
-    awaitsTurn = false;
+    isDeferred = false;
     return switch (choose()) {
       case Placement.Chosen(Choice choice) -> dispatchIfAdmitted(choice);
-      case Placement.Limited(List<Upstream> limited) -> awaitTurnOrRefuse(limited);
+      case Placement.Deferred(List<Upstream> upstreams) -> deferOrRefuse(upstreams);
       case Placement.Unavailable() -> {
         giveUp(ResultCode.NO_UPSTREAM, "no upstream of " + plan.service() + " can take it");
         yield true;
@@ -175,36 +175,36 @@
   }
 
   /**
-   * Waits for a turn at a limited upstream if one that leaves time for the answer is foreseen, and
-   * otherwise refuses the request; returns whether it no longer waits.
+   * Waits if an upstream is expected to accept the request while there is time left for the answer,
+   * and otherwise refuses it; returns whether it no longer waits.
    */
-  private boolean awaitTurnOrRefuse(List<Upstream> limited) {
-    if (isTurnForeseen(limited)) {
-      awaitsTurn = true;
+  private boolean deferOrRefuse(List<Upstream> upstreams) {
+    if (isSendForeseen(upstreams)) {
+      isDeferred = true;
       return false;
     }
-    int waiting = components.waitingRequests().awaitingTurn(plan.service());
+    int waiting = components.waitingRequests().deferred(plan.service());
     long returnAfterMillis =
-        components.placer().upstreamLimits().returnAfterMillis(plan.service(), limited, waiting);
+        components.placer().upstreamLimits().returnAfterMillis(plan.service(), upstreams, waiting);
     giveUp(
-        ResultCode.UPSTREAMS_LIMITED,
-        limited.size() + " upstreams are at their limits, " + waiting + " requests wait for them",
+        ResultCode.UPSTREAMS_NOT_ACCEPTING,
+        upstreams.size() + " upstreams accept none now, " + waiting + " requests wait for them",
         returnAfterMillis);
     return true;
   }
 
-  private boolean isTurnForeseen(List<Upstream> limited) {
+  private boolean isSendForeseen(List<Upstream> upstreams) {
     long untilMillis = deadlineMillis - Math.max(MIN_RETRY_MILLIS, route().targetLatencyMillis());
     if (untilMillis <= components.timer().nowMillis()) {
       return false;
     }
-    int allowed = components.placer().upstreamLimits().allowedUntil(limited, untilMillis);
+    int allowed = components.placer().upstreamLimits().allowedUntil(upstreams, untilMillis);
     return allowed > components.waitingRequests().countAhead(this);
   }
 
   /**
-   * Chooses an upstream. Requests that wait for a turn and come first in the dispatch order take
-   * limited upstreams before this one.
+   * Chooses an upstream. Deferred requests that come first in the dispatch order take limited
+   * upstreams before this one.
    */
   private Placement choose() {
     Placement placement =
@@ -212,7 +212,7 @@
     if (placement instanceof Placement.Chosen(Choice choice)
         && components.placer().upstreamLimits().isLimited(choice.upstream())
         && components.waitingRequests().countAhead(this) > 0) {
-      return new Placement.Limited(List.of(choice.upstream()));
+      return new Placement.Deferred(List.of(choice.upstream()));
     }
     return placement;
   }
@@ -269,7 +269,7 @@
       }
       case UpstreamPool.AcquireResult.Connected(UpstreamConnection connection) -> {
         state.connected();
-        if (ended || state.isLeaving() || !isStillEligible(upstream)) {
+        if (ended || !isStillEligible(upstream, state)) {
           connection.close();
           if (!ended) {
             placeOrWait();
@@ -290,7 +290,10 @@
     }
   }
 
-  private boolean isStillEligible(Upstream upstream) {
+  private boolean isStillEligible(Upstream upstream, UpstreamState state) {
+    if (state.isLeaving() || state.isAskedToPause(components.timer().nowMillis())) {
+      return false;
+    }
     return components
         .fleet()
         .get()
@@ -473,7 +476,7 @@
     }
     return switch (choose()) {
       case Placement.Chosen ignored -> true;
-      case Placement.Limited(List<Upstream> limited) -> isTurnForeseen(limited);
+      case Placement.Deferred(List<Upstream> upstreams) -> isSendForeseen(upstreams);
       case Placement.Unavailable() -> false;
     };
   }
--- a/forward/src/main/java/org/limpetvale/forward/spi/UpstreamNotice.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/UpstreamNotice.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.limpetvale.core.limit.StatedLimit;
+import org.limpetvale.core.limit.StatedPause;
 
 /**
  * What an upstream states about itself in a response.
@@ -10,8 +11,10 @@
  * @param load its load, if it reports it
  * @param limit the request rate that it accepts from all entries together
  * @param leaving whether it is about to end and takes no new requests
+ * @param pause how long it wants no requests from this entry
  */
-public record UpstreamNotice(Optional<Load> load, StatedLimit limit, boolean leaving) {
+public record UpstreamNotice(
+    Optional<Load> load, StatedLimit limit, boolean leaving, StatedPause pause) {
 
   /**
    * An upstream's load at the time of its response.
@@ -25,5 +28,6 @@
   public UpstreamNotice {
     Objects.requireNonNull(load, "load is null");
     Objects.requireNonNull(limit, "limit is null");
+    Objects.requireNonNull(pause, "pause is null");
   }
 }
--- a/forward/src/test/java/org/limpetvale/forward/admit/WaitingRequestsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/admit/WaitingRequestsTest.java
@@ -16,7 +16,7 @@
     private boolean hasCapacity;
     private String service = "s";
     private String route = "r";
-    private boolean awaitsTurn;
+    private boolean isDeferred;
     private int rank = 1;
     private long arrivedMillis;
     private Runnable onTry = () -> {};
@@ -32,8 +32,8 @@
     }
 
     @Override
-    public boolean awaitsTurn() {
-      return awaitsTurn;
+    public boolean isDeferred() {
+      return isDeferred;
     }
 
     @Override
@@ -95,7 +95,7 @@
     Waiter waiter = new Waiter();
     waiter.route = route;
     waiter.rank = rank;
-    waiter.awaitsTurn = true;
+    waiter.isDeferred = true;
     waiter.arrivedMillis = timer.nowMillis() - agoMillis;
     waiting.add(waiter);
     return waiter;
@@ -108,7 +108,7 @@
     Waiter second = awaiting("look", 2, 200);
     awaiting("look", 2, 100);
     assertThat(waiting.countAhead(second)).isEqualTo(2);
-    assertThat(waiting.awaitingTurn("s")).isEqualTo(4);
+    assertThat(waiting.deferred("s")).isEqualTo(4);
   }
 
   /** Without this, routes of a low rank would be refused entirely under a lasting overload. */
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamNoticesTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamNoticesTest.java
@@ -8,6 +8,7 @@
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.limit.StatedLimit;
+import org.limpetvale.core.limit.StatedPause;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.spi.UpstreamNotice;
@@ -15,9 +16,9 @@
 
 final class UpstreamNoticesTest {
   private static final UpstreamNotice LEAVING =
-      new UpstreamNotice(Optional.empty(), StatedLimit.NONE, true);
+      new UpstreamNotice(Optional.empty(), StatedLimit.NONE, true, StatedPause.NONE);
   private static final UpstreamNotice NOTHING =
-      new UpstreamNotice(Optional.empty(), StatedLimit.NONE, false);
+      new UpstreamNotice(Optional.empty(), StatedLimit.NONE, false, StatedPause.NONE);
 
   private final ManualTimer timer = new ManualTimer();
   private final UpstreamStates states = UpstreamStates.empty();
@@ -26,6 +27,7 @@
           states,
           UpstreamLimits.of(
               states, "a.1", () -> List.of("a.1"), timer::wallMillis, timer, EventLog.silent()),
+          () -> 0.5,
           timer,
           EventLog.silent());
 
@@ -66,4 +68,78 @@
     assertThat(isLeaving(process(1))).isTrue();
     assertThat(notices.recentlyLeaving()).isEmpty();
   }
+
+  private void pause(StatedPause pause) {
+    notices.responseReceived(
+        process(1),
+        new UpstreamNotice(Optional.empty(), StatedLimit.NONE, false, pause),
+        timer.nowMillis());
+  }
+
+  private boolean maySend() {
+    return notices.limits().maySend(process(1));
+  }
+
+  @Test
+  void aPauseIsKeptAndALittleMore() {
+    pause(new StatedPause.ForMillis(3_000));
+    timer.advance(3_000);
+    assertThat(maySend()).isFalse();
+    timer.advance(300);
+    assertThat(maySend()).isTrue();
+  }
+
+  @Test
+  void aShorterPauseDoesNotEndALongerOne() {
+    pause(new StatedPause.ForMillis(3_000));
+    pause(new StatedPause.ForMillis(100));
+    timer.advance(2_900);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Test
+  void aLongerPauseExtendsAShorterOne() {
+    pause(new StatedPause.ForMillis(100));
+    pause(new StatedPause.ForMillis(3_000));
+    timer.advance(2_900);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Test
+  void afterAPauseTheUpstreamGetsSingleRequestsUntilItAcceptsOne() {
+    pause(new StatedPause.ForMillis(1_000));
+    timer.advance(1_200);
+    states.state(process(1)).recordSend(timer.nowMillis());
+    assertThat(maySend()).isFalse();
+    notices.responseReceived(process(1), NOTHING, timer.nowMillis());
+    assertThat(maySend()).isTrue();
+  }
+
+  @Test
+  void aResponseToARequestSentBeforeThePauseDoesNotProveThatItHasEnded() {
+    long sentMillis = timer.nowMillis();
+    pause(new StatedPause.ForMillis(1_000));
+    notices.responseReceived(process(1), NOTHING, sentMillis);
+    assertThat(maySend()).isFalse();
+  }
+
+  @Test
+  void aDateOrAHugeValueIsBoundedAndJunkIsIgnored() {
+    assertThat(new StatedPause.Until(5_000).millis(2_000)).isEqualTo(3_000);
+    assertThat(new StatedPause.Until(5_000).millis(9_000)).isZero();
+    assertThat(new StatedPause.ForMillis(Long.MAX_VALUE).millis(0)).isEqualTo(300_000);
+    pause(new StatedPause.Unreadable("soon"));
+    assertThat(maySend()).isTrue();
+  }
+
+  @Test
+  void callersReturnWhenTheEarliestPauseHasEnded() {
+    pause(new StatedPause.ForMillis(3_000));
+    assertThat(notices.limits().returnAfterMillis("desk", List.of(process(1)), 0))
+        .isBetween(3_000L, 3_600L);
+    assertThat(notices.limits().allowedUntil(List.of(process(1)), timer.nowMillis() + 2_000))
+        .isZero();
+    assertThat(notices.limits().allowedUntil(List.of(process(1)), timer.nowMillis() + 5_000))
+        .isEqualTo(8);
+  }
 }
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
@@ -111,4 +111,18 @@
     assertThat(book.ownLoads(1_000).get("u").failurePercent()).isEqualTo(15);
     assertThat(book.ownLoads(60_000)).isEmpty();
   }
+
+  @Test
+  void anUpstreamThatGoesOnRefusingIsAvoidedForLongerAndLonger() {
+    state.refused(0);
+    state.refused(10);
+    assertThat(state.isAvoided(249)).isTrue();
+    assertThat(state.isAvoided(250)).isFalse();
+    state.refused(300);
+    assertThat(state.isAvoided(799)).isTrue();
+    assertThat(state.isAvoided(800)).isFalse();
+    state.notRefused();
+    state.refused(1_000);
+    assertThat(state.isAvoided(1_250)).isFalse();
+  }
 }
