Deferred requests keep their place, and those that come too late are refused at once

Change: a deferred request keeps its place in the order; one that finds others waiting joins them only if its turn is foreseen within its latency target, else it is refused at once; one that nobody is ahead of may wait for as long as there is time for an answer. The decision stands in core (DeferralLimit).

--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.limpetvale.core.admission.BacklogLimit;
+import org.limpetvale.core.admission.DeferralLimit;
 import org.limpetvale.core.admission.DispatchOrder;
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.Upstream;
@@ -142,10 +143,21 @@
     return isDeferred;
   }
 
+  /**
+   * {@inheritDoc}
+   *
+   * <p>A deferred request keeps its place when its latency target has passed: it was told to wait
+   * because its turn was foreseen, and later arrivals must not take that.
+   */
   @Override
   public DispatchOrder.SortKey place() {
+    return sortKey(
+        isDeferred ? deadlineMillis - request.arrivedMillis() : route().targetLatencyMillis());
+  }
+
+  private DispatchOrder.SortKey sortKey(long targetLatencyMillis) {
     return new DispatchOrder.SortKey(
-        plan.rank(), request.arrivedMillis(), route().targetLatencyMillis(), deadlineMillis);
+        plan.rank(), request.arrivedMillis(), targetLatencyMillis, deadlineMillis);
   }
 
   @Override
@@ -153,7 +165,6 @@
     if (ended) {
       return true;
     }
-    isDeferred = false;
     return switch (choose()) {
       case Placement.Chosen(Choice choice) -> dispatchIfAdmitted(choice);
       case Placement.Deferred(List<Upstream> upstreams) -> deferOrRefuse(upstreams);
@@ -166,6 +177,7 @@
 
   /** Dispatches the request unless it has to wait; returns whether it no longer waits. */
   private boolean dispatchIfAdmitted(Choice choice) {
+    isDeferred = false;
     if (head.shape().isModelRequest()
         && !BacklogLimit.admits(route(), head.shape().promptTokens(), choice, engineModel())) {
       return false;
@@ -194,12 +206,13 @@
   }
 
   private boolean isSendForeseen(List<Upstream> upstreams) {
-    long untilMillis = deadlineMillis - Math.max(MIN_RETRY_MILLIS, route().targetLatencyMillis());
+    int ahead = components.waitingRequests().countAhead(this);
+    DispatchOrder.SortKey key = sortKey(route().targetLatencyMillis());
+    long untilMillis = DeferralLimit.latestSendMillis(key, isDeferred ? 0 : ahead);
     if (untilMillis <= components.timer().nowMillis()) {
       return false;
     }
-    int allowed = components.placer().upstreamLimits().allowedUntil(upstreams, untilMillis);
-    return allowed > components.waitingRequests().countAhead(this);
+    return components.placer().upstreamLimits().allowedUntil(upstreams, untilMillis) > ahead;
   }
 
   /**
