A request that leaves limited upstreams to others uses those without a limit

Found on reading the diff: when a limited upstream looked best and deferred requests were ahead, the request was deferred to that upstream or refused, even if an upstream without a limit was free. The choice is now made without the limited ones in that case. PlacerTest#aRequestThatMustLeaveLimitedUpstreamsToOthersUsesTheOnesWithoutALimit holds it; the parameter that it tests is new, so it was not seen to fail on the code before.

--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -96,14 +96,22 @@
    * @param shape prompt shape of the request
    * @param waitedMillis time that the request has waited
    * @param excluded ids of upstreams that must not be chosen
+   * @param mayUseLimited whether an upstream that has named a limit may be chosen
    */
   public Placement place(
-      RequestPlan plan, PromptShape shape, long waitedMillis, Set<String> excluded) {
+      RequestPlan plan,
+      PromptShape shape,
+      long waitedMillis,
+      Set<String> excluded,
+      boolean mayUseLimited) {
     long nowMillis = timer.nowMillis();
     List<Upstream> ready = fleet.get().ready(plan.service());
     List<Upstream> usable =
         ready.stream().filter(each -> isUsable(each, excluded, nowMillis)).toList();
-    List<Upstream> candidates = usable.stream().filter(limits::maySend).toList();
+    List<Upstream> candidates =
+        usable.stream()
+            .filter(each -> limits.maySend(each) && (mayUseLimited || !limits.isLimited(each)))
+            .toList();
     if (candidates.isEmpty()) {
       return usable.isEmpty() ? new Placement.Unavailable() : new Placement.Deferred(usable);
     }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -216,18 +216,14 @@
   }
 
   /**
-   * Chooses an upstream. Deferred requests that come first in the dispatch order take limited
-   * upstreams before this one.
+   * Chooses an upstream. Limited ones are left to the deferred requests that come first in the
+   * dispatch order.
    */
   private Placement choose() {
-    Placement placement =
-        components.placer().place(plan, head.shape(), waitedMillis(), triedUpstreamIds);
-    if (placement instanceof Placement.Chosen(Choice choice)
-        && components.placer().upstreamLimits().isLimited(choice.upstream())
-        && components.waitingRequests().countAhead(this) > 0) {
-      return new Placement.Deferred(List.of(choice.upstream()));
-    }
-    return placement;
+    boolean mayUseLimited = components.waitingRequests().countAhead(this) == 0;
+    return components
+        .placer()
+        .place(plan, head.shape(), waitedMillis(), triedUpstreamIds, mayUseLimited);
   }
 
   private EngineModel engineModel() {
