One rendezvous hash for upstreams and for turns

SendTurns had a copy of the mixing function and of the search for the lowest weight that RendezvousHashing has. RendezvousHashing.first takes a round now and serves both; the turns come out as before.

--- a/core/src/main/java/org/limpetvale/core/limit/SendTurns.java
+++ b/core/src/main/java/org/limpetvale/core/limit/SendTurns.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Objects;
 import java.util.Optional;
+import org.limpetvale.core.placement.RendezvousHashing;
 
 /**
  * Divides the limit of one upstream among the entries of a fleet, in time.
@@ -34,8 +35,6 @@
   private static final double TURN_SECONDS = 0.5;
 
   private static final double MILLIS_PER_SECOND = 1_000;
-  private static final long MIX_A = 0xbf58476d1ce4e5b9L;
-  private static final long MIX_B = 0x94d049bb133111ebL;
 
   public SendTurns {
     Objects.requireNonNull(upstreamId, "upstreamId is null");
@@ -71,25 +70,6 @@
 
   /** Returns the member whose turn it is; empty without members. */
   public Optional<String> owner(long turn, Collection<String> members) {
-    long seed = mix(mix(upstreamId.hashCode()) ^ turn);
-    String owner = null;
-    long lowest = 0;
-    for (String member : members) {
-      long weight = mix(seed ^ mix(member.hashCode()));
-      boolean precedes =
-          weight < lowest || weight == lowest && owner != null && member.compareTo(owner) < 0;
-      if (owner == null || precedes) {
-        owner = member;
-        lowest = weight;
-      }
-    }
-    return Optional.ofNullable(owner);
-  }
-
-  private static long mix(long value) {
-    long x = value + 0x9e3779b97f4a7c15L;
-    x = (x ^ (x >>> 30)) * MIX_A;
-    x = (x ^ (x >>> 27)) * MIX_B;
-    return x ^ (x >>> 31);
+    return RendezvousHashing.first(upstreamId, turn, members);
   }
 }
--- a/core/src/main/java/org/limpetvale/core/placement/RendezvousHashing.java
+++ b/core/src/main/java/org/limpetvale/core/placement/RendezvousHashing.java
@@ -1,12 +1,14 @@
 package org.limpetvale.core.placement;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.limpetvale.core.fleet.Upstream;
 
 /**
- * Orders upstreams by rendezvous hashing, so that all entries agree on the order without
- * communication.
+ * Orders upstreams and entries by rendezvous hashing, so that all entries agree on the order
+ * without communication.
  */
 public final class RendezvousHashing {
   private static final long MIX_A = 0xbf58476d1ce4e5b9L;
@@ -44,6 +46,27 @@
     return List.of(first);
   }
 
+  /**
+   * Returns the first id of the order for a key in one of many rounds; empty without ids.
+   *
+   * @param round number of the round; each has an order of its own
+   */
+  public static Optional<String> first(String key, long round, Collection<String> ids) {
+    long seed = mix(mix(key.hashCode()) ^ round);
+    String first = null;
+    long firstWeight = 0;
+    for (String id : ids) {
+      long weight = weight(seed, id);
+      if (first == null
+          || weight < firstWeight
+          || weight == firstWeight && id.compareTo(first) < 0) {
+        first = id;
+        firstWeight = weight;
+      }
+    }
+    return Optional.ofNullable(first);
+  }
+
   /** Inserts an upstream at its position among the first ones, if it belongs there. */
   private static void insert(Upstream upstream, long weight, Upstream[] first, long[] weights) {
     Upstream moving = upstream;
@@ -68,7 +91,11 @@
   }
 
   private static long weight(long seed, Upstream upstream) {
-    return mix(seed ^ mix(upstream.id().hashCode()));
+    return weight(seed, upstream.id());
+  }
+
+  private static long weight(long seed, String id) {
+    return mix(seed ^ mix(id.hashCode()));
   }
 
   private static long mix(long value) {
