Waiting requests are searched only when a limited upstream could be chosen

Each placement, also of services without limits and on each pass over the waiting requests, walked all waiting requests to count the deferred ones ahead. The count decides only whether a limited upstream may be taken, so it is asked when one is a candidate. PlacerTest keeps its assertions; only the argument became a supplier.

--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
@@ -96,21 +97,23 @@
    * @param shape prompt shape of the request
    * @param waitedMillis time that the request has waited
    * @param excluded ids of upstreams that must not be chosen
-   * @param mayUseLimited whether an upstream that has named a limit may be chosen
+   * @param mayUseLimited tells whether an upstream that has named a limit may be chosen; asked only
+   *     if one could be
    */
   public Placement place(
       RequestPlan plan,
       PromptShape shape,
       long waitedMillis,
       Set<String> excluded,
-      boolean mayUseLimited) {
+      BooleanSupplier mayUseLimited) {
     long nowMillis = timer.nowMillis();
     List<Upstream> ready = fleet.get().ready(plan.service());
     List<Upstream> usable =
         ready.stream().filter(each -> isUsable(each, excluded, nowMillis)).toList();
     List<Upstream> candidates =
         usable.stream()
-            .filter(each -> limits.maySend(each) && (mayUseLimited || !limits.isLimited(each)))
+            .filter(limits::maySend)
+            .filter(each -> !limits.isLimited(each) || mayUseLimited.getAsBoolean())
             .toList();
     if (candidates.isEmpty()) {
       return usable.isEmpty() ? new Placement.Unavailable() : new Placement.Deferred(usable);
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -220,10 +220,14 @@
    * dispatch order.
    */
   private Placement choose() {
-    boolean mayUseLimited = components.waitingRequests().countAhead(this) == 0;
     return components
         .placer()
-        .place(plan, head.shape(), waitedMillis(), triedUpstreamIds, mayUseLimited);
+        .place(
+            plan,
+            head.shape(),
+            waitedMillis(),
+            triedUpstreamIds,
+            () -> components.waitingRequests().countAhead(this) == 0);
   }
 
   private EngineModel engineModel() {
--- a/forward/src/test/java/org/limpetvale/forward/place/PlacerTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/PlacerTest.java
@@ -60,7 +60,7 @@
   }
 
   private Placement place(boolean mayUseLimited) {
-    return placer.place(PLAN, PromptShape.NONE, 0, Set.of(), mayUseLimited);
+    return placer.place(PLAN, PromptShape.NONE, 0, Set.of(), () -> mayUseLimited);
   }
 
   private String chosenId(boolean mayUseLimited) {
