--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamLimits.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamLimits.java
@@ -26,11 +26,6 @@
  * entry hears of a limit from responses to its own requests and from the reports of the others.
  */
 public final class UpstreamLimits {
-  /**
-   * Time for which a notice is reported to the other entries, so that a lost report matters not.
-   */
-  private static final long REPORTED_MILLIS = 2_000;
-
   private static final long MIN_RETURN_MILLIS = 200;
   private static final long MAX_RETURN_MILLIS = 10_000;
 
@@ -114,7 +109,7 @@
 
   /** Returns the notices that this entry has recently heard itself, by upstream. */
   public Map<String, PeerReport.Limit> recentNotices() {
-    long sinceMillis = fleetMillis.getAsLong() - REPORTED_MILLIS;
+    long sinceMillis = fleetMillis.getAsLong() - UpstreamNotices.REPORTED_MILLIS;
     Map<String, PeerReport.Limit> recent = new HashMap<>();
     states.forEach(
         state -> {
@@ -152,19 +147,20 @@
    * @param untilMillis monotonic time
    */
   public int allowedUntil(List<Upstream> upstreams, long untilMillis) {
-    return upstreams.stream().mapToInt(each -> allowedUntil(states.state(each), untilMillis)).sum();
+    long offsetMillis = fleetMillis.getAsLong() - timer.nowMillis();
+    return upstreams.stream()
+        .mapToInt(each -> allowedUntil(states.state(each), untilMillis, offsetMillis))
+        .sum();
   }
 
-  private int allowedUntil(UpstreamState state, long untilMillis) {
-    long nowMillis = timer.nowMillis();
-    long fromMillis = Math.max(nowMillis, state.askedPauseUntilMillis());
+  private int allowedUntil(UpstreamState state, long untilMillis, long offsetMillis) {
+    long fromMillis = Math.max(timer.nowMillis(), state.askedPauseUntilMillis());
     if (fromMillis >= untilMillis) {
       return 0;
     }
     if (!state.limit().isInForce()) {
       return Math.max(1, state.upstream().slots() / Math.max(1, entries.get().size()));
     }
-    long offsetMillis = fleetMillis.getAsLong() - nowMillis;
     OwnTurns own = state.ownTurns(self, entries.get());
     int sent = sentInTurn(state, own, fromMillis + offsetMillis);
     return own.allowedUntil(fromMillis + offsetMillis, untilMillis + offsetMillis, sent);
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamNotices.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamNotices.java
@@ -23,7 +23,7 @@
  */
 public final class UpstreamNotices {
   /** Time for which a notice is reported to the other entries, to make up for lost reports. */
-  private static final long REPORTED_MILLIS = 2_000;
+  static final long REPORTED_MILLIS = 2_000;
 
   private final UpstreamStates states;
   private final UpstreamLimits limits;
