--- a/forward/src/test/java/org/limpetvale/forward/duty/RetryBudgetSimulation.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/RetryBudgetSimulation.java
@@ -2,14 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import org.limpetvale.core.retry.BudgetHistory;
 import org.limpetvale.core.retry.FleetRetryBudget;
 import org.limpetvale.forward.account.RetryBudgets;
-import org.limpetvale.forward.spi.DutyClient;
-import org.limpetvale.forward.spi.DutyReply;
 import org.limpetvale.forward.testing.InMemoryStore;
 import org.limpetvale.forward.testing.ManualTimer;
 import org.limpetvale.forward.testing.ProcessLifecycle;
@@ -48,81 +44,31 @@
   final Random random;
 
   /** An entry, across restarts of its process. */
-  final class Entry {
-    private final String name;
-
+  final class Entry extends SimulatedEntry {
     /** Share of the traffic, relative to the weights of the other entries. */
     private double weight = 1;
 
-    private int boots;
-    private DutyProcess process;
     private RetryBudgets budgets;
-    private boolean running;
-    private boolean cut;
 
     private Entry(String name) {
-      this.name = name;
+      super(environment, name);
     }
 
-    private void boot() {
-      process = DutyProcess.start(environment, name, "b" + ++boots, life -> NO_DUTY_CALLS, () -> 0);
-      process.life.storeUnreachable = storeDown || cut;
+    @Override
+    void processStarted(String boot) {
       budgets =
           RetryBudgets.of(
               new RetryBudgets.Bounds(RATIO, ALLOWANCE, WINDOW_MILLIS),
-              process.members::share,
-              process.time);
-      running = true;
-    }
-
-    private boolean serves() {
-      return running && !process.life.isFrozen();
+              process().members::share,
+              process().time);
     }
 
     void setWeight(double value) {
       weight = value;
     }
 
-    void kill(long downMillis) {
-      if (running) {
-        running = false;
-        process.life.kill();
-        timer.after(downMillis, this::boot);
-      }
-    }
-
-    void stop(long downMillis) {
-      if (serves()) {
-        running = false;
-        ProcessLifecycle ending = process.life;
-        process.loop.stop().thenAccept(done -> ending.kill());
-        timer.after(downMillis, this::boot);
-      }
-    }
-
-    void pause(long millis, boolean stopsClock) {
-      if (serves()) {
-        ProcessLifecycle life = process.life;
-        if (stopsClock) {
-          life.suspend(timer);
-        } else {
-          life.freeze();
-        }
-        timer.after(millis, () -> life.thaw(timer));
-      }
-    }
-
-    void setStoreUnreachable(boolean value) {
-      cut = value;
-      process.life.storeUnreachable = storeDown || cut;
-    }
-
-    boolean isStoreUnreachable() {
-      return cut;
-    }
-
     void setLostShare(double share) {
-      process.life.lostAnswerShare = share;
+      process().life.lostAnswerShare = share;
     }
 
     private void request() {
@@ -142,7 +88,7 @@
         if (maxConnectMillis == 0) {
           history.recordRetry(timer.nowMillis());
         } else {
-          ProcessLifecycle life = process.life;
+          ProcessLifecycle life = process().life;
           timer.after(random.nextLong(maxConnectMillis), () -> life.run(() -> send(decision)));
         }
       }
@@ -162,21 +108,6 @@
     }
   }
 
-  private static final DutyClient NO_DUTY_CALLS =
-      new DutyClient() {
-        @Override
-        public CompletableFuture<DutyReply> reportUsage(
-            String holder, long fencingToken, long window, Map<String, Long> counts) {
-          return CompletableFuture.completedFuture(new DutyReply.Taken());
-        }
-
-        @Override
-        public CompletableFuture<DutyReply> orderUpstreams(
-            String holder, long fencingToken, String service, String zone, int desiredCount) {
-          throw new UnsupportedOperationException("no service is scaled");
-        }
-      };
-
   RetryBudgetSimulation(long seed, int entryCount, double requestsPerSecond) {
     this.random = new Random(seed);
     this.requestsPerSecond = requestsPerSecond;
@@ -191,6 +122,7 @@
   Entry add() {
     Entry entry = new Entry(String.format("edge-%02d", entries.size()));
     entries.add(entry);
+    entry.setStoreDown(storeDown);
     entry.boot();
     return entry;
   }
@@ -243,7 +175,7 @@
   /** Sets whether the store is unavailable to all entries. */
   void setStoreDown(boolean value) {
     storeDown = value;
-    entries.forEach(each -> each.process.life.storeUnreachable = storeDown || each.cut);
+    entries.forEach(each -> each.setStoreDown(value));
   }
 
   boolean isStoreDown() {
--- a/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.limit.LimitHistory;
@@ -14,8 +13,6 @@
 import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.place.UpstreamLimits;
 import org.limpetvale.forward.place.UpstreamStates;
-import org.limpetvale.forward.spi.DutyClient;
-import org.limpetvale.forward.spi.DutyReply;
 import org.limpetvale.forward.testing.InMemoryStore;
 import org.limpetvale.forward.testing.ManualTimer;
 import org.limpetvale.forward.testing.ProcessLifecycle;
@@ -43,21 +40,6 @@
   private static final Upstream UPSTREAM =
       new Upstream("i-1", "desk", "10.0.0.1", 80, "z", 8, false, 1);
 
-  private static final DutyClient NO_DUTY_CALLS =
-      new DutyClient() {
-        @Override
-        public CompletableFuture<DutyReply> reportUsage(
-            String holder, long fencingToken, long window, Map<String, Long> counts) {
-          return CompletableFuture.completedFuture(new DutyReply.Taken());
-        }
-
-        @Override
-        public CompletableFuture<DutyReply> orderUpstreams(
-            String holder, long fencingToken, String service, String zone, int desiredCount) {
-          throw new UnsupportedOperationException("no service is scaled");
-        }
-      };
-
   private final ManualTimer timer = new ManualTimer();
   private final FleetView fleet = FleetView.of(List.of(UPSTREAM));
   private final DutyProcess.Environment environment;
@@ -71,29 +53,23 @@
   final Random random;
 
   /** An entry, across restarts of its process. */
-  final class Entry {
-    private final String name;
+  final class Entry extends SimulatedEntry {
     private final long clockSkewMillis = random.nextLong(-20, 21);
-    private int boots;
-    private DutyProcess process;
     private UpstreamStates states;
     private UpstreamLimits limits;
     private String writer = "";
     private long reportNumber;
-    private boolean running;
-    private boolean storeCut;
     private boolean peersCut;
     private long excusedUntilMillis;
 
     private Entry(String name) {
-      this.name = name;
+      super(environment, name);
     }
 
-    private void boot() {
-      String boot = "b" + ++boots;
+    @Override
+    void processStarted(String boot) {
+      DutyProcess process = process();
       writer = name + "." + boot;
-      process = DutyProcess.start(environment, name, boot, life -> NO_DUTY_CALLS, () -> 0);
-      process.life.storeUnreachable = storeDown || storeCut;
       states = UpstreamStates.empty();
       EntryRoster roster = EntryRoster.of(writer, process.members, process.peers, process.time);
       limits =
@@ -104,18 +80,33 @@
               () -> process.time.wallMillis() + clockSkewMillis,
               process.time,
               EventLog.silent());
-      running = true;
       reportNumber = 0;
-      scheduleReport(process.life);
+      scheduleReport(process);
+    }
+
+    @Override
+    void beforeThaw() {
+      excuse();
     }
 
-    private void scheduleReport(ProcessLifecycle life) {
+    @Override
+    void setStoreUnreachable(boolean value) {
+      excuse();
+      super.setStoreUnreachable(value);
+    }
+
+    void setPeersUnreachable(boolean value) {
+      excuse();
+      peersCut = value;
+    }
+
+    private void scheduleReport(DutyProcess process) {
       process.time.after(
           REPORT_PERIOD_MILLIS,
           () -> {
-            if (running && process.life == life) {
+            if (isRunning() && process() == process) {
               report();
-              scheduleReport(life);
+              scheduleReport(process);
             }
           });
     }
@@ -138,8 +129,8 @@
               0);
       for (Entry other : entries) {
         boolean lost = peersCut || other.peersCut || random.nextDouble() < reportLossShare;
-        if (other != this && !lost && other.running) {
-          DutyProcess receiver = other.process;
+        if (other != this && !lost && other.isRunning()) {
+          DutyProcess receiver = other.process();
           UpstreamLimits receiverLimits = other.limits;
           timer.after(
               random.nextLong(MAX_REPORT_DELAY_MILLIS),
@@ -153,12 +144,8 @@
       }
     }
 
-    boolean serves() {
-      return running && !process.life.isFrozen();
-    }
-
     private boolean isExcused() {
-      return storeCut || peersCut || timer.nowMillis() < excusedUntilMillis;
+      return isStoreUnreachable() || peersCut || timer.nowMillis() < excusedUntilMillis;
     }
 
     private void excuse() {
@@ -169,12 +156,12 @@
       if (!limits.maySend(UPSTREAM)) {
         return;
       }
-      long sentMillis = process.time.nowMillis();
+      long sentMillis = process().time.nowMillis();
       states.state(UPSTREAM).recordSend(sentMillis);
       if (!isExcused()) {
         history.recordArrival(writer, timer.nowMillis());
       }
-      ProcessLifecycle life = process.life;
+      ProcessLifecycle life = process().life;
       UpstreamLimits sender = limits;
       String senderName = writer;
       timer.after(
@@ -193,51 +180,6 @@
                 });
           });
     }
-
-    void kill(long downMillis) {
-      if (running) {
-        running = false;
-        process.life.kill();
-        timer.after(downMillis, this::boot);
-      }
-    }
-
-    void stop(long downMillis) {
-      if (serves()) {
-        running = false;
-        ProcessLifecycle ending = process.life;
-        process.loop.stop().thenAccept(done -> ending.kill());
-        timer.after(downMillis, this::boot);
-      }
-    }
-
-    void pause(long millis, boolean stopsClock) {
-      if (serves()) {
-        ProcessLifecycle life = process.life;
-        if (stopsClock) {
-          life.suspend(timer);
-        } else {
-          life.freeze();
-        }
-        timer.after(
-            millis,
-            () -> {
-              excuse();
-              life.thaw(timer);
-            });
-      }
-    }
-
-    void setStoreUnreachable(boolean value) {
-      excuse();
-      storeCut = value;
-      process.life.storeUnreachable = storeDown || storeCut;
-    }
-
-    void setPeersUnreachable(boolean value) {
-      excuse();
-      peersCut = value;
-    }
   }
 
   UpstreamLimitSimulation(
@@ -258,6 +200,7 @@
   Entry add() {
     Entry entry = new Entry(String.format("edge-%02d", entries.size()));
     entries.add(entry);
+    entry.setStoreDown(storeDown);
     entry.boot();
     return entry;
   }
@@ -299,7 +242,7 @@
   /** Sets whether the store is unavailable to all entries. */
   void setStoreDown(boolean value) {
     storeDown = value;
-    entries.forEach(each -> each.process.life.storeUnreachable = storeDown || each.storeCut);
+    entries.forEach(each -> each.setStoreDown(value));
   }
 
   boolean isStoreDown() {
