The end of a request tells how the end of its answer was recognized

Cause for the change: the line of a short answer looked like that of a whole one, so the close of the upstream could not be told from the entry's own close, nor an end within an event from one between two. Change: responseEnd and insideEvent on the end line, a counter; an upstream that closes in order is seen before its connection ends (half closure), and its connection is closed at once as before. No decision changes.

--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -25,7 +25,9 @@
     RETRIES_DENIED,
     RESUMES,
     CONNECTS_FAILED,
-    ANSWERS_SPOILED
+    ANSWERS_SPOILED,
+    /** Answers whose end was marked by nothing but the end of the upstream's connection. */
+    ANSWERS_ENDED_BY_CLOSE
   }
 
   /** The gauges; the metric names are derived from these names. */
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -62,8 +62,13 @@
     /** Flushes what has been forwarded. */
     void flush();
 
-    /** Called once the response has been forwarded completely. */
-    void onCompleted(int status);
+    /**
+     * Called once the response has been forwarded completely.
+     *
+     * @param end how the end of its body was recognized
+     * @param events the progress of its events; empty if it is not an event stream
+     */
+    void onCompleted(int status, ResponseEnd end, Optional<EventStreamScanner> events);
 
     /** Called when the attempt ended without a completely forwarded response. */
     void onFailed(Failure failure, String detail);
@@ -294,7 +299,7 @@
   }
 
   @Override
-  public void onComplete() {
+  public void onComplete(ResponseEnd end, Optional<EventStreamScanner> events) {
     deregister();
     if (!forwarded) {
       listener.onFailed(discardedResponseFailure(), "status " + status);
@@ -307,7 +312,7 @@
         .map(EventStreamBuffer::drainPartial)
         .filter(rest -> rest.length > 0)
         .ifPresent(listener::forwardContent);
-    listener.onCompleted(status);
+    listener.onCompleted(status, end, events);
   }
 
   private Failure discardedResponseFailure() {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -422,7 +422,11 @@
   }
 
   @Override
-  public void onCompleted(int status) {
+  public void onCompleted(int status, ResponseEnd end, Optional<EventStreamScanner> events) {
+    log.responseEnded(end, events);
+    if (end != ResponseEnd.FRAMED) {
+      components.metrics().count(Counter.ANSWERS_ENDED_BY_CLOSE);
+    }
     boolean served = StatusCodes.isSuccess(status);
     components.metrics().count(served ? Counter.SERVED : Counter.FAILED);
     if (served || status == StatusCodes.INTERNAL_ERROR) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
@@ -2,6 +2,8 @@
 
 import static org.limpetvale.forward.log.EventLog.field;
 
+import java.util.Locale;
+import java.util.Optional;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.Choice;
 import org.limpetvale.core.result.Refusal;
@@ -15,6 +17,8 @@
 final class ExchangeLog {
   private final EventLog log;
   private final RequestHead head;
+  private String responseEnd = "";
+  private boolean isInsideEvent;
 
   ExchangeLog(EventLog log, RequestHead head) {
     this.log = log;
@@ -91,6 +95,12 @@
         field("sharersAgeMillis", decision.share().readAgeMillis()));
   }
 
+  /** Notes how the end of the response was recognized, for the line about the request's end. */
+  void responseEnded(ResponseEnd end, Optional<EventStreamScanner> events) {
+    responseEnd = end.name().toLowerCase(Locale.ROOT);
+    isInsideEvent = events.isPresent() && !events.get().isBetweenEvents();
+  }
+
   /** Logs the refusal of the request. */
   void refused(Refusal refusal) {
     log.decision(
@@ -121,6 +131,8 @@
         field("status", status),
         field("route", plan == null ? "" : plan.route().name()),
         field("attempts", attempts),
+        field("responseEnd", responseEnd),
+        field("insideEvent", isInsideEvent),
         field("firstMillis", pace.firstContentMillis()),
         field("longestGapMillis", pace.longestGapMillis()),
         field("millis", millis));
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseLimits.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseLimits.java
@@ -26,25 +26,22 @@
   private static final String EVENT_STREAM = "text/event-stream";
 
   private final boolean unsized;
-  private final boolean eventStream;
+  private final Optional<EventStreamScanner> events;
   private long bodyBytes;
   private int parts;
-  private long eventBytes;
 
-  /** Whether the last byte other than a carriage return ended a line. */
-  private boolean atLineStart = true;
-
-  private ResponseLimits(boolean open, boolean events) {
-    this.unsized = open;
-    this.eventStream = events;
+  private ResponseLimits(boolean unsized, Optional<EventStreamScanner> events) {
+    this.unsized = unsized;
+    this.events = events;
   }
 
   /** Returns the limits that apply to a response with the given header. */
   static ResponseLimits of(HttpResponse response) {
     String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    boolean eventStream = type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
     return new ResponseLimits(
         !HttpUtil.isContentLengthSet(response),
-        type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length()));
+        eventStream ? Optional.of(new EventStreamScanner()) : Optional.empty());
   }
 
   /**
@@ -57,26 +54,24 @@
       return Optional.of(
           "a body without a length goes on after " + bodyBytes + " bytes in " + parts + " parts");
     }
-    if (eventStream && longestEventBytes(part) > MAX_EVENT_BYTES) {
+    if (events.isPresent() && longestEventBytes(events.get(), part) > MAX_EVENT_BYTES) {
       return Optional.of("an event goes on after " + MAX_EVENT_BYTES + " bytes");
     }
     return Optional.empty();
   }
 
   /** Returns the size of the longest event that the part continues or contains. */
-  private long longestEventBytes(ByteBuf part) {
-    long longest = eventBytes;
+  private static long longestEventBytes(EventStreamScanner scanner, ByteBuf part) {
+    long longest = scanner.eventBytes();
     for (int i = part.readerIndex(); i < part.writerIndex(); i++) {
-      byte each = part.getByte(i);
-      eventBytes++;
-      if (each == '\n') {
-        eventBytes = atLineStart ? 0 : eventBytes;
-        atLineStart = true;
-      } else if (each != '\r') {
-        atLineStart = false;
-      }
-      longest = Math.max(longest, eventBytes);
+      scanner.accept(part.getByte(i));
+      longest = Math.max(longest, scanner.eventBytes());
     }
     return longest;
   }
+
+  /** Returns the progress of the events; empty if the response is not an event stream. */
+  Optional<EventStreamScanner> events() {
+    return events;
+  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseListener.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import org.limpetvale.forward.spi.ResponseHead;
 
 /** Receives the response of one attempt, on the event loop. */
@@ -18,8 +19,13 @@
   /** Called once everything read so far has been delivered. */
   void onReadComplete();
 
-  /** Called once the response is complete. */
-  void onComplete();
+  /**
+   * Called once the response is complete.
+   *
+   * @param end how the end of its body was recognized
+   * @param events the progress of its events; empty if it is not an event stream
+   */
+  void onComplete(ResponseEnd end, Optional<EventStreamScanner> events);
 
   /**
    * Called when the response failed and will not be completed.
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -1,9 +1,10 @@
 package org.limpetvale.forward.relay;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -49,7 +50,7 @@
   /** Maximum time from the header to the end of a response to another request. */
   private static final long MAX_SKIP_MILLIS = 1_000;
 
-  private final Channel channel;
+  private final DuplexChannel channel;
   private final ReceiveLimit receiveLimit;
   private final HeaderCodec dialect;
   private final TimerService timer;
@@ -85,7 +86,7 @@
   }
 
   UpstreamConnection(
-      Channel channel,
+      DuplexChannel channel,
       ReceiveLimit received,
       HeaderCodec dialect,
       TimerService timer,
@@ -278,7 +279,17 @@
     ResponseListener done = listener;
     listener = null;
     stopUpload();
-    done.onComplete();
+    done.onComplete(responseEnd(), limits.events());
+  }
+
+  private ResponseEnd responseEnd() {
+    if (framedByLength) {
+      return ResponseEnd.FRAMED;
+    }
+    if (!channel.isActive()) {
+      return ResponseEnd.CONNECTION_ENDED;
+    }
+    return channel.isInputShutdown() ? ResponseEnd.CLOSED_BY_UPSTREAM : ResponseEnd.FRAMED;
   }
 
   @Override
@@ -303,6 +314,13 @@
     owner.onReusable(this);
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      fail(ResponseListener.FailureReason.CONNECTION_LOST, "the upstream closed the connection");
+    }
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (upload != null && channel.isWritable()) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
@@ -1,9 +1,9 @@
 package org.limpetvale.forward.relay;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.InetSocketAddress;
@@ -112,10 +112,11 @@
         transport
             .clientBootstrap()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(
-                new ChannelInitializer<>() {
+                new ChannelInitializer<SocketChannel>() {
                   @Override
-                  protected void initChannel(Channel channel) {
+                  protected void initChannel(SocketChannel channel) {
                     ReceiveLimit receiveLimit = ReceiveLimit.of(MAX_BYTES_WITHOUT_PROGRESS);
                     channel
                         .pipeline()
