A stream that ends within an event is broken off for its caller

Callers saw: a 200 with the upstream's signature, framed as complete, whose last events were missing. Cause: UpstreamConnection took the end of the connection for the end of an answer that has neither a length nor chunks, and what was held back of an incomplete event was passed on before the last chunk. Nothing knew whether an event was complete on routes that are not resumable. Change: ResponseEnd states what is known about the end; only a Complete ends a response, and only ResponseEnd.of gives one. Within an event, or closed before the first one, it is broken off: resumed after the last whole event where the route allows it, reset for the caller otherwise. It counts as a lost connection, so a request that crashes upstreams in this way stays suspected; before, the answer cleared it. A framed stream that ends within an event counts as a spoiled answer. Only event streams are resumed; another successful answer on such a route has no events to go on from. Tests changed: EventStreamBufferTest asked that an incomplete event be passed on at the end, which is the fault; it now asks that it is held back until its blank line. ResumeExplorationTest knew by itself where a stream ended; now ResponseEnd decides, with a mutant that takes each close for the end. An event of 1 MB in parts of one byte is read in linear time (each part copied all before).

--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -53,8 +53,12 @@
     /** Decides whether a response is forwarded to the caller. */
     boolean shouldForward(HttpResponse response, boolean signed, boolean notRun);
 
-    /** Forwards the header of the response. */
-    void forwardHead(HttpResponse response, boolean notRun);
+    /**
+     * Forwards the header of the response.
+     *
+     * @param mayResume whether another upstream may continue the response
+     */
+    void forwardHead(HttpResponse response, boolean notRun, boolean mayResume);
 
     /** Forwards a part of the body. */
     void forwardContent(byte[] bytes);
@@ -66,9 +70,8 @@
      * Called once the response has been forwarded completely.
      *
      * @param end how the end of its body was recognized
-     * @param events the progress of its events; empty if it is not an event stream
      */
-    void onCompleted(int status, ResponseEnd end, Optional<EventStreamScanner> events);
+    void onCompleted(int status, ResponseEnd.Complete end);
 
     /** Called when the attempt ended without a completely forwarded response. */
     void onFailed(Failure failure, String detail);
@@ -89,13 +92,16 @@
 
   private final boolean tight;
   private final int uncachedTokens;
-  private final Optional<EventStreamBuffer> eventBuffer;
+
+  /** Holds back incomplete events; empty for a response that cannot be resumed. */
+  private Optional<EventStreamBuffer> eventBuffer = Optional.empty();
 
   /**
    * The time to the first event as predicted on placement, with the upstream's speed known then.
    */
   private final double predictedMillis;
 
+  private ResponseExpectation expectation;
   private long startedMillis;
   private long lastActivityMillis;
 
@@ -138,17 +144,16 @@
     this.load = choice.load();
     this.predictedMillis = choice.predictedMillis();
     this.tight = isModelRequest() && engines.isTight(plan.service(), plan.route());
-    this.eventBuffer =
-        plan.route().resumable() ? Optional.of(new EventStreamBuffer()) : Optional.empty();
   }
 
   /** Sends the request; the body may follow as it arrives. */
-  void send(HttpRequest message, RequestBody body) {
+  void send(HttpRequest message, RequestBody body, ResponseExpectation expected) {
+    expectation = expected;
     startedMillis = timer.nowMillis();
     lastActivityMillis = startedMillis;
     promptPending = true;
     state.requestSent(this, uncachedTokens, tight);
-    connection.send(message, body, request.requestId(), this);
+    connection.send(message, body, expected, this);
   }
 
   Upstream upstream() {
@@ -214,7 +219,10 @@
               HttpVersion.HTTP_1_1, response.status(), response.headers().copy());
       bufferedBody = new ByteArrayOutputStream();
     } else {
-      listener.forwardHead(response, notRun);
+      if (plan.route().resumable() && expectation.isEventStream(response)) {
+        eventBuffer = Optional.of(EventStreamBuffer.empty());
+      }
+      listener.forwardHead(response, notRun, eventBuffer.isPresent());
     }
   }
 
@@ -283,7 +291,7 @@
   }
 
   private void forwardBuffered() {
-    listener.forwardHead(bufferedHead, notRun);
+    listener.forwardHead(bufferedHead, notRun, false);
     if (bufferedBody.size() > 0) {
       listener.forwardContent(bufferedBody.toByteArray());
     }
@@ -299,7 +307,7 @@
   }
 
   @Override
-  public void onComplete(ResponseEnd end, Optional<EventStreamScanner> events) {
+  public void onComplete(ResponseEnd.Complete end) {
     deregister();
     if (!forwarded) {
       listener.onFailed(discardedResponseFailure(), "status " + status);
@@ -308,11 +316,7 @@
     if (bufferedHead != null) {
       forwardBuffered();
     }
-    eventBuffer
-        .map(EventStreamBuffer::drainPartial)
-        .filter(rest -> rest.length > 0)
-        .ifPresent(listener::forwardContent);
-    listener.onCompleted(status, end, events);
+    listener.onCompleted(status, end);
   }
 
   private Failure discardedResponseFailure() {
--- a/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
@@ -11,61 +11,56 @@
 final class EventStreamBuffer {
   private static final byte[] EMPTY = new byte[0];
   private static final String ID_FIELD = "id:";
+  private static final String BYTE_ORDER_MARK = "\uFEFF";
 
+  private final EventStreamScanner scanner = new EventStreamScanner();
   private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
   private Optional<String> lastId = Optional.empty();
 
+  /** Returns a buffer that holds nothing. */
+  static EventStreamBuffer empty() {
+    return new EventStreamBuffer();
+  }
+
   /**
    * Appends bytes of the stream.
    *
    * @return the bytes of all events that have become complete
    */
   byte[] append(byte[] bytes) {
-    partial.writeBytes(bytes);
-    byte[] buffered = partial.toByteArray();
-    int end = endOfLastEvent(buffered);
+    int end = 0;
+    for (int i = 0; i < bytes.length; i++) {
+      end = scanner.accept(bytes[i]) ? i + 1 : end;
+    }
     if (end == 0) {
+      partial.writeBytes(bytes);
       return EMPTY;
     }
-    byte[] complete = java.util.Arrays.copyOf(buffered, end);
+    partial.write(bytes, 0, end);
+    byte[] complete = partial.toByteArray();
     partial.reset();
-    partial.write(buffered, end, buffered.length - end);
-    recordLastId(complete);
+    partial.write(bytes, end, bytes.length - end);
+    recordIds(complete);
     return complete;
   }
 
-  /** Removes and returns the bytes of the incomplete event. */
-  byte[] drainPartial() {
-    byte[] remainder = partial.toByteArray();
-    partial.reset();
-    return remainder;
-  }
-
   /** Returns the id of the last complete event. */
   Optional<String> lastId() {
     return lastId;
   }
 
-  private static int endOfLastEvent(byte[] bytes) {
-    for (int i = bytes.length - 1; i > 0; i--) {
-      boolean newline = bytes[i] == '\n' && bytes[i - 1] == '\n';
-      boolean crlf = i > 2 && bytes[i] == '\n' && bytes[i - 1] == '\r' && bytes[i - 2] == '\n';
-      if (newline || crlf) {
-        return i + 1;
-      }
-    }
-    return 0;
+  private void recordIds(byte[] events) {
+    String text = new String(events, StandardCharsets.UTF_8);
+    text.lines().map(EventStreamBuffer::withoutMark).forEach(this::recordLine);
   }
 
-  private void recordLastId(byte[] events) {
-    String text = new String(events, StandardCharsets.UTF_8);
-    int lineFeed = text.lastIndexOf("\n" + ID_FIELD);
-    int start = lineFeed >= 0 ? lineFeed + 1 : (text.startsWith(ID_FIELD) ? 0 : -1);
-    if (start < 0) {
-      return;
+  private static String withoutMark(String line) {
+    return line.startsWith(BYTE_ORDER_MARK) ? line.substring(1) : line;
+  }
+
+  private void recordLine(String line) {
+    if (line.startsWith(ID_FIELD)) {
+      lastId = Optional.of(line.substring(ID_FIELD.length()).strip());
     }
-    int end = text.indexOf('\n', start);
-    String value = text.substring(start + ID_FIELD.length(), end < 0 ? text.length() : end);
-    lastId = Optional.of(value.trim());
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -348,7 +348,8 @@
             components.timer());
     attempt.send(
         UpstreamRequest.of(components.headerCodec(), request, grant(upstream, remainingMillis)),
-        request.body());
+        request.body(),
+        ResponseExpectation.of(head.requestId(), route(), request.head()));
   }
 
   private HeaderCodec.RequestMetadata grant(Upstream upstream, long remainingMillis) {
@@ -388,7 +389,7 @@
   }
 
   @Override
-  public void forwardHead(HttpResponse response, boolean notRun) {
+  public void forwardHead(HttpResponse response, boolean notRun, boolean mayResume) {
     if (callerResponse.isStarted()) {
       return;
     }
@@ -396,7 +397,7 @@
     if (notRun) {
       callerResponse.startRefusal(response, retryAfterMillis());
     } else {
-      callerResponse.start(response, route().kind() == Route.Kind.STREAMING && route().resumable());
+      callerResponse.start(response, mayResume);
     }
   }
 
@@ -422,9 +423,9 @@
   }
 
   @Override
-  public void onCompleted(int status, ResponseEnd end, Optional<EventStreamScanner> events) {
-    log.responseEnded(end, events);
-    if (end != ResponseEnd.FRAMED) {
+  public void onCompleted(int status, ResponseEnd.Complete end) {
+    log.responseEnded(end);
+    if (end == ResponseEnd.Complete.CLOSED_BY_UPSTREAM) {
       components.metrics().count(Counter.ANSWERS_ENDED_BY_CLOSE);
     }
     boolean served = StatusCodes.isSuccess(status);
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
@@ -3,7 +3,6 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import java.util.Locale;
-import java.util.Optional;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.Choice;
 import org.limpetvale.core.result.Refusal;
@@ -18,7 +17,6 @@
   private final EventLog log;
   private final RequestHead head;
   private String responseEnd = "";
-  private boolean isInsideEvent;
 
   ExchangeLog(EventLog log, RequestHead head) {
     this.log = log;
@@ -96,9 +94,8 @@
   }
 
   /** Notes how the end of the response was recognized, for the line about the request's end. */
-  void responseEnded(ResponseEnd end, Optional<EventStreamScanner> events) {
+  void responseEnded(ResponseEnd.Complete end) {
     responseEnd = end.name().toLowerCase(Locale.ROOT);
-    isInsideEvent = events.isPresent() && !events.get().isBetweenEvents();
   }
 
   /** Logs the refusal of the request. */
@@ -132,7 +129,6 @@
         field("route", plan == null ? "" : plan.route().name()),
         field("attempts", attempts),
         field("responseEnd", responseEnd),
-        field("insideEvent", isInsideEvent),
         field("firstMillis", pace.firstContentMillis()),
         field("longestGapMillis", pace.longestGapMillis()),
         field("millis", millis));
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseEnd.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseEnd.java
@@ -1,11 +1,56 @@
 package org.limpetvale.forward.relay;
 
-/** How the end of a response's body was recognized. */
-enum ResponseEnd {
-  /** By its length, its last chunk, or a status that has no body. */
-  FRAMED,
-  /** Only by the upstream, which closed the connection in order. */
-  CLOSED_BY_UPSTREAM,
-  /** Only by the end of the connection, which the upstream did not close in order. */
-  CONNECTION_ENDED
+import java.util.Optional;
+
+/**
+ * What is known about the end of a response's body. All that completes a response needs a {@link
+ * Complete}, which only {@link #of} gives.
+ */
+sealed interface ResponseEnd {
+  /** The end of a body of which no part is known to be missing. */
+  enum Complete implements ResponseEnd {
+    /** A length, a last chunk or a status without a body marks the end. */
+    FRAMED,
+    /** The upstream closed the connection in order; nothing else marks the end. */
+    CLOSED_BY_UPSTREAM
+  }
+
+  /** The end of a body that is not whole. */
+  record BrokenOff(ResponseListener.FailureReason reason, String detail) implements ResponseEnd {}
+
+  /** What ended the body. */
+  enum Signal {
+    /** A length, a last chunk or a status without a body. */
+    FRAMING,
+    /** An orderly close by the upstream. */
+    UPSTREAM_CLOSE,
+    /** Any other end of the connection, such as one after a failed write. */
+    CONNECTION_END
+  }
+
+  /**
+   * Returns what is known about the end of a body.
+   *
+   * @param signal what ended it
+   * @param events the progress of its events; empty if it is not a successful event stream
+   * @param mayBeEmpty whether a stream without any event may be whole
+   */
+  static ResponseEnd of(Signal signal, Optional<EventStreamScanner> events, boolean mayBeEmpty) {
+    if (events.isPresent() && !events.get().isBetweenEvents()) {
+      return new BrokenOff(reasonOf(signal), "the stream ended within an event: " + signal);
+    }
+    if (signal == Signal.FRAMING) {
+      return Complete.FRAMED;
+    }
+    if (events.isPresent() && events.get().events() == 0 && !mayBeEmpty) {
+      return new BrokenOff(reasonOf(signal), "the stream ended before its first event: " + signal);
+    }
+    return Complete.CLOSED_BY_UPSTREAM;
+  }
+
+  private static ResponseListener.FailureReason reasonOf(Signal signal) {
+    return signal == Signal.FRAMING
+        ? ResponseListener.FailureReason.SPOILED
+        : ResponseListener.FailureReason.CONNECTION_LOST;
+  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseLimits.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseLimits.java
@@ -1,7 +1,6 @@
 package org.limpetvale.forward.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
@@ -23,8 +22,6 @@
   /** Maximum size of one event of an event stream. */
   static final long MAX_EVENT_BYTES = 1024L * 1024;
 
-  private static final String EVENT_STREAM = "text/event-stream";
-
   private final boolean unsized;
   private final Optional<EventStreamScanner> events;
   private long bodyBytes;
@@ -36,9 +33,7 @@
   }
 
   /** Returns the limits that apply to a response with the given header. */
-  static ResponseLimits of(HttpResponse response) {
-    String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-    boolean eventStream = type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
+  static ResponseLimits of(HttpResponse response, boolean eventStream) {
     return new ResponseLimits(
         !HttpUtil.isContentLengthSet(response),
         eventStream ? Optional.of(new EventStreamScanner()) : Optional.empty());
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseListener.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseListener.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
-import java.util.Optional;
 import org.limpetvale.forward.spi.ResponseHead;
 
 /** Receives the response of one attempt, on the event loop. */
@@ -23,9 +22,8 @@
    * Called once the response is complete.
    *
    * @param end how the end of its body was recognized
-   * @param events the progress of its events; empty if it is not an event stream
    */
-  void onComplete(ResponseEnd end, Optional<EventStreamScanner> events);
+  void onComplete(ResponseEnd.Complete end);
 
   /**
    * Called when the response failed and will not be completed.
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -56,7 +56,7 @@
   private final TimerService timer;
   private final Owner owner;
   private ResponseListener listener;
-  private String requestId = "";
+  private ResponseExpectation expectation;
 
   /** Whether the response being read is an interim one or belongs to another request. */
   private boolean skipping;
@@ -72,7 +72,6 @@
   private BodyUpload upload;
 
   private boolean responseStarted;
-  private boolean reset;
   private long idleSinceMillis;
   private long safeIdleMillis = DEFAULT_SAFE_IDLE_MILLIS;
 
@@ -103,10 +102,15 @@
    *
    * @param request the header, with the body if that has arrived completely
    * @param body the body
+   * @param expected what the request says about its response
    */
-  void send(HttpRequest request, RequestBody body, String id, ResponseListener responseSink) {
+  void send(
+      HttpRequest request,
+      RequestBody body,
+      ResponseExpectation expected,
+      ResponseListener responseSink) {
     listener = responseSink;
-    requestId = id;
+    expectation = expected;
     skipping = false;
     skippedResponses = 0;
     receiveLimit.recordProgress();
@@ -207,13 +211,13 @@
     ResponseHead head = dialect.decodeResponse(response.status().code(), response.headers());
     skipping =
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            || (!head.requestId().isEmpty() && !head.requestId().equals(requestId));
+            || (!head.requestId().isEmpty() && !head.requestId().equals(expectation.requestId()));
     if (skipping) {
       skip(response);
       return;
     }
     receiveLimit.recordProgress();
-    limits = ResponseLimits.of(response);
+    limits = ResponseLimits.of(response, expectation.isEventStream(response));
     responseStarted = true;
     responseKeepsAlive = HttpUtil.isKeepAlive(response);
     framedByLength =
@@ -272,24 +276,30 @@
   }
 
   private void finishResponse() {
-    if (!framedByLength && reset) {
-      fail(ResponseListener.FailureReason.CONNECTION_LOST, "reset before its end");
-      return;
+    switch (ResponseEnd.of(endSignal(), limits.events(), expectation.continuesStream())) {
+      case ResponseEnd.Complete end -> complete(end);
+      case ResponseEnd.BrokenOff(ResponseListener.FailureReason reason, String detail) ->
+          fail(reason, detail);
     }
+  }
+
+  private void complete(ResponseEnd.Complete end) {
     ResponseListener done = listener;
     listener = null;
     stopUpload();
-    done.onComplete(responseEnd(), limits.events());
+    done.onComplete(end);
   }
 
-  private ResponseEnd responseEnd() {
+  private ResponseEnd.Signal endSignal() {
     if (framedByLength) {
-      return ResponseEnd.FRAMED;
+      return ResponseEnd.Signal.FRAMING;
     }
     if (!channel.isActive()) {
-      return ResponseEnd.CONNECTION_ENDED;
+      return ResponseEnd.Signal.CONNECTION_END;
     }
-    return channel.isInputShutdown() ? ResponseEnd.CLOSED_BY_UPSTREAM : ResponseEnd.FRAMED;
+    return channel.isInputShutdown()
+        ? ResponseEnd.Signal.UPSTREAM_CLOSE
+        : ResponseEnd.Signal.FRAMING;
   }
 
   @Override
@@ -334,7 +344,6 @@
       fail(ResponseListener.FailureReason.SPOILED, cause.getMessage());
       return;
     }
-    reset = true;
     channel.config().setOption(ChannelOption.SO_LINGER, 0);
     fail(ResponseListener.FailureReason.CONNECTION_LOST, cause.toString());
   }
--- a/forward/src/test/java/org/limpetvale/forward/relay/EventStreamBufferTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/EventStreamBufferTest.java
@@ -3,10 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 final class EventStreamBufferTest {
+  private static final int LARGE_EVENT_BYTES = 1024 * 1024;
+
+  /** The time that the callers of the tightest routes wait for a first event. */
+  private static final Duration MAX_READ_TIME = Duration.ofMillis(1_200);
+
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
@@ -20,7 +26,7 @@
     byte[] all = bytes(stream + "id: 31\nda");
     for (long seed = 0; seed < 500; seed++) {
       Random random = new Random(seed);
-      EventStreamBuffer buffer = new EventStreamBuffer();
+      EventStreamBuffer buffer = EventStreamBuffer.empty();
       StringBuilder forwarded = new StringBuilder();
       for (int at = 0; at < all.length; ) {
         int length = Math.min(all.length - at, 1 + random.nextInt(60));
@@ -35,16 +41,31 @@
 
   @Test
   void eventsMayEndWithCarriageReturnAndLineFeed() {
-    EventStreamBuffer buffer = new EventStreamBuffer();
+    EventStreamBuffer buffer = EventStreamBuffer.empty();
     assertThat(buffer.append(bytes("id: 1\r\ndata: a\r\n\r\nid: 2"))).hasSize(18);
     assertThat(buffer.lastId()).contains("1");
   }
 
   @Test
-  void anIncompleteLastEventIsReturnedByDrainPartial() {
-    EventStreamBuffer buffer = new EventStreamBuffer();
-    assertThat(buffer.append(bytes("data: last"))).isEmpty();
-    assertThat(buffer.drainPartial()).isEqualTo(bytes("data: last"));
-    assertThat(buffer.drainPartial()).isEmpty();
+  void anIncompleteEventIsHeldBackUntilItsBlankLine() {
+    EventStreamBuffer buffer = EventStreamBuffer.empty();
+    assertThat(buffer.append(bytes("id: 1\rdata: last"))).isEmpty();
+    assertThat(buffer.append(bytes("\r"))).isEmpty();
+    assertThat(buffer.lastId()).isEmpty();
+    assertThat(buffer.append(bytes("\r"))).isEqualTo(bytes("id: 1\rdata: last\r\r"));
+    assertThat(buffer.lastId()).contains("1");
+  }
+
+  @Test
+  void aLargeEventInSmallPartsIsReadInLinearTime() {
+    EventStreamBuffer buffer = EventStreamBuffer.empty();
+    buffer.append(bytes("id: 1\ndata: "));
+    byte[] part = bytes("x");
+    long startNanos = System.nanoTime();
+    for (int i = 0; i < LARGE_EVENT_BYTES; i++) {
+      assertThat(buffer.append(part).length).isZero();
+    }
+    assertThat(buffer.append(bytes("\n\n"))).hasSizeGreaterThan(LARGE_EVENT_BYTES);
+    assertThat(Duration.ofNanos(System.nanoTime() - startNanos)).isLessThan(MAX_READ_TIME);
   }
 }
--- a/forward/src/test/java/org/limpetvale/forward/relay/ResponseLimitsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/ResponseLimitsTest.java
@@ -27,7 +27,7 @@
   void aBodyWithAContentLengthMayHaveAnySize() {
     HttpResponse response = response();
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 512L * 1024 * 1024);
-    ResponseLimits limits = ResponseLimits.of(response);
+    ResponseLimits limits = ResponseLimits.of(response, false);
     for (int i = 0; i < 512; i++) {
       assertThat(limits.exceededBy(MEBIBYTE)).isEmpty();
     }
@@ -35,7 +35,7 @@
 
   @Test
   void aBodyWithoutAContentLengthIsLimitedInSize() {
-    ResponseLimits limits = ResponseLimits.of(response());
+    ResponseLimits limits = ResponseLimits.of(response(), false);
     for (int i = 0; i < ResponseLimits.MAX_UNSIZED_BYTES / MEBIBYTE.readableBytes(); i++) {
       assertThat(limits.exceededBy(MEBIBYTE)).isEmpty();
     }
@@ -44,7 +44,7 @@
 
   @Test
   void aBodyWithoutAContentLengthIsLimitedInItsNumberOfParts() {
-    ResponseLimits limits = ResponseLimits.of(response());
+    ResponseLimits limits = ResponseLimits.of(response(), false);
     ByteBuf tiny = text("a");
     for (int i = 0; i < ResponseLimits.MAX_UNSIZED_PARTS; i++) {
       assertThat(limits.exceededBy(tiny)).isEmpty();
@@ -54,9 +54,7 @@
 
   @Test
   void aSingleEventIsLimitedInSizeAndManyEventsAreNot() {
-    HttpResponse response = response();
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "Text/Event-Stream; charset=utf-8");
-    ResponseLimits limits = ResponseLimits.of(response);
+    ResponseLimits limits = ResponseLimits.of(response(), true);
     String half = "data: " + "x".repeat((int) (ResponseLimits.MAX_EVENT_BYTES / 2)) + "\n";
     for (int i = 0; i < 10; i++) {
       assertThat(limits.exceededBy(text(half + "\r\n"))).as("a complete event").isEmpty();
--- a/forward/src/test/java/org/limpetvale/forward/relay/ResumeExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/ResumeExplorationTest.java
@@ -23,7 +23,9 @@
     /** Forwards bytes of incomplete events. */
     FORWARDS_INCOMPLETE_EVENTS,
     /** Resumes after an event that is incomplete. */
-    COUNTS_INCOMPLETE_EVENTS
+    COUNTS_INCOMPLETE_EVENTS,
+    /** Takes each close of an upstream for the end of the stream. */
+    TAKES_EACH_CLOSE_FOR_THE_END
   }
 
   private static byte[] events(int from, int to, Random random, String lineEnd) {
@@ -44,10 +46,9 @@
     ByteArrayOutputStream forwarded = new ByteArrayOutputStream();
     int after = 0;
     for (boolean complete = false; !complete; ) {
-      EventStreamBuffer buffer = new EventStreamBuffer();
+      EventStreamBuffer buffer = EventStreamBuffer.empty();
       byte[] stream = events(after + 1, count, random, lineEnd);
       int end = random.nextBoolean() ? stream.length : random.nextInt(stream.length + 1);
-      complete = end == stream.length;
       for (int at = 0; at < end; ) {
         int length = Math.min(end - at, 1 + random.nextInt(40));
         byte[] part = Arrays.copyOfRange(stream, at, at + length);
@@ -55,21 +56,40 @@
         forwarded.writeBytes(mutant == Mutant.FORWARDS_INCOMPLETE_EVENTS ? part : completeEvents);
         at += length;
       }
+      complete = isTakenForTheEnd(stream, end, random, mutant);
       Optional<String> last = buffer.lastId();
       after = last.map(Integer::parseInt).orElse(after);
       if (mutant == Mutant.COUNTS_INCOMPLETE_EVENTS && !complete && end > 0) {
         after = Math.min(count, after + 1);
       }
-      if (complete) {
-        forwarded.writeBytes(buffer.drainPartial());
-      }
     }
     return !containsEachEventOnce(forwarded.toString(StandardCharsets.UTF_8), count);
   }
 
+  /**
+   * Returns whether a stream that its upstream ended at a byte is taken for complete. A cut between
+   * two events is a reset, as nothing but that tells it from the end.
+   */
+  private static boolean isTakenForTheEnd(byte[] stream, int end, Random random, Mutant mutant) {
+    EventStreamScanner scanner = new EventStreamScanner();
+    for (int i = 0; i < end; i++) {
+      scanner.accept(stream[i]);
+    }
+    boolean whole = end == stream.length;
+    if (!whole && scanner.events() > 0 && scanner.isBetweenEvents()) {
+      return false;
+    }
+    ResponseEnd.Signal signal =
+        whole && random.nextBoolean()
+            ? ResponseEnd.Signal.FRAMING
+            : ResponseEnd.Signal.UPSTREAM_CLOSE;
+    ResponseEnd decided = ResponseEnd.of(signal, Optional.of(scanner), false);
+    return mutant == Mutant.TAKES_EACH_CLOSE_FOR_THE_END || decided instanceof ResponseEnd.Complete;
+  }
+
   /** Returns whether a text consists of the events 1 to count, each once and complete. */
   private static boolean containsEachEventOnce(String text, int count) {
-    String plain = text.replace("\r\n", "\n").replace("weights: 3\n", "");
+    String plain = text.replaceAll("\r\n?", "\n").replace("weights: 3\n", "");
     StringBuilder wanted = new StringBuilder();
     for (int number = 1; number <= count; number++) {
       wanted.append("id: ").append(number).append("\ndata: part of ").append(number).append("\n\n");
@@ -91,6 +111,11 @@
     assertThat(firstFailingSeed(SCHEDULES, Mutant.NONE)).as("seed of a failing schedule").isEmpty();
   }
 
+  @Test
+  void theCheckDetectsACloseThatIsTakenForTheEnd() {
+    assertThat(firstFailingSeed(MUTANT_SCHEDULES, Mutant.TAKES_EACH_CLOSE_FOR_THE_END)).isPresent();
+  }
+
   @Test
   void theCheckDetectsForwardedIncompleteEvents() {
     assertThat(firstFailingSeed(MUTANT_SCHEDULES, Mutant.FORWARDS_INCOMPLETE_EVENTS)).isPresent();
