An answer that is cut while its request is still sent is broken off for its caller

Callers saw (in our test): a 200 that ends as complete after a part of the body. Cause: a write to the upstream fails, Netty closes the connection, and the decoder ends the answer as it does on any close; of the writes only that of the header had its failure handled. Change: an answer without a length or chunks is complete only if the upstream's orderly close was read while this entry had the connection open; any other end (failed write, own shutdown, reset) breaks it off. A part of the body that could not be written ends the attempt with its cause.

--- a/forward/src/main/java/org/limpetvale/forward/relay/BodyUpload.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/BodyUpload.java
@@ -4,6 +4,8 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+import java.util.function.Consumer;
 import org.limpetvale.forward.accept.RequestBody;
 
 /**
@@ -13,16 +15,20 @@
   private final Channel channel;
   private final RequestBody body;
   private final Runnable onWritten;
+  private final Consumer<Throwable> onWriteFailed;
 
   /**
    * Creates an upload that is not started.
    *
    * @param onWritten run once the whole body has been written
+   * @param onWriteFailed receives the cause when a part could not be written
    */
-  BodyUpload(Channel channel, RequestBody body, Runnable onWritten) {
+  BodyUpload(
+      Channel channel, RequestBody body, Runnable onWritten, Consumer<Throwable> onWriteFailed) {
     this.channel = channel;
     this.body = body;
     this.onWritten = onWritten;
+    this.onWriteFailed = onWriteFailed;
   }
 
   void start() {
@@ -46,7 +52,9 @@
 
   @Override
   public void onPart(byte[] bytes) {
-    channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    channel
+        .writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        .addListener(this::reportFailure);
   }
 
   @Override
@@ -57,7 +65,15 @@
             written -> {
               if (written.isSuccess()) {
                 onWritten.run();
+              } else {
+                reportFailure(written);
               }
             });
   }
+
+  private void reportFailure(Future<?> written) {
+    if (!written.isSuccess()) {
+      onWriteFailed.accept(written.cause());
+    }
+  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseEnd.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseEnd.java
@@ -42,6 +42,9 @@
     if (signal == Signal.FRAMING) {
       return Complete.FRAMED;
     }
+    if (signal == Signal.CONNECTION_END) {
+      return new BrokenOff(reasonOf(signal), "the connection ended before the response");
+    }
     if (events.isPresent() && events.get().events() == 0 && !mayBeEmpty) {
       return new BrokenOff(reasonOf(signal), "the stream ended before its first event: " + signal);
     }
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -121,20 +121,29 @@
         .writeAndFlush(request)
         .addListener(
             written -> {
-              if (!written.isSuccess() && listener == responseSink) {
-                fail(
-                    ResponseListener.FailureReason.CONNECTION_LOST,
-                    "not written: " + written.cause());
+              if (!written.isSuccess()) {
+                writeFailed(responseSink, written.cause());
               } else if (whole) {
                 markRequestWritten(responseSink);
               }
             });
     if (!whole) {
-      upload = new BodyUpload(channel, body, () -> markRequestWritten(responseSink));
+      upload =
+          new BodyUpload(
+              channel,
+              body,
+              () -> markRequestWritten(responseSink),
+              cause -> writeFailed(responseSink, cause));
       upload.start();
     }
   }
 
+  private void writeFailed(ResponseListener responseSink, Throwable cause) {
+    if (listener == responseSink) {
+      fail(ResponseListener.FailureReason.CONNECTION_LOST, "not written: " + cause);
+    }
+  }
+
   private void markRequestWritten(ResponseListener responseSink) {
     if (listener == responseSink) {
       requestWritten = true;
--- a/forward/src/test/java/org/limpetvale/forward/relay/ResponseEndTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/ResponseEndTest.java
@@ -23,6 +23,14 @@
         .isEqualTo(Complete.CLOSED_BY_UPSTREAM);
   }
 
+  @Test
+  void anEndOfTheConnectionThatTheUpstreamDidNotOrderEndsNothing() {
+    assertThat(ResponseEnd.of(Signal.CONNECTION_END, Optional.empty(), true))
+        .isInstanceOf(BrokenOff.class);
+    assertThat(ResponseEnd.of(Signal.CONNECTION_END, stream("data: a\n\n"), true))
+        .isInstanceOf(BrokenOff.class);
+  }
+
   @Test
   void aStreamThatEndsWithinAnEventIsBrokenOffWhateverEndedIt() {
     for (Signal signal : Signal.values()) {
