An answer that ends with its connection ends so for its caller too

Callers saw chunks with a last chunk for an answer of whose end nothing was known but that a connection was closed; callers of HTTP/1.0 got chunks, which they cannot read. Cause: CallerResponse framed everything without a length as chunks, so a last chunk stated more than the entry knew. Ways weighed: chunks always, the last one after an orderly close (states too much for a text, and for a stream closed between two events); the upstream's framing for the caller (taken); asking another upstream whether a closed stream goes on (a prompt read again and a repeat for each whole stream without framing). Change: an answer without framing is sent with Connection: close and ended by an orderly close; until then the caller's connection is set to be reset on close, so the kill of this process is not taken for the end. A caller that still sends its request may lose a reset (seen in the test: the write learns of it, the read then sees an orderly end), so it gets chunks; a stream of several upstreams keeps the framing of the first, and where the last one's end says less, it is broken off. A connection that is being closed after its answer is no longer cut by a planned stop.

--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -3,11 +3,10 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -26,6 +25,7 @@
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.ResultCode;
 import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.http.Transport;
 
 /** Handles one connection of a caller: serves one request at a time and writes its response. */
 final class CallerConnection extends ChannelInboundHandlerAdapter
@@ -36,7 +36,7 @@
   private final CallerServer server;
   private final RequestAssembler assembler;
   private final Deque<HttpObject> queuedObjects = new ArrayDeque<>();
-  private Channel channel;
+  private DuplexChannel channel;
   private TimerService.Subscription idleCheck = () -> {};
 
   /** Refuses a request whose header does not arrive completely in time. */
@@ -61,6 +61,10 @@
   private long requestSequence;
 
   private boolean headWritten;
+
+  /** Whether only the end of the connection marks the end of the response. */
+  private boolean endsWithConnection;
+
   private boolean keepAlive = true;
 
   /** Whether the connection is about to close, so that further input is discarded. */
@@ -73,7 +77,7 @@
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
-    channel = context.channel();
+    channel = (DuplexChannel) context.channel();
     lastActiveMillis = server.timer().nowMillis();
     server.connectionOpened(this);
     scheduleIdleCheck(server.limits().headerTimeoutMillis());
@@ -109,7 +113,7 @@
   }
 
   void closeIfIdle() {
-    if (!responsePending && !assembler.isReading()) {
+    if (!responsePending && !closing && !assembler.isReading()) {
       channel.close();
     }
   }
@@ -229,8 +233,13 @@
   }
 
   @Override
-  public void writeHead(HttpResponse response) {
+  public void writeHead(HttpResponse response, boolean endsWithConnection) {
     headWritten = true;
+    if (endsWithConnection) {
+      this.endsWithConnection = true;
+      keepAlive = false;
+      Transport.resetOnClose(channel);
+    }
     setCloseHeader(response);
     channel.write(response);
   }
@@ -265,7 +274,7 @@
     activeRequest = null;
     closing = true;
     if (headWritten) {
-      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      Transport.resetOnClose(channel);
     }
     channel.close();
   }
@@ -289,6 +298,10 @@
     assembler.discard();
     releaseBody();
     lastActiveMillis = server.timer().nowMillis();
+    if (endsWithConnection) {
+      endOutput();
+      return;
+    }
     if (bodyArriving) {
       channel.flush();
       discardInputThenClose();
@@ -303,6 +316,23 @@
     processQueued();
   }
 
+  /**
+   * Closes the connection in order once the caller can read the whole response. Until then, a close
+   * resets it, so that the end of this process is not taken for the end of the response.
+   */
+  private void endOutput() {
+    closing = true;
+    updateAutoRead();
+    channel
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(
+            written -> {
+              Transport.deliverOnClose(channel);
+              channel.shutdownOutput();
+              discardInputThenClose();
+            });
+  }
+
   /**
    * Refuses a request that has not been read completely, then discards further input and closes the
    * connection.
--- a/forward/src/main/java/org/limpetvale/forward/accept/RequestBody.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/RequestBody.java
@@ -108,6 +108,11 @@
     retainedBytes = 0;
   }
 
+  /** Returns whether the body has arrived completely. */
+  public boolean hasArrived() {
+    return ended;
+  }
+
   /** Returns whether the body has arrived completely and is retained from its beginning. */
   public boolean isFullyBuffered() {
     return ended && replayable;
--- a/forward/src/main/java/org/limpetvale/forward/accept/ResponseWriter.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/ResponseWriter.java
@@ -6,8 +6,12 @@
 
 /** Writes the response to the caller of one request. */
 public interface ResponseWriter {
-  /** Writes the status line and headers. */
-  void writeHead(HttpResponse head);
+  /**
+   * Writes the status line and headers.
+   *
+   * @param endsWithConnection whether only the end of the connection marks the end of the body
+   */
+  void writeHead(HttpResponse head, boolean endsWithConnection);
 
   /** Writes a part of the body; takes ownership of its reference count. */
   void writeContent(HttpContent content);
@@ -15,7 +19,10 @@
   /** Flushes what has been written. */
   void flush();
 
-  /** Completes the response; the connection may then serve the next request. */
+  /**
+   * Completes the response; the connection may then serve the next request, unless the body ends
+   * with it.
+   */
   void finish();
 
   /** Writes a full response and completes it. */
--- a/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -203,7 +202,7 @@
     }
 
     private void reset() {
-      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      Transport.resetOnClose(channel);
       channel.close();
     }
   }
--- a/forward/src/main/java/org/limpetvale/forward/http/Transport.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/Transport.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandlerFactory;
@@ -35,6 +36,12 @@
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final long SHUTDOWN_TIMEOUT_MILLIS = 100;
 
+  /** Value of SO_LINGER with which a close discards what is not sent and resets the connection. */
+  private static final int LINGER_RESET = 0;
+
+  /** Value of SO_LINGER with which the system delivers what was written before a close. */
+  private static final int LINGER_DEFAULT = -1;
+
   private final MultiThreadIoEventLoopGroup group;
   private final boolean nativeTransport;
 
@@ -116,6 +123,28 @@
         .channel(nativeTransport ? EpollDatagramChannel.class : NioDatagramChannel.class);
   }
 
+  /**
+   * Makes the next close of a channel reset its connection, also when the process ends. Has no
+   * effect on a closed channel.
+   */
+  public static void resetOnClose(Channel channel) {
+    setLinger(channel, LINGER_RESET);
+  }
+
+  /**
+   * Makes the next close of a channel deliver what has been written, which is the default. Has no
+   * effect on a closed channel.
+   */
+  public static void deliverOnClose(Channel channel) {
+    setLinger(channel, LINGER_DEFAULT);
+  }
+
+  private static void setLinger(Channel channel, int value) {
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, value);
+    }
+  }
+
   @Override
   public void close() {
     group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/forward/src/main/java/org/limpetvale/forward/relay/CallerResponse.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/CallerResponse.java
@@ -5,10 +5,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Locale;
 import java.util.Optional;
+import org.limpetvale.forward.accept.IncomingRequest;
 import org.limpetvale.forward.accept.ProblemResponses;
 import org.limpetvale.forward.accept.ResponseWriter;
 
@@ -18,14 +20,17 @@
  */
 final class CallerResponse {
   private final ResponseWriter responseWriter;
-  private final HttpMethod method;
+  private final IncomingRequest request;
   private Optional<String> contentType = Optional.empty();
   private boolean started;
   private boolean resumable;
 
-  CallerResponse(ResponseWriter responseWriter, HttpMethod method) {
+  /** Whether only the end of the caller's connection marks the end of the body. */
+  private boolean endsWithConnection;
+
+  CallerResponse(ResponseWriter responseWriter, IncomingRequest request) {
     this.responseWriter = responseWriter;
-    this.method = method;
+    this.request = request;
   }
 
   /** Returns whether the header has been sent to the caller. */
@@ -63,7 +68,7 @@
     if (resumable) {
       headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     }
-    write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers));
+    write(response, headers);
   }
 
   /**
@@ -75,14 +80,58 @@
     if (!headers.contains(HttpHeaderNames.RETRY_AFTER)) {
       headers.set(HttpHeaderNames.RETRY_AFTER, ProblemResponses.formatSeconds(retryAfterMillis));
     }
-    write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers));
+    write(response, headers);
+  }
+
+  /**
+   * Writes the header with the framing of the upstream's response. A body that ends with its
+   * connection does so for the caller too: a last chunk would state that it is whole.
+   */
+  private void write(HttpResponse upstreamResponse, HttpHeaders headers) {
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, upstreamResponse.status(), headers);
+    if (mayHaveBody(response) && !HttpUtil.isContentLengthSet(response)) {
+      endsWithConnection = !acceptsChunks() || !isFramed(upstreamResponse) && canDetectReset();
+      HttpUtil.setTransferEncodingChunked(response, !endsWithConnection);
+    }
+    responseWriter.writeHead(response, endsWithConnection);
+  }
+
+  private static boolean isFramed(HttpResponse response) {
+    return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+  }
+
+  /**
+   * Returns whether the caller would notice that its connection is reset. One that still sends its
+   * request may learn of the reset while it writes, and then read an end of the connection that
+   * looks orderly.
+   */
+  private boolean canDetectReset() {
+    return request.body().hasArrived();
+  }
+
+  private boolean mayHaveBody(HttpResponse response) {
+    int status = response.status().code();
+    return !request.head().method().equals(HttpMethod.HEAD)
+        && status != HttpResponseStatus.NO_CONTENT.code()
+        && status != HttpResponseStatus.NOT_MODIFIED.code();
+  }
+
+  private boolean acceptsChunks() {
+    return request.head().protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+  }
+
+  /** Returns whether the framing that the caller was sent states no more than this end does. */
+  boolean canEndWith(ResponseEnd.Complete end) {
+    return end == ResponseEnd.Complete.FRAMED || endsWithConnection;
   }
 
-  private void write(HttpResponse response) {
-    if (!HttpUtil.isContentLengthSet(response) && !method.equals(HttpMethod.HEAD)) {
-      HttpUtil.setTransferEncodingChunked(response, true);
+  /** Completes the response with an end that its framing can state. */
+  void finish(ResponseEnd.Complete end) {
+    if (!canEndWith(end)) {
+      throw new IllegalStateException("the framing states more than " + end);
     }
-    responseWriter.writeHead(response);
+    responseWriter.finish();
   }
 
   private static Optional<String> contentTypeOf(HttpResponse response) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -86,7 +86,7 @@
     this.responseWriter = responseWriter;
     this.onEnd = onEnd;
     this.head = components.headerCodec().decodeRequest(request.head().headers());
-    this.callerResponse = new CallerResponse(responseWriter, request.head().method());
+    this.callerResponse = new CallerResponse(responseWriter, request);
     this.timing = new ResponseTiming(request.arrivedMillis());
     this.log = new ExchangeLog(components.log(), head);
     this.retryPermit = new RetryPermit(components.retryBudgets(), components.metrics(), log);
@@ -424,6 +424,10 @@
 
   @Override
   public void onCompleted(int status, ResponseEnd.Complete end) {
+    if (!callerResponse.canEndWith(end)) {
+      giveUp(ResultCode.UPSTREAM_LOST, "the framing of the response states more than its end");
+      return;
+    }
     log.responseEnded(end);
     if (end == ResponseEnd.Complete.CLOSED_BY_UPSTREAM) {
       components.metrics().count(Counter.ANSWERS_ENDED_BY_CLOSE);
@@ -434,7 +438,7 @@
       components.crashGuard().answerReceived(request, plan);
     }
     finish(served ? "served" : "passed_on", status);
-    responseWriter.finish();
+    callerResponse.finish(end);
   }
 
   @Override
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
@@ -22,6 +21,7 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.RequestBody;
 import org.limpetvale.forward.http.ReceiveLimit;
+import org.limpetvale.forward.http.Transport;
 import org.limpetvale.forward.spi.HeaderCodec;
 import org.limpetvale.forward.spi.ResponseHead;
 
@@ -353,7 +353,7 @@
       fail(ResponseListener.FailureReason.SPOILED, cause.getMessage());
       return;
     }
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    Transport.resetOnClose(channel);
     fail(ResponseListener.FailureReason.CONNECTION_LOST, cause.toString());
   }
 
