An answer of the store that was cut is no empty table and no commit

An entry took an answer of the store without a length that was closed before its body for an empty table at version 0, or for a transaction committed at version 0: Jackson reads an empty text as a missing node without an error, and HttpCaller took every end of a connection for the end of the answer.

--- a/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -85,6 +87,7 @@
     ChannelFuture connecting =
         transport
             .clientBootstrap()
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(
                 new ChannelInitializer<>() {
                   @Override
@@ -154,6 +157,10 @@
         reset();
         return;
       }
+      if (!channel.isActive()) {
+        abandon("the connection ended before the answer");
+        return;
+      }
       if (response.decoderResult().isFailure()) {
         abandon("unreadable answer: " + response.decoderResult().cause());
         return;
@@ -169,6 +176,14 @@
       waiting.complete(new HttpResult.Response(response.status().code(), body));
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        channel.close();
+        completeLost("the connection was closed");
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       completeLost("the connection was closed");
