Cut answers of the platform are not taken for empty ones in the entry and the sidecar

Read by the entry and the sidecar of the first path: an answer without a length that is closed before its body became an empty object, and from that an empty table, VM list or object, or a commit at revision 0. Change: each answer must carry the field that it is read for; without it, reads are unavailable and commits unknown, as for a lost answer.

--- a/ports/src/main/java/org/limpetvale/ports/http/HttpObjectStore.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/HttpObjectStore.java
@@ -23,7 +23,8 @@
   @Override
   public ReadResult<Optional<String>> get(String name) {
     return switch (http.call("GET", "/v1/objects/" + name, null)) {
-      case JsonHttpClient.Response.Replied(int status, JsonNode body) when status == 200 ->
+      case JsonHttpClient.Response.Replied(int status, JsonNode body)
+          when status == 200 && body.path("content").isTextual() ->
           new ReadResult.Success<>(Optional.of(body.path("content").asText()));
       case JsonHttpClient.Response.Replied(int status, JsonNode ignored) when status == 404 ->
           new ReadResult.Success<>(Optional.empty());
--- a/ports/src/main/java/org/limpetvale/ports/http/HttpTable.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/HttpTable.java
@@ -29,7 +29,8 @@
   @Override
   public ReadResult<Optional<Row>> get(String key) {
     return switch (http.call("GET", "/v1/rows?key=" + encode(key), null)) {
-      case JsonHttpClient.Response.Replied(int status, JsonNode body) when status == 200 ->
+      case JsonHttpClient.Response.Replied(int status, JsonNode body)
+          when status == 200 && body.path("revision").isIntegralNumber() ->
           new ReadResult.Success<>(Optional.of(row(body)));
       case JsonHttpClient.Response.Replied(int status, JsonNode ignored) when status == 404 ->
           new ReadResult.Success<>(Optional.empty());
@@ -42,7 +43,8 @@
     String path =
         "/v1/scan?prefix=" + encode(prefix) + "&after=" + encode(after) + "&limit=" + limit;
     return switch (http.call("GET", path, null)) {
-      case JsonHttpClient.Response.Replied(int status, JsonNode body) when status == 200 -> {
+      case JsonHttpClient.Response.Replied(int status, JsonNode body)
+          when status == 200 && body.path("rows").isArray() -> {
         List<Row> rows = new ArrayList<>();
         body.path("rows").forEach(each -> rows.add(row(each)));
         yield new ReadResult.Success<>(List.copyOf(rows));
@@ -54,7 +56,8 @@
   @Override
   public CommitResult commit(Transaction transaction) {
     return switch (http.call("POST", "/v1/transactions", transaction)) {
-      case JsonHttpClient.Response.Replied(int status, JsonNode body) when status == 200 ->
+      case JsonHttpClient.Response.Replied(int status, JsonNode body)
+          when status == 200 && body.path("revision").isIntegralNumber() ->
           new CommitResult.Committed(body.path("revision").asLong());
       case JsonHttpClient.Response.Replied(int status, JsonNode ignored) when status == 409 ->
           new CommitResult.Conflict();
--- a/ports/src/main/java/org/limpetvale/ports/http/HttpVmList.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/HttpVmList.java
@@ -25,7 +25,8 @@
   @Override
   public ReadResult<List<Vm>> list() {
     return switch (http.call("GET", "/v1/vms", null)) {
-      case JsonHttpClient.Response.Replied(int status, JsonNode body) when status == 200 -> {
+      case JsonHttpClient.Response.Replied(int status, JsonNode body)
+          when status == 200 && body.path("vms").isArray() -> {
         List<Vm> vms = new ArrayList<>();
         body.path("vms").forEach(each -> vms.add(vm(each)));
         yield new ReadResult.Success<>(List.copyOf(vms));
