A stream is resumed only where no piece can come twice

Change: a stream is resumed behind its last whole event only if that has an id other than the one before it; a resumed stream with an event that is not behind that id counts as spoiled before the event is passed on. Ids that are no numbers are compared for equality. A gap is not checked: ids increase, but need not be consecutive.

--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -165,6 +165,11 @@
     return eventBuffer.flatMap(EventStreamBuffer::lastId);
   }
 
+  /** Returns whether another upstream can go on behind what has been forwarded of the response. */
+  boolean canBeResumed() {
+    return eventBuffer.map(EventStreamBuffer::canBeResumed).orElse(true);
+  }
+
   void setAutoRead(boolean reading) {
     connection.setAutoRead(reading);
   }
@@ -220,7 +225,7 @@
       bufferedBody = new ByteArrayOutputStream();
     } else {
       if (plan.route().resumable() && expectation.isEventStream(response)) {
-        eventBuffer = Optional.of(EventStreamBuffer.empty());
+        eventBuffer = Optional.of(EventStreamBuffer.resumedAfter(expectation.resumedAfter()));
       }
       listener.forwardHead(response, notRun, eventBuffer.isPresent());
     }
@@ -250,6 +255,11 @@
       buffer(copy);
     } else {
       byte[] forwardable = eventBuffer.map(each -> each.append(copy)).orElse(copy);
+      if (eventBuffer.isPresent() && eventBuffer.get().startsAgain()) {
+        connection.cancel();
+        onFailure(FailureReason.SPOILED, "the resumed stream repeats events");
+        return;
+      }
       if (forwardable.length > 0) {
         listener.forwardContent(forwardable);
       }
--- a/forward/src/main/java/org/limpetvale/forward/relay/CallerResponse.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/CallerResponse.java
@@ -43,6 +43,11 @@
     return !started || resumable;
   }
 
+  /** Records that no other upstream can go on behind what has been sent to the caller. */
+  void preventResumption() {
+    resumable = false;
+  }
+
   /**
    * Returns whether a response may continue the one already started. A successful response with
    * another content type is not part of the same stream and must not be appended to it.
--- a/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
@@ -6,20 +6,43 @@
 
 /**
  * Holds back incomplete events of a stream and remembers the id of the last complete one, so that a
- * stream that is interrupted within an event can be resumed at another upstream.
+ * stream that is interrupted within an event can be resumed at another upstream. Of a resumed
+ * stream, it checks that it goes on behind the event that it was asked to follow.
  */
 final class EventStreamBuffer {
   private static final byte[] EMPTY = new byte[0];
   private static final String ID_FIELD = "id:";
+  private static final char COMMENT = ':';
   private static final String BYTE_ORDER_MARK = "\uFEFF";
 
   private final EventStreamScanner scanner = new EventStreamScanner();
   private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
-  private Optional<String> lastId = Optional.empty();
+  private final Optional<String> resumedAfter;
+  private Optional<String> lastId;
 
-  /** Returns a buffer that holds nothing. */
+  /** Whether the last complete event has an id of its own. */
+  private boolean lastEventIdentified = true;
+
+  private boolean startsAgain;
+
+  /** The id in the event whose lines are being read. */
+  private Optional<String> idInEvent = Optional.empty();
+
+  private boolean eventHasField;
+
+  private EventStreamBuffer(Optional<String> resumedAfter) {
+    this.resumedAfter = resumedAfter;
+    this.lastId = resumedAfter;
+  }
+
+  /** Returns a buffer for a stream from its beginning, or from where the caller asked for it. */
   static EventStreamBuffer empty() {
-    return new EventStreamBuffer();
+    return new EventStreamBuffer(Optional.empty());
+  }
+
+  /** Returns a buffer for a stream that is to go on behind an event, if one is given. */
+  static EventStreamBuffer resumedAfter(Optional<String> eventId) {
+    return new EventStreamBuffer(eventId);
   }
 
   /**
@@ -40,27 +63,60 @@
     byte[] complete = partial.toByteArray();
     partial.reset();
     partial.write(bytes, end, bytes.length - end);
-    recordIds(complete);
+    new String(complete, StandardCharsets.UTF_8).lines().forEach(this::readLine);
     return complete;
   }
 
-  /** Returns the id of the last complete event. */
+  /**
+   * Returns the id of the last complete event, or of the one that the stream is to go on behind.
+   */
   Optional<String> lastId() {
-    return lastId;
+    return startsAgain ? resumedAfter : lastId;
   }
 
-  private void recordIds(byte[] events) {
-    String text = new String(events, StandardCharsets.UTF_8);
-    text.lines().map(EventStreamBuffer::withoutMark).forEach(this::recordLine);
+  /**
+   * Returns whether the stream can be resumed behind its last complete event: another stream would
+   * repeat an event that has no id, or the id of the event before it.
+   */
+  boolean canBeResumed() {
+    return lastEventIdentified;
   }
 
-  private static String withoutMark(String line) {
-    return line.startsWith(BYTE_ORDER_MARK) ? line.substring(1) : line;
+  /** Returns whether a resumed stream contains the event that it should follow, or earlier ones. */
+  boolean startsAgain() {
+    return startsAgain;
   }
 
-  private void recordLine(String line) {
+  private void readLine(String text) {
+    String line = text.startsWith(BYTE_ORDER_MARK) ? text.substring(1) : text;
+    if (line.isEmpty()) {
+      endEvent();
+      return;
+    }
+    eventHasField |= line.charAt(0) != COMMENT;
     if (line.startsWith(ID_FIELD)) {
-      lastId = Optional.of(line.substring(ID_FIELD.length()).strip());
+      idInEvent = Optional.of(line.substring(ID_FIELD.length()).strip());
+    }
+  }
+
+  private void endEvent() {
+    if (!eventHasField) {
+      return;
+    }
+    lastEventIdentified = idInEvent.isPresent() && !idInEvent.equals(lastId);
+    startsAgain |= idInEvent.isPresent() && resumedAfter.isPresent() && isNotAfterResumePoint();
+    lastId = idInEvent.or(() -> lastId);
+    idInEvent = Optional.empty();
+    eventHasField = false;
+  }
+
+  private boolean isNotAfterResumePoint() {
+    String id = idInEvent.orElseThrow();
+    String point = resumedAfter.orElseThrow();
+    try {
+      return Long.parseLong(id) <= Long.parseLong(point);
+    } catch (NumberFormatException e) {
+      return id.equals(point);
     }
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -349,7 +349,7 @@
     attempt.send(
         UpstreamRequest.of(components.headerCodec(), request, grant(upstream, remainingMillis)),
         request.body(),
-        ResponseExpectation.of(head.requestId(), route(), request.head()));
+        ResponseExpectation.of(head.requestId(), route(), resumeAfterEventId, request.head()));
   }
 
   private HeaderCodec.RequestMetadata grant(Upstream upstream, long remainingMillis) {
@@ -456,6 +456,9 @@
       case NOT_RUN, SPOILED -> {}
     }
     resumeAfterEventId = failedAttempt.lastEventId().or(() -> resumeAfterEventId);
+    if (!failedAttempt.canBeResumed()) {
+      callerResponse.preventResumption();
+    }
     if (acquireRetry(ran)) {
       components.metrics().count(callerResponse.isStarted() ? Counter.RESUMES : Counter.RETRIES);
       mayHaveRun |= ran;
--- a/forward/src/test/java/org/limpetvale/forward/relay/EventStreamBufferTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/EventStreamBufferTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -68,4 +69,37 @@
     assertThat(buffer.append(bytes("\n\n"))).hasSizeGreaterThan(LARGE_EVENT_BYTES);
     assertThat(Duration.ofNanos(System.nanoTime() - startNanos)).isLessThan(MAX_READ_TIME);
   }
+
+  @Test
+  void aStreamIsResumableWhileItsLastEventHasAnIdOfItsOwn() {
+    EventStreamBuffer buffer = EventStreamBuffer.empty();
+    assertThat(buffer.canBeResumed()).isTrue();
+    buffer.append(bytes("id: 1\ndata: a\n\n: comment\n\n"));
+    assertThat(buffer.canBeResumed()).isTrue();
+    buffer.append(bytes("data: b\n\n"));
+    assertThat(buffer.canBeResumed()).isFalse();
+    buffer.append(bytes("id: 2\n\n"));
+    assertThat(buffer.canBeResumed()).isTrue();
+    buffer.append(bytes("id: 2\n\n"));
+    assertThat(buffer.canBeResumed()).isFalse();
+  }
+
+  @Test
+  void aResumedStreamThatRepeatsEventsKeepsItsResumePoint() {
+    EventStreamBuffer buffer = EventStreamBuffer.resumedAfter(Optional.of("9"));
+    buffer.append(bytes("id: 10\n\n"));
+    assertThat(buffer.startsAgain()).isFalse();
+    buffer.append(bytes("id: 9\n\n"));
+    assertThat(buffer.startsAgain()).isTrue();
+    assertThat(buffer.lastId()).contains("9");
+  }
+
+  @Test
+  void idsThatAreNoNumbersAreOnlyCompared() {
+    EventStreamBuffer buffer = EventStreamBuffer.resumedAfter(Optional.of("b"));
+    buffer.append(bytes("id: a\n\n"));
+    assertThat(buffer.startsAgain()).isFalse();
+    buffer.append(bytes("id: b\n\n"));
+    assertThat(buffer.startsAgain()).isTrue();
+  }
 }
--- a/forward/src/test/java/org/limpetvale/forward/relay/ResponseExpectationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/ResponseExpectationTest.java
@@ -7,11 +7,14 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 final class ResponseExpectationTest {
-  private static final ResponseExpectation STREAM = new ResponseExpectation("id", true, false);
-  private static final ResponseExpectation TEXT = new ResponseExpectation("id", false, false);
+  private static final ResponseExpectation STREAM =
+      new ResponseExpectation("id", true, Optional.empty(), false);
+  private static final ResponseExpectation TEXT =
+      new ResponseExpectation("id", false, Optional.empty(), false);
 
   private static HttpResponse response(HttpResponseStatus status, String contentType) {
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
