Requests that the web server turns away while an entry stops get a refusal with a code

Change: the server's error handler answers 503 as the filter does. Such requests have not reached the application, so that they have not run is true.

--- a/entry/src/main/java/org/limpetvale/entry/EntryApplication.java
+++ b/entry/src/main/java/org/limpetvale/entry/EntryApplication.java
@@ -26,6 +26,7 @@
 import org.limpetvale.entry.http.ChatResource;
 import org.limpetvale.entry.http.DrainFilter;
 import org.limpetvale.entry.http.ServiceResource;
+import org.limpetvale.entry.http.StoppingErrorHandler;
 import org.limpetvale.entry.upstream.SidecarPool;
 import org.limpetvale.entry.upstream.VmDirectory;
 import org.limpetvale.entry.usage.UsageLedger;
@@ -64,6 +65,7 @@
             server -> {
               GracefulShutdown stop =
                   new GracefulShutdown(server, drain, timer, settings.shutdownGraceMillis());
+              server.setErrorHandler(new StoppingErrorHandler());
               server.setStopAtShutdown(false);
               Runtime.getRuntime().addShutdownHook(new Thread(stop, "graceful-stop"));
             });
--- a/entry/src/main/java/org/limpetvale/entry/http/DrainFilter.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/DrainFilter.java
@@ -50,11 +50,16 @@
     }
   }
 
+  /** Returns the refusal of a request that arrives while the entry stops. */
+  static Refusal refusal() {
+    return Refusal.of(ResultCode.DRAINING, "this entry is stopping", RETRY_AFTER_MILLIS);
+  }
+
   private static void refuse(HttpServletResponse response) throws IOException {
-    Refusal refusal = Refusal.of(ResultCode.DRAINING, "this entry is stopping", RETRY_AFTER_MILLIS);
+    Refusal refusal = refusal();
     response.setStatus(refusal.code().httpStatus());
-    response.setContentType("application/problem+json");
-    response.setHeader("Retry-After", "1");
+    response.setContentType(ProblemResponses.MEDIA_TYPE);
+    response.setHeader("Retry-After", Long.toString(ProblemResponses.retryAfterSeconds(refusal)));
     response.setHeader("Connection", "close");
     response.getWriter().write(ProblemResponses.body(refusal, Ids.next()).toString());
   }
--- a/entry/src/main/java/org/limpetvale/entry/http/ProblemResponses.java
+++ b/entry/src/main/java/org/limpetvale/entry/http/ProblemResponses.java
@@ -13,7 +13,8 @@
  */
 public final class ProblemResponses {
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final String MEDIA_TYPE = "application/problem+json";
+  static final String MEDIA_TYPE = "application/problem+json";
+
   private static final long MILLIS_PER_SECOND = 1000;
 
   private ProblemResponses() {}
@@ -62,7 +63,8 @@
     return body;
   }
 
-  private static long retryAfterSeconds(Refusal refusal) {
+  /** Returns the value of the header Retry-After, in seconds. */
+  static long retryAfterSeconds(Refusal refusal) {
     return Math.max(1, (refusal.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
   }
 }
