An answer of a service that crashed while it sent it is not passed on as whole

The sidecar read an answer of a plain service without a length to the end of its connection and passed it on with one; a service that crashes meanwhile closes it as well. Change: after an answer that only the close of its connection ends, the service's health is checked; if it is down, the attempt ends as a crash. What a running service cuts is still passed on; nothing shows it.

--- a/sidecar/src/main/java/org/limpetvale/sidecar/ServiceRunner.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/ServiceRunner.java
@@ -10,7 +10,9 @@
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.limpetvale.core.result.ResultCode;
@@ -46,7 +48,7 @@
     }
     CloseableHttpClient client = repeatable ? http.pooled() : http.singleUse();
     try {
-      ServiceAnswer answer = client.execute(request, ServiceRunner::answer);
+      ServiceAnswer answer = client.execute(request, this::answer);
       attempt.serviceAnswer(answer);
       attempt.finished(0, 0, 0, "answered");
     } catch (ConnectException e) {
@@ -66,6 +68,17 @@
     return new Usage(1);
   }
 
+  /**
+   * Checks that a body whose end only the close of the connection marks was not ended by a crash of
+   * the service.
+   */
+  private void checkEnd(HttpEntity body) throws ConnectionClosedException {
+    boolean framed = body.isChunked() || body.getContentLength() >= 0;
+    if (!framed && !upstream.checkHealth()) {
+      throw new ConnectionClosedException("the service is down after an answer without a length");
+    }
+  }
+
   private static ContentType contentType(ServiceCall call) {
     return call.getHeadersList().stream()
         .filter(each -> each.getName().equalsIgnoreCase("content-type"))
@@ -74,7 +87,7 @@
         .orElse(ContentType.APPLICATION_OCTET_STREAM);
   }
 
-  private static ServiceAnswer answer(ClassicHttpResponse response) throws IOException {
+  private ServiceAnswer answer(ClassicHttpResponse response) throws IOException {
     ServiceAnswer.Builder answer = ServiceAnswer.newBuilder().setStatus(response.getCode());
     for (org.apache.hc.core5.http.Header each : response.getHeaders()) {
       if (!UNFORWARDED_HEADERS.contains(each.getName().toLowerCase(java.util.Locale.ROOT))) {
@@ -83,6 +96,7 @@
     }
     if (response.getEntity() != null) {
       answer.setBody(ByteString.copyFrom(EntityUtils.toByteArray(response.getEntity())));
+      checkEnd(response.getEntity());
     }
     return answer.build();
   }
