A request read just before a pause is not started for a caller that left during it

KNOWN-RED, FleetBehaviourTest#requestsOfCallersThatLeftDuringAPauseReachNoUpstream, traced. Upstreams saw: one request of a caller that had left long before. Cause: a request is started by a task behind its reading, so that a close that has arrived is read first. If the process stands still between the two, the close arrives in the pause and is read only after the start. Change: a start that comes more than 50 ms after the reading, on the monotonic or the wall clock, is put off once behind the next reading of input.

--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -3,6 +3,7 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,6 +25,7 @@
 import java.util.Deque;
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.ResultCode;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.http.Transport;
 
@@ -33,10 +35,13 @@
   private static final int MAX_QUEUED_OBJECTS = 16;
   private static final long LINGER_MILLIS = 1_000;
 
+  /** Time from reading a request to its start above which this process may have been paused. */
+  private static final long MAX_START_DELAY_MILLIS = 50;
+
   private final CallerServer server;
   private final RequestAssembler assembler;
   private final Deque<HttpObject> queuedObjects = new ArrayDeque<>();
-  private DuplexChannel channel;
+  private Channel channel;
   private TimerService.Subscription idleCheck = () -> {};
 
   /** Refuses a request whose header does not arrive completely in time. */
@@ -77,7 +82,7 @@
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
-    channel = (DuplexChannel) context.channel();
+    channel = context.channel();
     lastActiveMillis = server.timer().nowMillis();
     server.connectionOpened(this);
     scheduleIdleCheck(server.limits().headerTimeoutMillis());
@@ -208,23 +213,37 @@
     body = request.body();
     body.onDrain(this::updateAutoRead);
     long serial = ++requestSequence;
-    channel.eventLoop().execute(() -> startUnlessDisconnected(request, serial));
+    Moment readAt = Moment.now(server.timer());
+    channel.eventLoop().execute(() -> startUnlessDisconnected(request, serial, readAt));
   }
 
   /**
    * Starts a request once all input that has arrived is processed. After a pause of this process,
-   * the caller may have disconnected long ago, and the close follows directly after the request.
+   * the caller may have disconnected long ago, and the close follows directly after the request; if
+   * the pause began after the request was read, the close is still to be read.
    */
-  private void startUnlessDisconnected(IncomingRequest request, long serial) {
+  private void startUnlessDisconnected(IncomingRequest request, long serial, Moment readAt) {
     if (!channel.isActive() || closing || !responsePending || serial != requestSequence) {
       return;
     }
+    if (hasPausedSince(readAt)) {
+      Moment now = Moment.now(server.timer());
+      server.timer().after(1, () -> startUnlessDisconnected(request, serial, now));
+      return;
+    }
     RequestHandler.ActiveRequest started = server.requestHandler().handle(request, this);
     if (responsePending && serial == requestSequence) {
       activeRequest = started;
     }
   }
 
+  /** Returns whether this process or its VM may have been paused since a moment. */
+  private boolean hasPausedSince(Moment moment) {
+    Moment now = Moment.now(server.timer());
+    return now.monotonicMillis() - moment.monotonicMillis() > MAX_START_DELAY_MILLIS
+        || now.driftSinceMillis(moment) > MAX_START_DELAY_MILLIS;
+  }
+
   private void releaseBody() {
     if (body != null) {
       body.close();
@@ -328,7 +347,7 @@
         .addListener(
             written -> {
               Transport.deliverOnClose(channel);
-              channel.shutdownOutput();
+              ((DuplexChannel) channel).shutdownOutput();
               discardInputThenClose();
             });
   }
