A start is put off once at most, and a stream that starts again is not resumed

The start of a request was put off each time that the event loop had been slow for 50 ms, so on a VM that is always that slow no request would ever start; it is now put off once. A resumed stream that repeats events only after some that go on behind its resume point could have been resumed at the old point, with those events twice; it is not resumed any more.

--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -214,21 +214,25 @@
     body.onDrain(this::updateAutoRead);
     long serial = ++requestSequence;
     Moment readAt = Moment.now(server.timer());
-    channel.eventLoop().execute(() -> startUnlessDisconnected(request, serial, readAt));
+    channel.eventLoop().execute(() -> startOrDefer(request, serial, readAt));
   }
 
   /**
    * Starts a request once all input that has arrived is processed. After a pause of this process,
-   * the caller may have disconnected long ago, and the close follows directly after the request; if
-   * the pause began after the request was read, the close is still to be read.
+   * the caller may have disconnected long ago, and the close follows directly after the request. If
+   * the pause began after the request was read, the close is still to be read, so the start is put
+   * off once behind the next reading.
    */
-  private void startUnlessDisconnected(IncomingRequest request, long serial, Moment readAt) {
-    if (!channel.isActive() || closing || !responsePending || serial != requestSequence) {
-      return;
-    }
+  private void startOrDefer(IncomingRequest request, long serial, Moment readAt) {
     if (hasPausedSince(readAt)) {
-      Moment now = Moment.now(server.timer());
-      server.timer().after(1, () -> startUnlessDisconnected(request, serial, now));
+      server.timer().after(1, () -> startUnlessDisconnected(request, serial));
+    } else {
+      startUnlessDisconnected(request, serial);
+    }
+  }
+
+  private void startUnlessDisconnected(IncomingRequest request, long serial) {
+    if (!channel.isActive() || closing || !responsePending || serial != requestSequence) {
       return;
     }
     RequestHandler.ActiveRequest started = server.requestHandler().handle(request, this);
--- a/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
@@ -71,15 +71,16 @@
    * Returns the id of the last complete event, or of the one that the stream is to go on behind.
    */
   Optional<String> lastId() {
-    return startsAgain ? resumedAfter : lastId;
+    return lastId;
   }
 
   /**
    * Returns whether the stream can be resumed behind its last complete event: another stream would
-   * repeat an event that has no id, or the id of the event before it.
+   * repeat an event that has no id, or the id of the event before it. Nor can one that starts again
+   * itself: some of its events may have been passed on.
    */
   boolean canBeResumed() {
-    return lastEventIdentified;
+    return lastEventIdentified && !startsAgain;
   }
 
   /** Returns whether a resumed stream contains the event that it should follow, or earlier ones. */
--- a/forward/src/test/java/org/limpetvale/forward/accept/CallerLeftDuringAPauseTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/accept/CallerLeftDuringAPauseTest.java
@@ -94,6 +94,13 @@
     assertThat(started).isZero();
   }
 
+  @Test
+  void aStartIsPutOffOnceHoweverSlowTheEventLoopIs() {
+    readRequestThen(() -> timer.advance(PAUSE_MILLIS));
+    timer.advance(PAUSE_MILLIS);
+    assertThat(started).isEqualTo(1);
+  }
+
   @Test
   void aRequestReadBeforeAPauseIsStartedIfItsCallerIsStillThere() {
     readRequestThen(() -> timer.advance(PAUSE_MILLIS));
