--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
@@ -41,6 +41,10 @@
   private static final long SETTLE_MILLIS = 3_000;
   private static final long THAW_GRACE_MILLIS = 300;
   private static final long SCHEDULE_MILLIS = 60_000;
+  private static final int LONG_SCHEDULES = 400;
+  private static final long LONG_SCHEDULE_MILLIS = 240_000;
+  private static final int LONG_SUSPENSION_MIN_MILLIS = 25_000;
+  private static final int LONG_SUSPENSION_MAX_MILLIS = 120_000;
   private static final long STEP_MILLIS = 500;
 
   private static final String USAGE = "usage";
@@ -104,12 +108,16 @@
     /** Whether the schedule consists of graceful stops only, so that holders return quickly. */
     private final boolean onlyStops;
 
+    /** Whether some suspensions outlast the rows of a reported window. */
+    private final boolean longSuspensions;
+
     private final DutyProcess.Environment environment;
     private final List<Entry> entries = new ArrayList<>();
     private final List<Received> received = new ArrayList<>();
     private final Set<ProcessLifecycle> justThawed = new HashSet<>();
 
-    Simulation(long seed) {
+    Simulation(long seed, boolean longSuspensions) {
+      this.longSuspensions = longSuspensions;
       random = new Random(seed);
       onlyStops = seed % 4 == 0;
       environment =
@@ -199,10 +207,16 @@
         } else {
           life.suspend(timer);
         }
-        timer.after(1_000 + random.nextInt(9_000), () -> thaw(life));
+        timer.after(freezeMillis(), () -> thaw(life));
       }
     }
 
+    private long freezeMillis() {
+      return longSuspensions && random.nextInt(3) == 0
+          ? random.nextInt(LONG_SUSPENSION_MIN_MILLIS, LONG_SUSPENSION_MAX_MILLIS)
+          : 1_000 + random.nextInt(9_000);
+    }
+
     /** Thaws a process. The calls that arrive right after a thaw are not checked. */
     private void thaw(ProcessLifecycle life) {
       timer.after(THAW_GRACE_MILLIS, () -> justThawed.remove(life));
@@ -252,7 +266,7 @@
     int reports = 0;
     long orders = 0;
     for (long seed = 0; seed < SCHEDULES; seed++) {
-      Simulation simulation = run(seed);
+      Simulation simulation = run(seed, false, SCHEDULE_MILLIS);
       checkEach(simulation.received, seed);
       reports += simulation.received.size();
       orders += simulation.received.stream().filter(each -> !each.subject().equals(USAGE)).count();
@@ -261,14 +275,21 @@
     assertThat(orders).isGreaterThan(SCHEDULES);
   }
 
-  private static Simulation run(long seed) {
-    Simulation simulation = new Simulation(seed);
+  @Test
+  void noWindowIsReportedAgainAfterAnEntryWasSuspendedForLong() {
+    for (long seed = 0; seed < LONG_SCHEDULES; seed++) {
+      checkEach(run(seed, true, LONG_SCHEDULE_MILLIS).received, seed);
+    }
+  }
+
+  private static Simulation run(long seed, boolean longSuspensions, long scheduleMillis) {
+    Simulation simulation = new Simulation(seed, longSuspensions);
     for (int i = 0; i < 2 + simulation.random.nextInt(3); i++) {
       Entry entry = new Entry("edge-" + i);
       simulation.entries.add(entry);
       simulation.boot(entry);
     }
-    for (long at = 0; at < SCHEDULE_MILLIS; at += STEP_MILLIS) {
+    for (long at = 0; at < scheduleMillis; at += STEP_MILLIS) {
       Entry entry = simulation.entries.get(simulation.random.nextInt(simulation.entries.size()));
       entry.usage.requestStarted("w" + simulation.random.nextInt(2));
       entry.waiting = simulation.random.nextInt(80);
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyProcess.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyProcess.java
@@ -64,7 +64,8 @@
       ClientFactory clients,
       IntSupplier waiting) {
     time = life.timer(environment.timer());
-    usage = UsageCounts.of(environment.windowMillis(), environment.timer()::wallMillis);
+    FleetClock clock = FleetClock.of(time);
+    usage = UsageCounts.of(environment.windowMillis(), clock::millis);
     peers = PeerReports.of(time);
     members = Members.of(RETRY_WINDOW_MILLIS, time);
     DutyClient client = clients.of(life);
@@ -87,7 +88,7 @@
             members,
             SharedSuspects.none(),
             peers,
-            FleetClock.of(time),
+            clock,
             time,
             EventLog.silent());
   }
