Logs and metrics tell which history of the store an answer belongs to and when a window was sealed

Nothing told a return of the store from an older copy from an outage (both were store_lost), nor on which version of the lease and how long after its end a window was sealed. StoreVersion pairs a version with its era.

No decision changes.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -158,6 +158,10 @@
     metrics.registerGauge(
         ForwardMetrics.Gauge.MEMBERS_READ_AGE_MILLIS, () -> members.share().readAgeMillis());
     metrics.registerGauge(ForwardMetrics.Gauge.LIMITED_UPSTREAMS, loads::limitedUpstreams);
+    metrics.registerGauge(
+        ForwardMetrics.Gauge.STORE_ERA, () -> platform.store().newestVersion().era());
+    metrics.registerGauge(
+        ForwardMetrics.Gauge.STORE_VERSION, () -> platform.store().newestVersion().number());
     this.forwarder =
         Forwarder.of(
             transport,
--- a/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
@@ -181,11 +181,17 @@
         .commit(write)
         .thenCompose(
             commit -> {
+              log.stateChange(
+                  "usage_sealed",
+                  field("window", number),
+                  field("epoch", lease.epoch()),
+                  field("leaseVersion", lease.rowVersion()),
+                  field("sinceEndMillis", usage.sinceEndMillis(number)),
+                  field("requests", sums.values().stream().mapToLong(Long::longValue).sum()),
+                  field("outcome", commit.toString()));
               if (commit instanceof StoreCommit.Committed) {
                 return send(number, sums, lease);
               }
-              log.stateChange(
-                  "usage_not_sealed", field("window", number), field("cause", commit.toString()));
               return done();
             });
   }
--- a/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
@@ -24,6 +24,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -173,7 +176,16 @@
       } else {
         channel.close();
       }
-      waiting.complete(new HttpResult.Response(response.status().code(), body));
+      waiting.complete(new HttpResult.Response(response.status().code(), headers(response), body));
+    }
+
+    private static Map<String, String> headers(FullHttpResponse response) {
+      Map<String, String> headers = new HashMap<>();
+      response
+          .headers()
+          .forEach(
+              each -> headers.putIfAbsent(each.getKey().toLowerCase(Locale.ROOT), each.getValue()));
+      return headers;
     }
 
     @Override
--- a/forward/src/main/java/org/limpetvale/forward/http/HttpResult.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/HttpResult.java
@@ -1,5 +1,6 @@
 package org.limpetvale.forward.http;
 
+import java.util.Map;
 import java.util.Objects;
 
 /** The result of an HTTP call of the daemon. */
@@ -8,10 +9,12 @@
    * A response.
    *
    * @param status HTTP status code
+   * @param headers first value of each header, by lower-case name
    * @param body body as text
    */
-  record Response(int status, String body) implements HttpResult {
+  record Response(int status, Map<String, String> headers, String body) implements HttpResult {
     public Response {
+      headers = Map.copyOf(Objects.requireNonNull(headers, "headers is null"));
       Objects.requireNonNull(body, "body is null");
     }
   }
--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -40,7 +40,11 @@
     /** This entry's share of the retry allowance, from 0 to 1. */
     RETRY_ALLOWANCE_PART,
     /** Time since the rows of the other entries were last read; -1 if they were never read. */
-    MEMBERS_READ_AGE_MILLIS
+    MEMBERS_READ_AGE_MILLIS,
+    /** Number of times that the store has come back from an older copy, as it says itself. */
+    STORE_ERA,
+    /** Newest version of the store within its era. */
+    STORE_VERSION
   }
 
   private final Map<Counter, LongAdder> counters = new EnumMap<>(Counter.class);
--- a/forward/src/main/java/org/limpetvale/forward/spi/FleetStore.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/FleetStore.java
@@ -1,6 +1,7 @@
 package org.limpetvale.forward.spi;
 
 import java.util.concurrent.CompletableFuture;
+import org.limpetvale.core.store.StoreVersion;
 
 /**
  * The platform's row store. The returned futures complete on the daemon's event loop and never
@@ -25,6 +26,9 @@
    */
   CompletableFuture<StoreRead> changes(RowTable table, long sinceVersion, long waitMillis);
 
+  /** Returns the newest version of the store that an answer has named. */
+  StoreVersion newestVersion();
+
   /** Runs a transaction once, without retries. */
   CompletableFuture<StoreCommit> commit(RowTransaction transaction);
 }
--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigExplorationTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
@@ -129,6 +130,11 @@
       return reply;
     }
 
+    @Override
+    public StoreVersion newestVersion() {
+      return StoreVersion.NONE;
+    }
+
     @Override
     public CompletableFuture<StoreCommit> commit(RowTransaction transaction) {
       throw new UnsupportedOperationException("not needed");
--- a/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.spi.FleetStore;
@@ -49,6 +50,11 @@
       return newPendingCall();
     }
 
+    @Override
+    public StoreVersion newestVersion() {
+      return StoreVersion.NONE;
+    }
+
     @Override
     public CompletableFuture<StoreCommit> commit(RowTransaction transaction) {
       throw new UnsupportedOperationException("not needed");
--- a/forward/src/test/java/org/limpetvale/forward/testing/InMemoryStore.java
+++ b/forward/src/test/java/org/limpetvale/forward/testing/InMemoryStore.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.spi.FleetStore;
 import org.limpetvale.forward.spi.RowPage;
@@ -71,6 +72,11 @@
       throw new UnsupportedOperationException("change feeds are not supported");
     }
 
+    @Override
+    public StoreVersion newestVersion() {
+      return new StoreVersion(0, version);
+    }
+
     @Override
     public CompletableFuture<StoreCommit> commit(RowTransaction transaction) {
       CompletableFuture<StoreCommit> answer = new CompletableFuture<>();
