An answer that a suspension of the VM delayed does not set the fleet's clock back

Cause: FleetClock took the delayed reading for current, and the next one for a restart of the store's clock, for which it corrected itself the wrong way. A reading is now used only if its call took a second at most on both clocks. With the check taken out, the test of the suspension fails (the clock is 90 s behind); the test of an answer that took long passes with and without it.

--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -354,7 +354,7 @@
   }
 
   private void applyPage(RowPage page, Moment sentAt) {
-    clock.sync(page.storeMillis());
+    clock.sync(page.storeMillis(), sentAt);
     Map<String, Members.Row> rows = new HashMap<>();
     Optional<LeaseRow> leaseRow = Optional.empty();
     long leaseVersion = 0;
@@ -423,7 +423,7 @@
   private boolean leaseWritten(StoreCommit commit, LeaseRow row, Moment sentAt) {
     return switch (commit) {
       case StoreCommit.Committed(long version, long storeMillis) -> {
-        clock.sync(storeMillis);
+        clock.sync(storeMillis, sentAt);
         if (lease.epoch() != row.epoch()) {
           leaseAcquired(row, sentAt.monotonicMillis());
         }
--- a/forward/src/main/java/org/limpetvale/forward/time/FleetClock.java
+++ b/forward/src/main/java/org/limpetvale/forward/time/FleetClock.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.stream.Stream;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 
 /**
@@ -38,9 +39,20 @@
   /**
    * Synchronizes with the store's monotonic clock.
    *
-   * @param storeMillis the current reading of the store's clock
+   * @param storeMillis reading of the store's clock in an answer that has just been received
+   * @param sent when its call was sent; an answer that took long or that a suspension of the VM
+   *     delayed tells an old reading and is not used
    */
-  public void sync(long storeMillis) {
+  public void sync(long storeMillis, Moment sent) {
+    Moment now = Moment.now(timer);
+    long roundTripMillis = now.monotonicMillis() - sent.monotonicMillis();
+    if (roundTripMillis <= MAX_JUMP_MILLIS
+        && Math.abs(now.driftSinceMillis(sent)) <= MAX_JUMP_MILLIS) {
+      sync(storeMillis);
+    }
+  }
+
+  private void sync(long storeMillis) {
     long monotonicMillis = timer.nowMillis();
     long wallMillis = timer.wallMillis();
     if (!synced) {
--- a/forward/src/test/java/org/limpetvale/forward/time/FleetClockTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/time/FleetClockTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.forward.testing.ManualTimer;
 
 final class FleetClockTest {
@@ -11,6 +12,10 @@
   private final FleetClock clock = FleetClock.of(timer);
   private final long startMillis = timer.wallMillis();
 
+  private void sync(long storeMillis) {
+    clock.sync(storeMillis, Moment.now(timer));
+  }
+
   @Test
   void itReturnsTheVmsTimeUntilTheStoreResponds() {
     assertThat(clock.millis()).isEqualTo(startMillis);
@@ -18,11 +23,11 @@
 
   @Test
   void stepsOfTheVmsClockHaveNoEffect() {
-    clock.sync(50_000);
+    sync(50_000);
     timer.advance(1_000);
     timer.stepWall(3_000);
     assertThat(clock.millis()).isEqualTo(startMillis + 1_000);
-    clock.sync(51_000);
+    sync(51_000);
     timer.advance(500);
     assertThat(clock.millis()).isEqualTo(startMillis + 1_500);
   }
@@ -30,7 +35,7 @@
   @Test
   void aVmThatStartsWithAWrongClockUsesTheMedianOffset() {
     timer.stepWall(-4_000);
-    clock.sync(50_000);
+    sync(50_000);
     long correctOffset = clock.ownOffsetMillis() + 4_000;
     clock.setPeerOffsets(List.of(correctOffset, correctOffset + 1));
     assertThat(clock.millis()).isEqualTo(startMillis);
@@ -38,17 +43,36 @@
 
   @Test
   void theStoreCorrectsTheTimeAfterASuspension() {
-    clock.sync(50_000);
+    sync(50_000);
     timer.stepWall(5_000);
-    clock.sync(55_000);
+    sync(55_000);
+    assertThat(clock.millis()).isEqualTo(startMillis + 5_000);
+  }
+
+  @Test
+  void anAnswerThatASuspensionDelayedDoesNotPutTheClockBack() {
+    sync(50_000);
+    Moment sent = Moment.now(timer);
+    timer.stepWall(90_000);
+    clock.sync(50_002, sent);
+    sync(140_000);
+    assertThat(clock.millis()).isEqualTo(startMillis + 90_000);
+  }
+
+  @Test
+  void anAnswerThatTookLongDoesNotPutTheClockBack() {
+    sync(50_000);
+    Moment sent = Moment.now(timer);
+    timer.advance(5_000);
+    clock.sync(50_002, sent);
     assertThat(clock.millis()).isEqualTo(startMillis + 5_000);
   }
 
   @Test
   void aRestartOfTheStoresClockDoesNotChangeTheTime() {
-    clock.sync(50_000);
+    sync(50_000);
     timer.advance(2_000);
-    clock.sync(10);
+    sync(10);
     assertThat(clock.millis()).isEqualTo(startMillis + 2_000);
   }
 }
