--- a/core/src/main/java/org/limpetvale/core/lease/LeaseRow.java
+++ b/core/src/main/java/org/limpetvale/core/lease/LeaseRow.java
@@ -7,7 +7,7 @@
  *
  * @param duty name of the duty, which only the holder of the lease may perform
  * @param holder process that holds the lease; empty after a release
- * @param epoch fencing token; incremented by each acquisition
+ * @param epoch fencing token; raised by each acquisition and in each era of the store
  * @param durationMillis validity of the lease after a renewal, in milliseconds
  * @param token unique id of the last write; shows whether a write whose response was lost was
  *     committed
--- a/core/src/main/java/org/limpetvale/core/lease/LeaseView.java
+++ b/core/src/main/java/org/limpetvale/core/lease/LeaseView.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.limpetvale.core.store.StoreVersion;
 
 /**
  * An immutable view of a lease as known to one process; every operation returns a new view.
@@ -10,14 +11,21 @@
  * sent its renewal, and a contender from when it first saw the current revision of the row, each on
  * its own monotonic clock.
  *
+ * <p>A store that has come back from an older copy holds an older row. The process that held the
+ * lease before may take it again until its lease expires. All others wait for a full lease duration
+ * from when they saw the row in the new era, even if the copy says that the lease is free.
+ *
  * @param row the row as last read; empty if it did not exist
- * @param revision revision of the row; 0 if it did not exist, negative if it has not been read yet
+ * @param revision revision of the row; empty if it has not been read yet
  * @param unchangedSinceMillis time at which this process first saw the revision, in milliseconds
  * @param heldUntilMillis time until which this process may act as the holder, in milliseconds; 0 if
  *     it is not the holder
  */
 public record LeaseView(
-    Optional<LeaseRow> row, long revision, long unchangedSinceMillis, long heldUntilMillis) {
+    Optional<LeaseRow> row,
+    Optional<StoreVersion> revision,
+    long unchangedSinceMillis,
+    long heldUntilMillis) {
   /**
    * Share of the duration after which the holder stops acting, so that it stops before a contender
    * can acquire the lease.
@@ -26,25 +34,48 @@
 
   public LeaseView {
     Objects.requireNonNull(row, "row is null");
+    Objects.requireNonNull(revision, "revision is null");
   }
 
   /** Returns the view of a process that has not read the row yet. */
   public static LeaseView empty() {
-    return new LeaseView(Optional.empty(), -1, 0, 0);
+    return new LeaseView(Optional.empty(), Optional.empty(), 0, 0);
   }
 
   /** Returns the view after reading the row. */
-  public LeaseView afterRead(Optional<LeaseRow> read, long readRevision, long nowMillis) {
-    boolean same = readRevision == revision;
+  public LeaseView afterRead(Optional<LeaseRow> read, StoreVersion readRevision, long nowMillis) {
+    boolean same = revision.filter(readRevision::equals).isPresent();
+    boolean olderCopy =
+        revision.filter(each -> each.isOfEarlierEraThan(readRevision)).isPresent()
+            && !isOfEra(read, readRevision.era());
     return new LeaseView(
-        read, readRevision, same ? unchangedSinceMillis : nowMillis, same ? heldUntilMillis : 0);
+        read,
+        Optional.of(readRevision),
+        same ? unchangedSinceMillis : nowMillis,
+        same || olderCopy ? heldUntilMillis : 0);
   }
 
   /** Returns the view after this process wrote the row. */
-  public LeaseView afterWrite(LeaseRow written, long newRevision, long sentMillis) {
+  public LeaseView afterWrite(LeaseRow written, StoreVersion newRevision, long sentMillis) {
     long held = sentMillis + Math.round(written.durationMillis() * HOLDER_SHARE);
     return new LeaseView(
-        Optional.of(written), newRevision, sentMillis, written.holder().isEmpty() ? 0 : held);
+        Optional.of(written),
+        Optional.of(newRevision),
+        sentMillis,
+        written.holder().isEmpty() ? 0 : held);
+  }
+
+  private static boolean isOfEra(Optional<LeaseRow> row, long era) {
+    return FencingToken.eraOf(row.map(LeaseRow::epoch).orElse(0L)) == era;
+  }
+
+  /** Returns whether the row was written in the current era of the store, not in an earlier one. */
+  public boolean isOfCurrentEra() {
+    return isOfEra(row, era());
+  }
+
+  private long era() {
+    return revision.map(StoreVersion::era).orElse(0L);
   }
 
   /**
@@ -68,12 +99,29 @@
 
   /** Returns the time at which another process's lease expires unless its row changes. */
   public long expiresAtMillis() {
-    return unchangedSinceMillis + row.map(LeaseRow::durationMillis).orElse(0L);
+    return unchangedSinceMillis + rowDurationMillis();
+  }
+
+  /** A row that the copy lacks may have existed, with the usual duration. */
+  private long waitMillis(long durationMillis) {
+    return row.isPresent() ? rowDurationMillis() : durationMillis;
+  }
+
+  private long rowDurationMillis() {
+    return row.map(LeaseRow::durationMillis).orElse(0L);
   }
 
   /** Returns whether this process may act as the holder now. */
   public boolean isHolder(long nowMillis) {
-    return nowMillis < heldUntilMillis;
+    return nowMillis < heldUntilMillis && isOfCurrentEra();
+  }
+
+  /**
+   * Returns whether this process held the lease when the store came back from an older copy, and no
+   * other process can hold it yet.
+   */
+  public boolean isHolderOfEarlierEra(long nowMillis) {
+    return nowMillis < heldUntilMillis && !isOfCurrentEra();
   }
 
   /**
@@ -102,15 +150,17 @@
    */
   public Optional<LeaseRow> nextWrite(
       String self, String duty, long durationMillis, String token, long nowMillis) {
-    if (revision < 0) {
+    if (revision.isEmpty()) {
       return Optional.empty();
     }
     if (isHolder(nowMillis)) {
       return Optional.of(new LeaseRow(duty, self, epoch(), durationMillis, token));
     }
-    boolean free = row.isEmpty() || isHeldBy("") || nowMillis >= expiresAtMillis();
-    return free
-        ? Optional.of(new LeaseRow(duty, self, epoch() + 1, durationMillis, token))
+    boolean released = isOfCurrentEra() && (row.isEmpty() || isHeldBy(""));
+    boolean expired = nowMillis >= unchangedSinceMillis + waitMillis(durationMillis);
+    return released || expired || isHolderOfEarlierEra(nowMillis)
+        ? Optional.of(
+            new LeaseRow(duty, self, FencingToken.next(epoch(), era()), durationMillis, token))
         : Optional.empty();
   }
 }
--- a/core/src/main/java/org/limpetvale/core/store/StoreVersion.java
+++ b/core/src/main/java/org/limpetvale/core/store/StoreVersion.java
@@ -15,6 +15,11 @@
   /** The version of a store of which nothing has been read. */
   public static final StoreVersion NONE = new StoreVersion(0, 0);
 
+  /** Returns a version of a store that never comes back from a copy. */
+  public static StoreVersion of(long number) {
+    return new StoreVersion(0, number);
+  }
+
   /** Returns the version that a row has in an era if it does not exist. */
   public static StoreVersion absentIn(long era) {
     return new StoreVersion(era, 0);
--- a/core/src/test/java/org/limpetvale/core/lease/LeaseTest.java
+++ b/core/src/test/java/org/limpetvale/core/lease/LeaseTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.store.StoreVersion;
 
 final class LeaseTest {
   private static final LeaseRow HELD = new LeaseRow("d", "a/1", 4, 1000, "t");
@@ -14,22 +15,24 @@
   class NextWriteTest {
     @Test
     void aContenderWaitsForTheFullDurationOnItsOwnClock() {
-      LeaseView view = LeaseView.empty().afterRead(Optional.of(HELD), 7, 50_000);
+      LeaseView view = LeaseView.empty().afterRead(Optional.of(HELD), StoreVersion.of(7), 50_000);
       assertThat(view.nextWrite("b/1", "d", 1000, "t2", 50_999)).isEmpty();
       assertThat(view.nextWrite("b/1", "d", 1000, "t2", 51_000).orElseThrow().epoch()).isEqualTo(5);
     }
 
     @Test
     void aRenewalRestartsTheContendersWait() {
-      LeaseView view = LeaseView.empty().afterRead(Optional.of(HELD), 7, 0);
-      assertThat(view.afterRead(Optional.of(HELD), 8, 900).nextWrite("b/1", "d", 1000, "t", 1500))
+      LeaseView view = LeaseView.empty().afterRead(Optional.of(HELD), StoreVersion.of(7), 0);
+      assertThat(
+              view.afterRead(Optional.of(HELD), StoreVersion.of(8), 900)
+                  .nextWrite("b/1", "d", 1000, "t", 1500))
           .isEmpty();
     }
 
     @Test
     void aReleasedLeaseCanBeAcquiredImmediatelyWithAHigherEpoch() {
       LeaseRow free = new LeaseRow("d", "", 4, 1000, "t");
-      LeaseView view = LeaseView.empty().afterRead(Optional.of(free), 9, 0);
+      LeaseView view = LeaseView.empty().afterRead(Optional.of(free), StoreVersion.of(9), 0);
       assertThat(view.nextWrite("b/1", "d", 1000, "t", 0).orElseThrow().epoch()).isEqualTo(5);
     }
 
@@ -43,7 +46,7 @@
   class IsHolderTest {
     @Test
     void aHolderStopsBeforeAContenderCanAcquireTheLease() {
-      LeaseView holder = LeaseView.empty().afterWrite(HELD, 7, 0);
+      LeaseView holder = LeaseView.empty().afterWrite(HELD, StoreVersion.of(7), 0);
       assertThat(holder.isHolder(699)).isTrue();
       assertThat(holder.isHolder(700)).isFalse();
     }
@@ -97,9 +100,10 @@
   @Test
   void aTableOutageRestartsTheContendersWait() {
     LeaseRow row = new LeaseRow("duty", "other", 1, 4_000, "t");
-    LeaseView seen = LeaseView.empty().afterRead(java.util.Optional.of(row), 7, 0);
+    LeaseView seen = LeaseView.empty().afterRead(java.util.Optional.of(row), StoreVersion.of(7), 0);
     assertThat(seen.nextWrite("me", "duty", 4_000, "u", 4_000)).isPresent();
-    LeaseView after = seen.afterRead(java.util.Optional.of(row), 7, 9_000).afterOutage(9_000);
+    LeaseView after =
+        seen.afterRead(java.util.Optional.of(row), StoreVersion.of(7), 9_000).afterOutage(9_000);
     assertThat(after.nextWrite("me", "duty", 4_000, "u", 12_999)).isEmpty();
     assertThat(after.nextWrite("me", "duty", 4_000, "u", 13_000)).isPresent();
   }
--- a/entry/src/main/java/org/limpetvale/entry/control/LeaseManager.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/LeaseManager.java
@@ -7,6 +7,7 @@
 import org.limpetvale.core.config.JsonCodec;
 import org.limpetvale.core.lease.LeaseRow;
 import org.limpetvale.core.lease.LeaseView;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.daemon.Ids;
 import org.limpetvale.ports.ReadResult;
@@ -69,7 +70,7 @@
   /** Returns the lease if this process may currently act as its holder. */
   public synchronized Optional<Held> held() {
     return leaseView.isHolder(timer.nowMillis())
-        ? Optional.of(new Held(duty, leaseView.epoch(), key(), leaseView.revision()))
+        ? Optional.of(new Held(duty, leaseView.epoch(), key(), revision()))
         : Optional.empty();
   }
 
@@ -98,7 +99,7 @@
       leaseView =
           leaseView.afterRead(
               row.map(each -> JsonCodec.readStored(each.value(), LeaseRow.class)),
-              row.map(Row::revision).orElse(0L),
+              StoreVersion.of(row.map(Row::revision).orElse(0L)),
               readMillis);
     }
     long sentMillis = timer.nowMillis();
@@ -113,13 +114,13 @@
   private void write(LeaseRow next, long sentMillis) {
     TransactionRunner.Outcome outcome =
         commits.commit(
-            Transaction.put(key(), leaseView.revision(), JsonCodec.write(next)),
+            Transaction.put(key(), revision(), JsonCodec.write(next)),
             key(),
             value -> JsonCodec.readStored(value, LeaseRow.class).token().equals(next.token()),
             durationMillis / ROUNDS_PER_LEASE);
     switch (outcome) {
       case TransactionRunner.Outcome.Applied(long revision) ->
-          leaseView = leaseView.afterWrite(next, revision, sentMillis);
+          leaseView = leaseView.afterWrite(next, StoreVersion.of(revision), sentMillis);
       case TransactionRunner.Outcome.Conflict() -> {
         logger.atInfo().log("lease lost duty=%s epoch=%d", duty, leaseView.epoch());
         leaseView = LeaseView.empty();
@@ -130,6 +131,10 @@
     }
   }
 
+  private long revision() {
+    return leaseView.revision().map(StoreVersion::number).orElse(0L);
+  }
+
   private String key() {
     return "leases/" + duty;
   }
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -68,6 +68,9 @@
   /** Number of usage windows in a peer report, counted back from the current one. */
   private static final int REPORTED_WINDOWS = 3;
 
+  /** Time over which the entries spread their reads after the store's return from a copy. */
+  private static final long RETURN_READ_SPREAD_MILLIS = 250;
+
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
 
@@ -93,6 +96,7 @@
   private final Transport transport;
   private final EventLog log;
   private final TimerService timer;
+  private final FleetStore store;
   private final ConfigCache config;
   private final UpstreamRegistry upstreams;
   private final TableFollower configFollower;
@@ -117,6 +121,7 @@
     this.timer = EventLoopTimer.of(transport.loop(), log);
     this.metrics = ForwardMetrics.empty();
     this.metricsPage = MetricsPage.of(metrics);
+    this.store = platform.store();
     this.config = ConfigCache.of(platform.decoder(), timer, log, settings.bounds().revokeMillis());
     this.upstreams = UpstreamRegistry.of(platform.decoder(), timer, log);
     this.configFollower =
@@ -132,6 +137,7 @@
             settings.bounds().leaseMillis());
     Members members = Members.of(settings.bounds().retries().windowMillis(), timer);
     PeerReports peerBook = PeerReports.of(timer);
+    config.setNewestPeerVersion(peerBook::newestConfigVersion);
     UpstreamStates loads = UpstreamStates.empty();
     FleetClock clock = FleetClock.of(timer);
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
@@ -158,10 +164,8 @@
     metrics.registerGauge(
         ForwardMetrics.Gauge.MEMBERS_READ_AGE_MILLIS, () -> members.share().readAgeMillis());
     metrics.registerGauge(ForwardMetrics.Gauge.LIMITED_UPSTREAMS, loads::limitedUpstreams);
-    metrics.registerGauge(
-        ForwardMetrics.Gauge.STORE_ERA, () -> platform.store().newestVersion().era());
-    metrics.registerGauge(
-        ForwardMetrics.Gauge.STORE_VERSION, () -> platform.store().newestVersion().number());
+    metrics.registerGauge(ForwardMetrics.Gauge.STORE_ERA, () -> store.newestVersion().era());
+    metrics.registerGauge(ForwardMetrics.Gauge.STORE_VERSION, () -> store.newestVersion().number());
     this.forwarder =
         Forwarder.of(
             transport,
@@ -200,7 +204,8 @@
             peerBook,
             () -> members.addressesExcept(settings.peers()),
             parts -> {
-              clock.setPeerOffsets(peerBook.clockOffsets());
+              long storeEra = store.newestVersion().era();
+              clock.setPeerOffsets(peerBook.clockOffsets(storeEra));
               PeerReport report =
                   new PeerReport(
                       self.writer(),
@@ -215,7 +220,9 @@
                       engines.ownModels(),
                       limits.recentNotices(),
                       notices.recentlyLeaving(),
-                      duties.releasedEpoch());
+                      duties.releasedEpoch(),
+                      storeEra,
+                      config.version());
               return parts.withUsage() ? report : report.withoutUsage();
             },
             timer,
@@ -233,6 +240,7 @@
     upstreams.onChange(forwarder::fleetChanged);
     config.setClockDriftHandler(configFollower::restart);
     config.setStoreRecoveryHandler(duties::runNow);
+    store.onReturn(this::scheduleFullReads);
     crashes.onSuspicion(duties::runNow);
     metrics.registerGauge(ForwardMetrics.Gauge.OPEN_CONNECTIONS, callers::openConnections);
     logBindFailure("callers", callers.listen(settings.callers()));
@@ -245,6 +253,21 @@
         field("nativeTransport", transport.isNative()));
   }
 
+  /**
+   * Reads everything again after the store has come back from an older copy. The delay spreads the
+   * reads of all entries.
+   */
+  private void scheduleFullReads() {
+    long delayMillis = ThreadLocalRandom.current().nextLong(RETURN_READ_SPREAD_MILLIS);
+    timer.after(
+        delayMillis,
+        () -> {
+          configFollower.restart();
+          upstreamFollower.restart();
+          duties.runNow();
+        });
+  }
+
   private void follow() {
     configFollower.restart();
     upstreamFollower.restart();
--- a/forward/src/main/java/org/limpetvale/forward/account/UsageCounts.java
+++ b/forward/src/main/java/org/limpetvale/forward/account/UsageCounts.java
@@ -43,6 +43,11 @@
         .merge(workspace, 1L, Long::sum);
   }
 
+  /** Returns the length of a window. */
+  public long windowMillis() {
+    return windowMillis;
+  }
+
   /** Returns the number of the current window. */
   public long currentWindow() {
     return Math.floorDiv(clockMillis.getAsLong(), windowMillis);
@@ -78,8 +83,13 @@
     return newest;
   }
 
+  /** Returns the oldest window whose counts are retained. */
+  public long oldestWindow() {
+    return currentWindow() - RETAINED_WINDOWS;
+  }
+
   /** Removes windows that are too old to be reported. */
   public void removeOldWindows() {
-    countsByWindow.headMap(currentWindow() - RETAINED_WINDOWS, false).clear();
+    countsByWindow.headMap(oldestWindow(), false).clear();
   }
 }
--- /dev/null
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLease.java
@@ -0,0 +1,308 @@
+package org.limpetvale.forward.duty;
+
+import static org.limpetvale.forward.log.EventLog.field;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+import org.limpetvale.core.lease.LeaseRow;
+import org.limpetvale.core.lease.LeaseView;
+import org.limpetvale.core.store.StoreVersion;
+import org.limpetvale.core.time.Moment;
+import org.limpetvale.core.time.TimerService;
+import org.limpetvale.forward.account.UsageCounts;
+import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.peer.PeerReports;
+import org.limpetvale.forward.spi.RowPage;
+import org.limpetvale.forward.spi.RowTransaction;
+import org.limpetvale.forward.spi.StoreCommit;
+import org.limpetvale.forward.spi.StoredRow;
+
+/**
+ * The duty lease as one entry knows it, and the transactions that take, renew and release it. Must
+ * only be used on the event loop.
+ *
+ * <p>The first holder in an era of the store writes a row of the era beside the lease and removes
+ * those of earlier eras. Each transaction that requires the lease also requires that row, so a
+ * transaction that is performed late, after the store has come back from an older copy, has no
+ * effect even if the lease row has the same version number again.
+ *
+ * <p>The row of the era names the first usage window that may be sealed in it. A window that ended
+ * earlier may have been reported by a holder that only the lost part of the store knew.
+ */
+final class DutyLease {
+  static final long DURATION_MILLIS = 4_000;
+
+  /**
+   * Drift between the wall clock and the monotonic clock above which the VM may have been suspended
+   * and its lease may have expired.
+   */
+  private static final long MAX_CLOCK_DRIFT_MILLIS = 300;
+
+  private static final String DUTY_NAME = "duties";
+
+  private final DutyLoop.Identity self;
+  private final UsageCounts usage;
+  private final PeerReports peers;
+  private final TimerService timer;
+  private final EventLog log;
+  private LeaseView view = LeaseView.empty();
+  private Optional<Era> era = Optional.empty();
+  private List<String> earlierEraKeys = List.of();
+
+  /** When the last confirmed write of the lease was sent. */
+  private Moment requestedAt = new Moment(0, 0);
+
+  private long earliestActionMillis;
+
+  /** First window that no other holder can have sealed, as this entry held the lease since. */
+  private long heldSinceWindow;
+
+  /**
+   * The row of the store's current era.
+   *
+   * @param version version of the row
+   * @param firstWindow first usage window that may be sealed in the era
+   */
+  private record Era(StoreVersion version, long firstWindow) {}
+
+  /**
+   * A write of the lease.
+   *
+   * @param row the row to write
+   * @param newEraFirstWindow first window of the era if it has no row yet
+   * @param isContinuation whether this entry held the lease when the store came back from a copy
+   * @param transaction the transaction that writes it
+   */
+  record Write(
+      LeaseRow row,
+      Optional<Long> newEraFirstWindow,
+      boolean isContinuation,
+      RowTransaction transaction) {}
+
+  DutyLease(
+      DutyLoop.Identity self,
+      UsageCounts usage,
+      PeerReports peers,
+      TimerService timer,
+      EventLog log) {
+    this.self = Objects.requireNonNull(self, "self is null");
+    this.usage = Objects.requireNonNull(usage, "usage is null");
+    this.peers = Objects.requireNonNull(peers, "peers is null");
+    this.timer = Objects.requireNonNull(timer, "timer is null");
+    this.log = Objects.requireNonNull(log, "log is null");
+  }
+
+  /**
+   * Applies the rows that were just read.
+   *
+   * @param afterFailure whether the reads before it failed
+   */
+  void applyPage(RowPage page, boolean afterFailure) {
+    long currentEra = page.version().era();
+    Optional<LeaseRow> row = Optional.empty();
+    StoreVersion revision = StoreVersion.absentIn(currentEra);
+    era = Optional.empty();
+    List<String> earlierKeys = new ArrayList<>();
+    for (StoredRow each : page.rows()) {
+      if (each.key().equals(FleetRows.LEASE_KEY)) {
+        row = FleetRows.parseLease(each.text());
+        revision = each.version();
+      } else if (each.key().equals(FleetRows.eraKey(currentEra))) {
+        era = Optional.of(new Era(each.version(), FleetRows.parseEra(each.text())));
+      } else if (each.key().startsWith(FleetRows.ERA_PREFIX)) {
+        earlierKeys.add(each.key());
+      }
+    }
+    earlierEraKeys = earlierKeys;
+    long nowMillis = timer.nowMillis();
+    view = view.afterRead(row, revision, nowMillis);
+    boolean ownLease = view.isHeldBy(self.writer());
+    if (afterFailure && !ownLease) {
+      view = view.afterOutage(nowMillis);
+    }
+    if (!ownLease && peers.releaseOf(view.epoch()).isPresent()) {
+      view = view.afterRelease();
+    }
+  }
+
+  /**
+   * Returns whether this entry holds the lease. The monotonic clock does not advance while the VM
+   * is suspended, so the lease is not trusted after a suspension until it has been renewed.
+   */
+  boolean isHeld() {
+    return view.isHolder(timer.nowMillis()) && !wasSuspended();
+  }
+
+  /**
+   * Returns whether this entry held the lease when the store came back from an older copy and has
+   * not written it since.
+   */
+  boolean wasHeldInEarlierEra() {
+    return view.isHolderOfEarlierEra(timer.nowMillis()) && !wasSuspended();
+  }
+
+  private boolean wasSuspended() {
+    long driftMillis = Moment.now(timer).driftSinceMillis(requestedAt);
+    return Math.abs(driftMillis) > MAX_CLOCK_DRIFT_MILLIS;
+  }
+
+  /** Returns the lease for the duties if this entry may perform them now. */
+  Optional<HeldLease> held(BooleanSupplier stillHeld) {
+    if (timer.nowMillis() < earliestActionMillis || !isHeld() || era.isEmpty()) {
+      return Optional.empty();
+    }
+    StoreVersion revision = view.revision().orElseThrow();
+    return Optional.of(
+        new HeldLease(
+            conditions(revision),
+            revision.era(),
+            view.epoch(),
+            era.get().firstWindow(),
+            stillHeld));
+  }
+
+  private List<RowTransaction.Condition> conditions(StoreVersion revision) {
+    StoreVersion eraVersion = era.map(Era::version).orElse(StoreVersion.absentIn(revision.era()));
+    return List.of(
+        new RowTransaction.Condition(FleetRows.LEASE_KEY, revision),
+        new RowTransaction.Condition(FleetRows.eraKey(revision.era()), eraVersion));
+  }
+
+  /** Returns the time until another entry's lease expires unless its row changes. */
+  long remainingMillis() {
+    return view.expiresAtMillis() - timer.nowMillis();
+  }
+
+  /** Returns the fencing token of the lease if its row names this entry; 0 otherwise. */
+  long ownEpoch() {
+    return view.isHeldBy(self.writer()) ? view.epoch() : 0;
+  }
+
+  /**
+   * Returns the write that renews or takes the lease; empty if another entry holds it.
+   *
+   * @param others rows to write in the same transaction
+   */
+  Optional<Write> nextWrite(List<RowTransaction.Write> others) {
+    long nowMillis = timer.nowMillis();
+    boolean continues = wasHeldInEarlierEra();
+    if (view.isHolderOfEarlierEra(nowMillis) && !continues) {
+      return Optional.empty();
+    }
+    return view.nextWrite(
+            self.writer(), DUTY_NAME, DURATION_MILLIS, UUID.randomUUID().toString(), nowMillis)
+        .map(row -> toWrite(row, continues, others));
+  }
+
+  private Write toWrite(LeaseRow row, boolean continues, List<RowTransaction.Write> others) {
+    StoreVersion revision = view.revision().orElseThrow();
+    List<RowTransaction.Write> writes = new ArrayList<>(others);
+    writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.encodeLease(row)));
+    Optional<Long> firstWindow =
+        era.isPresent() ? Optional.empty() : Optional.of(firstWindow(revision.era(), continues));
+    firstWindow.ifPresent(
+        window ->
+            writes.add(
+                new RowTransaction.Write(
+                    FleetRows.eraKey(revision.era()), FleetRows.encodeEra(window))));
+    List<String> removals = era.isPresent() ? List.of() : earlierEraKeys;
+    return new Write(
+        row, firstWindow, continues, new RowTransaction(conditions(revision), writes, removals));
+  }
+
+  /**
+   * Returns the first window that may be sealed in an era without a row. The window after the
+   * current one has not ended for any entry, whatever its clock says.
+   */
+  private long firstWindow(long number, boolean continues) {
+    if (number == 0) {
+      return 0;
+    }
+    return continues ? Math.max(heldSinceWindow, usage.oldestWindow()) : usage.currentWindow() + 1;
+  }
+
+  /**
+   * Applies the outcome of a write.
+   *
+   * @return whether this entry holds the lease now
+   */
+  boolean written(StoreCommit commit, Write write, Moment sentAt) {
+    return switch (commit) {
+      case StoreCommit.Committed(StoreVersion version, long ignored) -> {
+        if (view.epoch() != write.row().epoch()) {
+          acquired(write, sentAt.monotonicMillis());
+        }
+        write.newEraFirstWindow().ifPresent(window -> era = Optional.of(new Era(version, window)));
+        view = view.afterWrite(write.row(), version, sentAt.monotonicMillis());
+        requestedAt = sentAt;
+        yield true;
+      }
+      case StoreCommit.Conflict ignored -> notWritten("conflict");
+      case StoreCommit.Refused(String detail) -> notWritten(detail);
+      case StoreCommit.Unknown(String detail) -> notWritten(detail);
+    };
+  }
+
+  /**
+   * Determines from when this entry may act as the new holder. After a release, the previous holder
+   * may have acted a moment ago and may take the lease again soon, so the first action waits for
+   * the settle time from when the release was received. After an expiry, the lease duration has
+   * already passed.
+   */
+  private void acquired(Write write, long sentMillis) {
+    boolean released = view.isHeldBy("");
+    long releasedMillis =
+        peers
+            .releaseOf(view.epoch())
+            .map(PeerReports.Release::firstReceivedMillis)
+            .orElse(sentMillis);
+    earliestActionMillis = released ? releasedMillis + self.settleMillis() : sentMillis;
+    if (!write.isContinuation()) {
+      heldSinceWindow = Math.max(usage.currentWindow(), firstWindowAfter(write));
+    }
+    log.stateChange(
+        "lease_taken",
+        field("epoch", write.row().epoch()),
+        field("afterRelease", released),
+        field("continued", write.isContinuation()),
+        field("firstWindowOfEra", write.newEraFirstWindow().map(String::valueOf).orElse("")));
+  }
+
+  private long firstWindowAfter(Write write) {
+    return write.newEraFirstWindow().orElse(era.map(Era::firstWindow).orElse(0L));
+  }
+
+  private boolean notWritten(String cause) {
+    log.stateChange("lease_not_written", field("epoch", view.epoch()), field("cause", cause));
+    return false;
+  }
+
+  /**
+   * Gives the lease up.
+   *
+   * @param storeEra current era of the store
+   * @return the conditions and the row that release it in the store; empty if this entry does not
+   *     hold it
+   */
+  Optional<RowTransaction> release(long storeEra) {
+    Optional<RowTransaction> release =
+        view.revision()
+            .filter(revision -> revision.era() == storeEra && view.isHolder(timer.nowMillis()))
+            .map(this::releasing);
+    view = LeaseView.empty();
+    return release;
+  }
+
+  private RowTransaction releasing(StoreVersion revision) {
+    LeaseRow free =
+        new LeaseRow(DUTY_NAME, "", view.epoch(), DURATION_MILLIS, UUID.randomUUID().toString());
+    return new RowTransaction(
+        conditions(revision),
+        List.of(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.encodeLease(free))),
+        List.of());
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -9,10 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import org.limpetvale.core.lease.LeaseRow;
-import org.limpetvale.core.lease.LeaseView;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.account.UsageCounts;
@@ -45,15 +42,6 @@
 
   private static final int MAX_CONTENDERS = 3;
 
-  /**
-   * Drift between the wall clock and the monotonic clock above which the VM may have been suspended
-   * and its lease may have expired.
-   */
-  private static final long MAX_CLOCK_DRIFT_MILLIS = 300;
-
-  private static final long LEASE_MILLIS = 4_000;
-  private static final String DUTY_NAME = "duties";
-
   /**
    * Identifies this entry's process as a holder of the duty lease.
    *
@@ -81,12 +69,7 @@
   private final ScalingDuty scaling;
   private final TimerService timer;
   private final EventLog log;
-  private LeaseView lease = LeaseView.empty();
-
-  /** When the last confirmed write of the lease was sent. */
-  private Moment leaseRequestedAt = new Moment(0, 0);
-
-  private long earliestActionMillis;
+  private final DutyLease lease;
   private long releasedEpoch;
   private TimerService.Subscription expiryCheck = () -> {};
   private long heartbeat;
@@ -101,6 +84,9 @@
   /** Whether the last write of this entry's own rows was confirmed. */
   private boolean ownRowWritten;
 
+  /** Era of the store in which this entry's rows were last written. */
+  private long ownRowsEra;
+
   private boolean readFailed;
   private boolean roundRunning;
   private boolean stopped;
@@ -127,6 +113,7 @@
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.log = Objects.requireNonNull(log, "log is null");
     this.peers = Objects.requireNonNull(peers, "peers is null");
+    this.lease = new DutyLease(self, usage, peers, timer, log);
     this.usageDuty = new UsageDuty(self, store, calls, usage, members, peers, log);
   }
 
@@ -171,21 +158,18 @@
    */
   public CompletableFuture<Boolean> stop() {
     stopped = true;
-    releasedEpoch = lease.isHeldBy(self.writer()) ? lease.epoch() : 0;
+    releasedEpoch = lease.ownEpoch();
     List<RowTransaction.Write> writes = usageRows(true);
-    List<RowTransaction.Condition> conditions = new ArrayList<>();
-    if (lease.isHolder(timer.nowMillis())) {
-      LeaseRow free = new LeaseRow(DUTY_NAME, "", lease.epoch(), LEASE_MILLIS, token());
-      conditions.add(new RowTransaction.Condition(FleetRows.LEASE_KEY, lease.revision()));
-      writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.encodeLease(free)));
-    }
-    lease = LeaseView.empty();
+    Optional<RowTransaction> release = lease.release(storeEra());
+    release.ifPresent(each -> writes.addAll(each.writes()));
     writes.add(
         new RowTransaction.Write(
             FleetRows.memberKey(self.writer()),
             FleetRows.encodeDeparture(suspects.localCrashes())));
     return store
-        .commit(new RowTransaction(conditions, writes, List.of()))
+        .commit(
+            new RowTransaction(
+                release.map(RowTransaction::conditions).orElse(List.of()), writes, List.of()))
         .thenApply(
             commit -> {
               log.stateChange("duties_left", field("outcome", commit.toString()));
@@ -201,7 +185,8 @@
   private void nextRound() {
     rounds++;
     boolean readsNow = (isContender() || !ownRowWritten) && rounds % CONTENDER_ROUND_INTERVAL == 0;
-    if (holdsLease() || readsNow || usage.closedWindow() > writtenWindow) {
+    boolean rowsMayBeLost = storeEra() > ownRowsEra;
+    if (lease.isHeld() || readsNow || rowsMayBeLost || usage.closedWindow() > writtenWindow) {
       runNow();
     }
   }
@@ -214,9 +199,12 @@
     roundRunning = true;
     writtenWindow = usage.closedWindow();
     CompletableFuture<Void> steps =
-        holdsLease()
+        lease.isHeld() && storeEra() == ownRowsEra
             ? holderRound()
-            : writeOwnRows().thenCompose(commit -> readAll()).thenCompose(this::tryTakeOver);
+            : writeOwnRows()
+                .thenCompose(commit -> readAll())
+                .thenCompose(this::restoreReports)
+                .thenCompose(this::tryTakeOver);
     steps.whenComplete(
         (done, failure) -> {
           roundRunning = false;
@@ -228,30 +216,42 @@
 
   private CompletableFuture<Void> holderRound() {
     Moment sentAt = Moment.now(timer);
-    return writeLease(renewal(), ownRows())
+    long era = storeEra();
+    Optional<DutyLease.Write> write = lease.nextWrite(ownRows());
+    if (write.isEmpty()) {
+      return done();
+    }
+    return commitLease(write.get())
         .thenCompose(
             leaseHeld -> {
-              ownRowsWritten(leaseHeld, sentAt);
+              ownRowsWritten(leaseHeld, era, sentAt);
               return leaseHeld ? performDuties() : done();
             });
   }
 
+  /** Writes the sealed reports again that the store has lost with a return from an older copy. */
+  private CompletableFuture<Optional<RowPage>> restoreReports(Optional<RowPage> page) {
+    return page.isPresent() && (isContender() || lease.wasHeldInEarlierEra())
+        ? usageDuty.restoreLostReports(page.get()).thenApply(ignored -> page)
+        : CompletableFuture.completedFuture(page);
+  }
+
   private CompletableFuture<Void> tryTakeOver(Optional<RowPage> page) {
     if (page.isEmpty()) {
       return done();
     }
-    Optional<LeaseRow> next = renewal();
-    if (next.isEmpty()) {
+    Optional<DutyLease.Write> write = stopped ? Optional.empty() : lease.nextWrite(List.of());
+    if (write.isEmpty()) {
       scheduleExpiryCheck();
       return done();
     }
-    return writeLease(next, List.of())
+    return commitLease(write.get())
         .thenCompose(leaseHeld -> leaseHeld ? performDutiesWith(page) : done());
   }
 
   /** Schedules a round for when the lease expires, if that is before the next periodic one. */
   private void scheduleExpiryCheck() {
-    long remainingMillis = lease.expiresAtMillis() - timer.nowMillis();
+    long remainingMillis = lease.remainingMillis();
     expiryCheck.cancel();
     if (isContender() && remainingMillis <= CONTENDER_ROUND_INTERVAL * PERIOD_MILLIS) {
       expiryCheck = timer.after(Math.max(0, remainingMillis), this::runNow);
@@ -266,43 +266,48 @@
 
   /** Performs the duties. Usage is reported only if the rows of all entries are given. */
   private CompletableFuture<Void> performDutiesWith(Optional<RowPage> page) {
-    long nowMillis = timer.nowMillis();
-    if (nowMillis < earliestActionMillis || !holdsLease()) {
+    Optional<HeldLease> held = lease.held(this::mayAct);
+    if (held.isEmpty()) {
       return done();
     }
-    HeldLease right = new HeldLease(lease.revision(), lease.epoch(), this::mayAct);
-    return page.map(rows -> usageDuty.act(rows, right))
+    return page.map(rows -> reportUsage(rows, held.get()))
         .orElseGet(DutyLoop::done)
-        .thenCompose(ignored -> scaling.act(right));
+        .thenCompose(ignored -> scaling.act(held.get()));
+  }
+
+  private CompletableFuture<Void> reportUsage(RowPage page, HeldLease held) {
+    return usageDuty.restoreLostReports(page).thenCompose(ignored -> usageDuty.act(page, held));
   }
 
   private boolean mayAct() {
-    return !stopped && holdsLease();
+    return !stopped && lease.isHeld();
   }
 
-  /**
-   * Decides whether this entry holds the lease. The monotonic clock does not advance while the VM
-   * is suspended, so the lease is not trusted after a suspension until it has been renewed.
-   */
-  private boolean holdsLease() {
-    long driftMillis = Moment.now(timer).driftSinceMillis(leaseRequestedAt);
-    return lease.isHolder(timer.nowMillis()) && Math.abs(driftMillis) <= MAX_CLOCK_DRIFT_MILLIS;
+  private long storeEra() {
+    return store.newestVersion().era();
   }
 
   private CompletableFuture<StoreCommit> writeOwnRows() {
     Moment sentAt = Moment.now(timer);
+    long era = storeEra();
     return store
         .commit(RowTransaction.of(ownRows()))
         .thenApply(
             commit -> {
-              ownRowsWritten(commit instanceof StoreCommit.Committed, sentAt);
+              ownRowsWritten(commit instanceof StoreCommit.Committed, era, sentAt);
               return commit;
             });
   }
 
-  private void ownRowsWritten(boolean confirmed, Moment sentAt) {
+  /**
+   * Records the outcome of a write of this entry's rows.
+   *
+   * @param era era of the store when the rows were collected
+   */
+  private void ownRowsWritten(boolean confirmed, long era, Moment sentAt) {
     ownRowWritten = confirmed;
     if (confirmed) {
+      ownRowsEra = era;
       members.recordRenewal(sentAt);
     }
   }
@@ -319,7 +324,8 @@
   private List<RowTransaction.Write> usageRows(boolean last) {
     List<RowTransaction.Write> writes = new ArrayList<>();
     long current = usage.currentWindow();
-    for (long window = current - 1; window <= current; window++) {
+    long first = storeEra() > ownRowsEra ? usage.oldestWindow() : current - 1;
+    for (long window = first; window <= current; window++) {
       Map<String, Long> counts = usage.counts(window);
       boolean closed = last || usage.isClosed(window);
       if (!counts.isEmpty() || closed) {
@@ -356,28 +362,16 @@
   private void applyPage(RowPage page, Moment sentAt) {
     clock.sync(page.storeMillis(), sentAt);
     Map<String, Members.Row> rows = new HashMap<>();
-    Optional<LeaseRow> leaseRow = Optional.empty();
-    long leaseVersion = 0;
     for (StoredRow row : page.rows()) {
       if (row.key().startsWith(FleetRows.MEMBER_PREFIX)) {
         String writer = row.key().substring(FleetRows.MEMBER_PREFIX.length());
         rows.put(writer, FleetRows.parseMember(row.version(), row.text()));
-      } else if (row.key().equals(FleetRows.LEASE_KEY)) {
-        leaseRow = FleetRows.parseLease(row.text());
-        leaseVersion = row.version();
       }
     }
-    members.recordRead(rows, sentAt).forEach(this::mergeCrashes);
+    members.recordRead(rows, page.version(), sentAt).forEach(this::mergeCrashes);
     logSharers();
-    long nowMillis = timer.nowMillis();
-    lease = lease.afterRead(leaseRow, leaseVersion, nowMillis);
-    boolean ownLease = lease.isHeldBy(self.writer());
-    if (readFailed && !ownLease) {
-      lease = lease.afterOutage(nowMillis);
-    }
-    if (!ownLease && peers.releaseOf(lease.epoch()).isPresent()) {
-      lease = lease.afterRelease();
-    }
+    lease.applyPage(page, readFailed);
+    usageDuty.learn(page);
     readFailed = false;
   }
 
@@ -397,70 +391,17 @@
     }
   }
 
-  private Optional<LeaseRow> renewal() {
-    return stopped
-        ? Optional.empty()
-        : lease.nextWrite(self.writer(), DUTY_NAME, LEASE_MILLIS, token(), timer.nowMillis());
-  }
-
-  /** Writes the lease and other rows on condition that the lease row is unchanged. */
-  private CompletableFuture<Boolean> writeLease(
-      Optional<LeaseRow> row, List<RowTransaction.Write> others) {
-    if (row.isEmpty()) {
-      return CompletableFuture.completedFuture(false);
-    }
+  private CompletableFuture<Boolean> commitLease(DutyLease.Write write) {
     Moment sentAt = Moment.now(timer);
-    List<RowTransaction.Write> writes = new ArrayList<>(others);
-    writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.encodeLease(row.get())));
-    RowTransaction transaction =
-        new RowTransaction(
-            List.of(new RowTransaction.Condition(FleetRows.LEASE_KEY, lease.revision())),
-            writes,
-            List.of());
-    return store.commit(transaction).thenApply(commit -> leaseWritten(commit, row.get(), sentAt));
-  }
-
-  private boolean leaseWritten(StoreCommit commit, LeaseRow row, Moment sentAt) {
-    return switch (commit) {
-      case StoreCommit.Committed(long version, long storeMillis) -> {
-        clock.sync(storeMillis, sentAt);
-        if (lease.epoch() != row.epoch()) {
-          leaseAcquired(row, sentAt.monotonicMillis());
-        }
-        lease = lease.afterWrite(row, version, sentAt.monotonicMillis());
-        leaseRequestedAt = sentAt;
-        yield true;
-      }
-      case StoreCommit.Conflict ignored -> leaseNotWritten("conflict");
-      case StoreCommit.Refused(String detail) -> leaseNotWritten(detail);
-      case StoreCommit.Unknown(String detail) -> leaseNotWritten(detail);
-    };
-  }
-
-  /**
-   * Determines from when this entry may act as the new holder. After a release, the previous holder
-   * may have acted a moment ago and may take the lease again soon, so the first action waits for
-   * the settle time from when the release was received. After an expiry, the lease duration has
-   * already passed.
-   */
-  private void leaseAcquired(LeaseRow row, long sentMillis) {
-    boolean released = lease.isHeldBy("");
-    long releasedMillis =
-        peers
-            .releaseOf(lease.epoch())
-            .map(PeerReports.Release::firstReceivedMillis)
-            .orElse(sentMillis);
-    earliestActionMillis = released ? releasedMillis + self.settleMillis() : sentMillis;
-    log.stateChange("lease_taken", field("epoch", row.epoch()), field("afterRelease", released));
-  }
-
-  private boolean leaseNotWritten(String cause) {
-    log.stateChange("lease_not_written", field("epoch", lease.epoch()), field("cause", cause));
-    return false;
-  }
-
-  private static String token() {
-    return UUID.randomUUID().toString();
+    return store
+        .commit(write.transaction())
+        .thenApply(
+            commit -> {
+              if (commit instanceof StoreCommit.Committed(var version, long storeMillis)) {
+                clock.sync(storeMillis, sentAt);
+              }
+              return lease.written(commit, write, sentAt);
+            });
   }
 
   private static CompletableFuture<Void> done() {
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.limpetvale.core.lease.LeaseRow;
+import org.limpetvale.core.store.StoreVersion;
 
 /** Encodes and parses the keys and values of the rows that entries share. */
 final class FleetRows {
@@ -19,6 +20,7 @@
   static final String MEMBER_PREFIX = "member/";
   static final String USAGE_PREFIX = "usage/";
   static final String REPORT_PREFIX = "report/";
+  static final String ERA_PREFIX = "era/";
 
   private static final ObjectMapper JSON = JsonMapper.builder().build();
 
@@ -46,6 +48,24 @@
     return REPORT_PREFIX + window;
   }
 
+  static String eraKey(long era) {
+    return ERA_PREFIX + era;
+  }
+
+  /** Returns the row of an era of the store, with the first window that may be sealed in it. */
+  static String encodeEra(long firstWindow) {
+    return JSON.createObjectNode().put("firstWindow", firstWindow).toString();
+  }
+
+  /** Returns the first window that may be sealed in an era; none if the row is unreadable. */
+  static long parseEra(String text) {
+    return parse(text)
+        .map(node -> node.path("firstWindow"))
+        .filter(JsonNode::isIntegralNumber)
+        .map(JsonNode::asLong)
+        .orElse(Long.MAX_VALUE);
+  }
+
   static String encodeMember(
       InetSocketAddress address, long heartbeat, Map<String, Set<String>> crashes) {
     ObjectNode node = JSON.createObjectNode();
@@ -74,7 +94,7 @@
     }
   }
 
-  static Members.Row parseMember(long version, String text) {
+  static Members.Row parseMember(StoreVersion version, String text) {
     Optional<JsonNode> node = parse(text);
     Map<String, Set<String>> crashes = new TreeMap<>();
     node.ifPresent(
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.limpetvale.core.retry.AllowanceEntitlement;
 import org.limpetvale.core.retry.AllowanceShare;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 
@@ -43,8 +44,10 @@
    * @param address address on which the entry receives peer reports; empty when it has left
    * @param crashes upstream processes that the entry saw crash, by request digest
    */
-  record Row(long version, Optional<InetSocketAddress> address, Map<String, Set<String>> crashes) {
+  record Row(
+      StoreVersion version, Optional<InetSocketAddress> address, Map<String, Set<String>> crashes) {
     Row {
+      Objects.requireNonNull(version, "version is null");
       Objects.requireNonNull(address, "address is null");
       crashes = Map.copyOf(crashes);
     }
@@ -63,8 +66,13 @@
   private record Observation(Row row, long changedAtMillis, long silentMillis) {
     /** Returns the observation after another read, which covers the given time. */
     Observation afterRead(Observation latest, long coveredMillis) {
-      boolean same = latest.row.version() == row.version();
-      return same ? new Observation(row, changedAtMillis, silentMillis + coveredMillis) : latest;
+      boolean same = latest.row.version().equals(row.version());
+      return same ? silentFor(coveredMillis) : latest;
+    }
+
+    /** Returns the observation after a read that shows no change and covers the given time. */
+    Observation silentFor(long coveredMillis) {
+      return new Observation(row, changedAtMillis, silentMillis + coveredMillis);
     }
   }
 
@@ -96,10 +104,11 @@
    * Records the rows of all entries, as just read.
    *
    * @param rows the rows, by writer
+   * @param storeVersion version of the store that they were read from
    * @param sent when the read was sent
    * @return the rows that are new or have changed
    */
-  Map<String, Row> recordRead(Map<String, Row> rows, Moment sent) {
+  Map<String, Row> recordRead(Map<String, Row> rows, StoreVersion storeVersion, Moment sent) {
     long nowMillis = timer.nowMillis();
     long unreadMillis = nowMillis - readAtMillis;
     long coveredMillis = unreadMillis > MAX_READ_GAP_MILLIS ? 0 : unreadMillis;
@@ -113,11 +122,25 @@
                 name,
                 new Observation(row, nowMillis, 0),
                 (old, latest) -> old.afterRead(latest, coveredMillis)));
-    observations.keySet().retainAll(rows.keySet());
+    observations
+        .entrySet()
+        .removeIf(
+            each -> !rows.containsKey(each.getKey()) && isGone(each.getValue(), storeVersion));
+    observations.replaceAll(
+        (name, each) -> rows.containsKey(name) ? each : each.silentFor(coveredMillis));
     claim = claim.afterRead(sent, sharers());
     return changed;
   }
 
+  /**
+   * Returns whether the missing row of an entry means that the entry is forgotten. A store that has
+   * come back from an older copy may lack the row of a running entry until that writes it again.
+   */
+  private boolean isGone(Observation each, StoreVersion storeVersion) {
+    boolean mayBeLost = each.row().version().isOfEarlierEraThan(storeVersion);
+    return !mayBeLost || each.silentMillis() > retentionMillis;
+  }
+
   /** Returns the entries that have recently written their rows and have not left. */
   Set<String> live() {
     long nowMillis = timer.nowMillis();
--- a/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.forward.account.UsageCounts;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.peer.PeerReports;
@@ -52,8 +52,11 @@
   private final Members members;
   private final PeerReports peers;
   private final EventLog log;
-  private final long firstWindow;
-  private final TreeSet<Long> acceptedWindows = new TreeSet<>();
+  private final long bootWindow;
+  private final SealedReports known = new SealedReports();
+
+  /** First window that may be sealed, as far as this entry knew when it last held the lease. */
+  private long firstWindow;
 
   UsageDuty(
       DutyLoop.Identity self,
@@ -70,7 +73,7 @@
     this.members = members;
     this.peers = peers;
     this.log = log;
-    this.firstWindow = usage.currentWindow() - 1;
+    this.bootWindow = usage.currentWindow() - 1;
   }
 
   /** The counts collected for one window. */
@@ -96,45 +99,109 @@
   /** Decides whether a closed window may still have to be reported. */
   boolean isDue() {
     long current = usage.currentWindow();
-    for (long window = Math.max(firstWindow, current - PENDING_WINDOWS);
-        window < current;
-        window++) {
-      if (!acceptedWindows.contains(window) && usage.isClosed(window)) {
+    long first = Math.max(Math.max(bootWindow, firstWindow), current - PENDING_WINDOWS);
+    for (long window = first; window < current; window++) {
+      if (!known.isAccepted(window) && usage.isClosed(window)) {
         return true;
       }
     }
     return false;
   }
 
+  /** Remembers the sealed reports among the rows of all entries. */
+  void learn(RowPage page) {
+    known.learn(reportsOf(page), page.version().era());
+    long retainedWindows = 2 * RETENTION_MILLIS / usage.windowMillis() + 1;
+    known.removeBefore(usage.currentWindow() - retainedWindows);
+  }
+
+  private static List<FleetRows.ReportRow> reportsOf(RowPage page) {
+    return page.rows().stream()
+        .filter(row -> row.key().startsWith(FleetRows.REPORT_PREFIX))
+        .flatMap(row -> FleetRows.parseReport(row.key(), row.text()).stream())
+        .toList();
+  }
+
+  /**
+   * Writes the sealed reports again that the store no longer has because it has come back from an
+   * older copy, unless another entry was faster.
+   */
+  CompletableFuture<Void> restoreLostReports(RowPage page) {
+    long era = page.version().era();
+    CompletableFuture<Void> steps = done();
+    for (FleetRows.ReportRow report : known.lostBefore(era)) {
+      steps = steps.thenCompose(ignored -> restore(report, era));
+    }
+    return steps;
+  }
+
+  private CompletableFuture<Void> restore(FleetRows.ReportRow report, long era) {
+    String key = FleetRows.reportKey(report.window());
+    RowTransaction write =
+        new RowTransaction(
+            List.of(new RowTransaction.Condition(key, StoreVersion.absentIn(era))),
+            List.of(
+                new RowTransaction.Write(
+                    key, FleetRows.encodeReport(report.accepted(), report.counts()))),
+            List.of());
+    return store
+        .commit(write)
+        .thenAccept(
+            commit -> {
+              log.stateChange(
+                  "usage_report_restored",
+                  field("window", report.window()),
+                  field("accepted", report.accepted()),
+                  field("outcome", commit.toString()));
+              if (commit instanceof StoreCommit.Committed) {
+                known.sealed(report, era);
+              }
+            });
+  }
+
   /** Reports the complete windows and resends reports that have not been accepted. */
   CompletableFuture<Void> act(RowPage page, HeldLease lease) {
+    firstWindow = lease.firstWindow();
     TreeMap<Long, Window> windows = new TreeMap<>();
-    TreeMap<Long, FleetRows.ReportRow> reports = new TreeMap<>();
     for (StoredRow row : page.rows()) {
       if (row.key().startsWith(FleetRows.USAGE_PREFIX)) {
         FleetRows.parseUsage(row.key(), row.text()).ifPresent(each -> add(windows, row, each));
-      } else if (row.key().startsWith(FleetRows.REPORT_PREFIX)) {
-        FleetRows.parseReport(row.key(), row.text())
-            .ifPresent(each -> reports.put(each.window(), each));
       }
     }
     windows.forEach(this::addDirectReports);
+    List<FleetRows.ReportRow> reports = reportsOf(page);
     CompletableFuture<Void> steps = done();
-    for (FleetRows.ReportRow report : reports.values()) {
-      if (report.accepted()) {
-        acceptedWindows.add(report.window());
-      } else {
-        steps = steps.thenCompose(ignored -> send(report.window(), report.counts(), lease));
+    for (FleetRows.ReportRow report : reports) {
+      if (!report.accepted()) {
+        steps = steps.thenCompose(ignored -> resend(report, lease));
       }
     }
     for (Map.Entry<Long, Window> each : windows.entrySet()) {
-      if (!reports.containsKey(each.getKey()) && isComplete(each.getKey(), each.getValue())) {
+      if (maySeal(each.getKey(), lease) && isComplete(each.getKey(), each.getValue())) {
         steps = steps.thenCompose(ignored -> seal(each.getKey(), each.getValue(), lease));
       }
     }
     return steps.thenCompose(ignored -> removeObsoleteRows(windows, reports, page));
   }
 
+  /**
+   * Returns whether no other counts of a window can have been reported. A holder before the era may
+   * have reported a window that ended before it.
+   */
+  private boolean maySeal(long number, HeldLease lease) {
+    return number >= lease.firstWindow() && !known.isSealed(number);
+  }
+
+  /** Sends a sealed report again if it holds the counts that this entry knows. */
+  private CompletableFuture<Void> resend(FleetRows.ReportRow report, HeldLease lease) {
+    if (known.isAccepted(report.window())
+        || known.counts(report.window()).filter(report.counts()::equals).isEmpty()) {
+      log.stateChange("usage_report_not_resent", field("window", report.window()));
+      return done();
+    }
+    return send(report.window(), report.counts(), lease);
+  }
+
   private static void add(Map<Long, Window> windows, StoredRow row, FleetRows.UsageRow usageRow) {
     Window window = windows.computeIfAbsent(usageRow.window(), key -> new Window());
     window.add(usageRow.entry(), usageRow.counts());
@@ -167,12 +234,13 @@
     if (!lease.stillHeld().getAsBoolean()) {
       return done();
     }
-    Map<String, Long> sums = window.sums();
+    Map<String, Long> sums = known.counts(number).orElseGet(window::sums);
+    FleetRows.ReportRow report = new FleetRows.ReportRow(number, false, sums);
     RowTransaction write =
         new RowTransaction(
-            List.of(
-                new RowTransaction.Condition(FleetRows.LEASE_KEY, lease.rowVersion()),
-                new RowTransaction.Condition(FleetRows.reportKey(number), 0)),
+            lease.conditionsWith(
+                new RowTransaction.Condition(
+                    FleetRows.reportKey(number), StoreVersion.absentIn(lease.era()))),
             List.of(
                 new RowTransaction.Write(
                     FleetRows.reportKey(number), FleetRows.encodeReport(false, sums))),
@@ -185,17 +253,30 @@
                   "usage_sealed",
                   field("window", number),
                   field("epoch", lease.epoch()),
-                  field("leaseVersion", lease.rowVersion()),
+                  field("era", lease.era()),
                   field("sinceEndMillis", usage.sinceEndMillis(number)),
                   field("requests", sums.values().stream().mapToLong(Long::longValue).sum()),
                   field("outcome", commit.toString()));
-              if (commit instanceof StoreCommit.Committed) {
-                return send(number, sums, lease);
-              }
-              return done();
+              return sealAnswered(commit, report, lease);
             });
   }
 
+  private CompletableFuture<Void> sealAnswered(
+      StoreCommit commit, FleetRows.ReportRow report, HeldLease lease) {
+    return switch (commit) {
+      case StoreCommit.Committed ignored -> {
+        known.sealed(report, lease.era());
+        yield send(report.window(), report.counts(), lease);
+      }
+      case StoreCommit.Unknown ignored -> {
+        known.maybeSealed(report, lease.era());
+        yield done();
+      }
+      case StoreCommit.Conflict ignored -> done();
+      case StoreCommit.Refused ignored -> done();
+    };
+  }
+
   private CompletableFuture<Void> send(long number, Map<String, Long> counts, HeldLease lease) {
     if (!lease.stillHeld().getAsBoolean()) {
       return done();
@@ -216,7 +297,7 @@
   }
 
   private CompletableFuture<Void> markAccepted(long number, Map<String, Long> counts) {
-    acceptedWindows.add(number);
+    known.accepted(number);
     RowTransaction write =
         RowTransaction.of(
             List.of(
@@ -225,9 +306,9 @@
     return store.commit(write).thenCompose(commit -> done());
   }
 
-  /** Removes the rows of old windows, of old accepted reports and of forgotten entries. */
+  /** Removes the rows of old windows and of forgotten entries. */
   private CompletableFuture<Void> removeObsoleteRows(
-      TreeMap<Long, Window> windows, TreeMap<Long, FleetRows.ReportRow> reports, RowPage page) {
+      TreeMap<Long, Window> windows, List<FleetRows.ReportRow> reports, RowPage page) {
     List<String> removals = new ArrayList<>();
     windows.forEach(
         (number, window) -> {
@@ -235,12 +316,11 @@
             removals.addAll(window.keys);
           }
         });
-    reports.forEach(
-        (number, report) -> {
-          if (report.accepted() && usage.sinceEndMillis(number) > 2 * RETENTION_MILLIS) {
-            removals.add(FleetRows.reportKey(number));
-          }
-        });
+    for (FleetRows.ReportRow report : reports) {
+      if (report.accepted() && usage.sinceEndMillis(report.window()) > 2 * RETENTION_MILLIS) {
+        removals.add(FleetRows.reportKey(report.window()));
+      }
+    }
     for (StoredRow row : page.rows()) {
       if (row.key().startsWith(FleetRows.MEMBER_PREFIX)
           && members.isForgotten(row.key().substring(FleetRows.MEMBER_PREFIX.length()))) {
--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
@@ -6,9 +6,11 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.limpetvale.core.fleet.CallerLimits;
 import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
@@ -24,6 +26,8 @@
   /** Drift between wall clock and monotonic clock above which the VM may have been suspended. */
   private static final long MAX_CLOCK_DRIFT_MILLIS = 400;
 
+  private static final long NO_VERSION = -1;
+
   private final RowDecoder decoder;
   private final TimerService timer;
   private final EventLog log;
@@ -32,11 +36,14 @@
       new AtomicReference<>(Optional.empty());
   private Runnable clockDriftHandler = () -> {};
   private Runnable storeRecoveryHandler = () -> {};
+  private LongSupplier newestPeerVersion = () -> NO_VERSION;
+  private StoredRow installedRow = new StoredRow("", "", StoreVersion.NONE, false);
 
   /** When the request was sent whose response last confirmed the newest configuration. */
   private Optional<Moment> confirmedAsOf = Optional.empty();
 
   private boolean driftDetected;
+  private boolean olderThanPeersLogged;
 
   private ConfigCache(RowDecoder decoder, TimerService timer, EventLog log, long revokeMillis) {
     this.decoder = Objects.requireNonNull(decoder, "decoder is null");
@@ -63,6 +70,15 @@
     clockDriftHandler = Objects.requireNonNull(action, "action is null");
   }
 
+  /**
+   * Sets the source of the newest version that another entry has in force; negative if none is
+   * known. A store that has come back from an older copy may lack that version, and so does a read
+   * that it answers from before.
+   */
+  public void setNewestPeerVersion(LongSupplier version) {
+    newestPeerVersion = Objects.requireNonNull(version, "version is null");
+  }
+
   /** Sets the action that runs when the store is available again after failures. */
   public void setStoreRecoveryHandler(Runnable action) {
     storeRecoveryHandler = Objects.requireNonNull(action, "action is null");
@@ -106,12 +122,37 @@
     rows.forEach(this::apply);
   }
 
+  /** Returns the version in force; negative without a configuration. */
+  public long version() {
+    return config.get().map(FleetConfig::version).orElse(NO_VERSION);
+  }
+
   @Override
   public void onConfirmed(Moment asOf) {
+    long peerVersion = newestPeerVersion.getAsLong();
+    if (peerVersion > version()) {
+      logOlderThanPeers(peerVersion);
+      return;
+    }
+    olderThanPeersLogged = false;
     confirmedAsOf = Optional.of(asOf);
     driftDetected = false;
   }
 
+  private void logOlderThanPeers(long peerVersion) {
+    if (!olderThanPeersLogged) {
+      olderThanPeersLogged = true;
+      log.stateChange(
+          "config_older_than_peers", field("version", version()), field("peers", peerVersion));
+    }
+  }
+
+  @Override
+  public void onStoreReturned(StoreVersion storeVersion) {
+    log.stateChange(
+        "config_kept_over_older_copy", field("version", version()), field("store", storeVersion));
+  }
+
   @Override
   public void onStoreRecovered() {
     storeRecoveryHandler.run();
@@ -122,18 +163,19 @@
       return;
     }
     switch (decoder.decodeConfig(row)) {
-      case RowDecoder.Decoded.Value<FleetConfig>(FleetConfig next) -> install(next);
+      case RowDecoder.Decoded.Value<FleetConfig>(FleetConfig next) -> install(row, next);
       case RowDecoder.Decoded.Unusable<FleetConfig>(String reason) ->
           log.stateChange("config_unusable", field("row", row.version()), field("cause", reason));
     }
   }
 
-  private void install(FleetConfig next) {
-    long currentVersion = config.get().map(FleetConfig::version).orElse(-1L);
-    if (next.version() <= currentVersion) {
+  private void install(StoredRow row, FleetConfig next) {
+    long currentVersion = version();
+    if (next.version() < currentVersion || next.version() == currentVersion && !isRewritten(row)) {
       return;
     }
     config.set(Optional.of(next));
+    installedRow = row;
     log.stateChange(
         "config_installed",
         field("from", currentVersion),
@@ -144,6 +186,15 @@
         field("ownPriorities", ownPriorities(next)));
   }
 
+  /**
+   * Returns whether the row was written with another content after the store came back from an
+   * older copy, so that its version was given out twice.
+   */
+  private boolean isRewritten(StoredRow row) {
+    return installedRow.version().isOfEarlierEraThan(row.version())
+        && !installedRow.text().equals(row.text());
+  }
+
   private static long scaledServices(FleetConfig config) {
     return config.services().values().stream()
         .filter(service -> service.scaling().isPresent())
--- a/forward/src/main/java/org/limpetvale/forward/fleet/TableFollower.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/TableFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
@@ -49,6 +50,14 @@
      */
     void onConfirmed(Moment asOf);
 
+    /**
+     * Signals that the store has come back from an older copy, which the next snapshot is read
+     * from. Its rows may be older than those delivered before.
+     *
+     * @param version version of the next snapshot; rows with a higher one are newer than the copy
+     */
+    void onStoreReturned(StoreVersion version);
+
     /** Signals that the store is available again after failures. */
     void onStoreRecovered();
   }
@@ -59,7 +68,7 @@
   private final Subscriber subscriber;
   private final TimerService timer;
   private final EventLog log;
-  private long version;
+  private StoreVersion version = StoreVersion.NONE;
   private long fullReadAtMillis;
   private long backoffMillis;
   private boolean failing;
@@ -109,10 +118,15 @@
       return;
     }
     switch (read) {
-      case StoreRead.Page(RowPage page) when page.version() >= version -> {
+      case StoreRead.Page(RowPage page) when !page.version().isBefore(version) -> {
+        boolean returned =
+            !version.equals(StoreVersion.NONE) && version.isOfEarlierEraThan(page.version());
         version = page.version();
         fullReadAtMillis = sentAt.monotonicMillis();
         readSucceeded();
+        if (returned) {
+          subscriber.onStoreReturned(version);
+        }
         subscriber.onSnapshot(page.rows());
         subscriber.onConfirmed(sentAt);
         waitForChanges(expectedGeneration);
@@ -155,7 +169,7 @@
       return;
     }
     switch (read) {
-      case StoreRead.Page(RowPage page) when page.version() >= version -> {
+      case StoreRead.Page(RowPage page) when !page.version().isBefore(version) -> {
         version = page.version();
         readSucceeded();
         if (!page.rows().isEmpty()) {
--- a/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
@@ -25,22 +26,38 @@
  * <p>Descriptions may expire while the store is unavailable although their upstreams are running.
  * An upstream whose description is missing shortly after the store's recovery is therefore kept
  * until a grace period for the registration has passed.
+ *
+ * <p>A store that has come back from an older copy may describe upstreams that are gone or leaving
+ * as ready, until they have written again or their descriptions expire. What this entry knows goes
+ * before such a description for that time.
  */
 public final class UpstreamRegistry implements TableFollower.Subscriber {
   /** Time after the store's recovery within which running upstreams register again. */
   private static final long RECOVERY_GRACE_MILLIS = 2_200;
 
+  /** Time in which upstreams write their descriptions again and those of ended ones expire. */
+  private static final long RETURN_GRACE_MILLIS = 6_000;
+
+  /** Time for which the end of an upstream is remembered. */
+  private static final long ENDED_RETENTION_MILLIS = 120_000;
+
   private static final int MAX_UNUSABLE_ROWS = 500;
 
   private final RowDecoder decoder;
   private final TimerService timer;
   private final EventLog log;
   private final AtomicReference<FleetView> view = new AtomicReference<>(FleetView.empty());
-  private final Map<String, Long> unusableVersions = new HashMap<>();
+  private final Map<String, StoreVersion> unusableVersions = new HashMap<>();
   private final Set<String> missing = new HashSet<>();
+  private final Map<String, Ended> ended = new HashMap<>();
   private Consumer<FleetView> onChange = changed -> {};
   private boolean loaded;
   private long recoveredAtMillis = Long.MIN_VALUE / 2;
+  private long returnedAtMillis = Long.MIN_VALUE / 2;
+  private StoreVersion newestCopiedVersion = StoreVersion.NONE;
+
+  /** An upstream whose description has gone, and when that was seen. */
+  private record Ended(Upstream upstream, long atMillis) {}
 
   private UpstreamRegistry(RowDecoder decoder, TimerService timer, EventLog log) {
     this.decoder = Objects.requireNonNull(decoder, "decoder is null");
@@ -102,10 +119,45 @@
     recoveredAtMillis = timer.nowMillis();
   }
 
+  @Override
+  public void onStoreReturned(StoreVersion version) {
+    recoveredAtMillis = timer.nowMillis();
+    returnedAtMillis = timer.nowMillis();
+    newestCopiedVersion = version;
+  }
+
+  /**
+   * Returns whether a description may be from the copy and is older than what this entry knows of
+   * its upstream.
+   */
+  private boolean isOutdated(FleetView base, StoredRow row, Upstream described) {
+    boolean mayBeCopied =
+        timer.nowMillis() - returnedAtMillis < RETURN_GRACE_MILLIS
+            && !newestCopiedVersion.isBefore(row.version());
+    if (!mayBeCopied) {
+      return false;
+    }
+    Ended gone = ended.get(described.id());
+    boolean hasEnded = gone != null && described.startedMillis() <= gone.upstream().startedMillis();
+    return hasEnded
+        || base.find(described.id()).filter(known -> isNewer(known, described)).isPresent();
+  }
+
+  private static boolean isNewer(Upstream known, Upstream described) {
+    boolean leaves = known.draining() && !described.draining();
+    return known.startedMillis() > described.startedMillis()
+        || known.startedMillis() == described.startedMillis() && leaves;
+  }
+
   private FleetView withRow(FleetView base, StoredRow row) {
     return switch (decoder.decodeUpstream(row)) {
       case RowDecoder.Decoded.Value<Upstream>(Upstream upstream) -> {
         missing.remove(upstream.id());
+        if (isOutdated(base, row, upstream)) {
+          logOutdated(upstream);
+          yield base;
+        }
+        ended.remove(upstream.id());
         Optional<Upstream> known = base.find(upstream.id());
         if (known.filter(upstream::equals).isPresent()) {
           yield base;
@@ -127,7 +179,7 @@
     long sinceRecoveryMillis = timer.nowMillis() - recoveredAtMillis;
     if (sinceRecoveryMillis >= RECOVERY_GRACE_MILLIS) {
       log.stateChange("upstream_gone", field("upstream", id));
-      return base.without(id);
+      return withoutEnded(base, id);
     }
     if (missing.add(id)) {
       timer.after(RECOVERY_GRACE_MILLIS - sinceRecoveryMillis, () -> dropIfStillMissing(id));
@@ -138,10 +190,24 @@
   private void dropIfStillMissing(String id) {
     if (missing.remove(id)) {
       log.stateChange("upstream_gone", field("upstream", id), field("after", "store outage"));
-      publish(view.get().without(id));
+      publish(withoutEnded(view.get(), id));
     }
   }
 
+  private FleetView withoutEnded(FleetView base, String id) {
+    long nowMillis = timer.nowMillis();
+    ended.values().removeIf(each -> nowMillis - each.atMillis() > ENDED_RETENTION_MILLIS);
+    base.find(id).ifPresent(each -> ended.put(id, new Ended(each, nowMillis)));
+    return base.without(id);
+  }
+
+  private void logOutdated(Upstream upstream) {
+    log.stateChange(
+        "upstream_description_outdated",
+        field("upstream", upstream.id()),
+        field("draining", upstream.draining()));
+  }
+
   private void publish(FleetView next) {
     if (next != view.get()) {
       view.set(next);
@@ -162,7 +228,7 @@
     if (unusableVersions.size() > MAX_UNUSABLE_ROWS) {
       unusableVersions.clear();
     }
-    Long previousVersion = unusableVersions.put(row.key(), row.version());
+    StoreVersion previousVersion = unusableVersions.put(row.key(), row.version());
     if (previousVersion == null) {
       log.stateChange("upstream_unusable", field("upstream", row.key()), field("cause", reason));
     }
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -35,6 +35,8 @@
  * @param leaving start times of the upstream processes recently heard to be leaving, by upstream
  * @param releasedEpoch fencing token of the lease that the entry finally released; 0 if there is
  *     none
+ * @param storeEra era of the store that the entry has seen; the clock offset belongs to it
+ * @param configVersion version of the configuration that the entry has in force; negative if none
  */
 public record PeerReport(
     String writer,
@@ -49,7 +51,9 @@
     Map<String, EngineModel> engines,
     Map<String, Limit> limits,
     Map<String, Long> leaving,
-    long releasedEpoch) {
+    long releasedEpoch,
+    long storeEra,
+    long configVersion) {
   /** Value of the closed window in a report without usage. */
   public static final long USAGE_OMITTED = -1;
 
@@ -70,6 +74,9 @@
   private static final String LIMITS = "m";
   private static final String LEAVING = "v";
   private static final String RELEASED_EPOCH = "r";
+  private static final String STORE_ERA = "s";
+  private static final String CONFIG_VERSION = "g";
+  private static final long NO_CONFIG = -1;
 
   /** Stands for a limit that has ended. */
   private static final double NO_LIMIT = -1;
@@ -141,7 +148,9 @@
         engines,
         limits,
         leaving,
-        releasedEpoch);
+        releasedEpoch,
+        storeEra,
+        configVersion);
   }
 
   /** Returns the report as JSON. */
@@ -180,6 +189,8 @@
     if (releasedEpoch > 0) {
       node.put(RELEASED_EPOCH, releasedEpoch);
     }
+    node.put(STORE_ERA, storeEra);
+    node.put(CONFIG_VERSION, configVersion);
     return node.toString();
   }
 
@@ -204,7 +215,9 @@
               engines(node.path(ENGINES)),
               limits(node.path(LIMITS)),
               startTimes(node.path(LEAVING)),
-              node.path(RELEASED_EPOCH).asLong()));
+              node.path(RELEASED_EPOCH).asLong(),
+              node.path(STORE_ERA).asLong(),
+              node.path(CONFIG_VERSION).asLong(NO_CONFIG)));
     } catch (JsonProcessingException | NumberFormatException e) {
       return Optional.empty();
     }
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReports.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReports.java
@@ -208,9 +208,27 @@
     return nowMillis - heard.atMillis() <= MAX_FRESH_AGE_MILLIS;
   }
 
-  /** Returns the known differences between the other entries' wall clocks and the store's clock. */
-  public List<Long> clockOffsets() {
+  /**
+   * Returns the newest version of the configuration that another running entry has in force;
+   * negative if none is known.
+   */
+  public long newestConfigVersion() {
+    long nowMillis = timer.nowMillis();
+    return reports.values().stream()
+        .filter(each -> isLive(each, nowMillis))
+        .mapToLong(each -> each.report().configVersion())
+        .max()
+        .orElse(-1);
+  }
+
+  /**
+   * Returns the known differences between the other entries' wall clocks and the store's clock.
+   *
+   * @param storeEra era of the store, whose clock may have gone back at its beginning
+   */
+  public List<Long> clockOffsets(long storeEra) {
     return reports.values().stream()
+        .filter(each -> each.report().storeEra() == storeEra)
         .map(each -> each.report().clockOffsetMillis())
         .filter(offset -> offset != 0)
         .toList();
--- a/forward/src/main/java/org/limpetvale/forward/spi/RowTransaction.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/RowTransaction.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.limpetvale.core.store.StoreVersion;
 
 /**
  * An atomic change to rows of the {@link RowTable#FLEET} table.
@@ -17,9 +18,14 @@
    * A condition on one row.
    *
    * @param key the key
-   * @param version version that the row must have; 0 if the row must not exist
+   * @param version version that the row must have; that of an absent row if it must not exist
    */
-  public record Condition(String key, long version) {}
+  public record Condition(String key, StoreVersion version) {
+    public Condition {
+      Objects.requireNonNull(key, "key is null");
+      Objects.requireNonNull(version, "version is null");
+    }
+  }
 
   /**
    * A row to write.
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyExplorationTest.java
@@ -41,6 +41,8 @@
   private static final long SETTLE_MILLIS = 3_000;
   private static final long THAW_GRACE_MILLIS = 300;
   private static final long SCHEDULE_MILLIS = 60_000;
+  private static final int RETURN_SCHEDULES = 10_000;
+  private static final int MAX_OUTAGE_MILLIS = 1_500;
   private static final int LONG_SCHEDULES = 400;
   private static final long LONG_SCHEDULE_MILLIS = 240_000;
   private static final int LONG_SUSPENSION_MIN_MILLIS = 25_000;
@@ -86,6 +88,15 @@
           false,
           Map.of());
 
+  /** What the schedules contain beside the usual faults. */
+  private enum Kind {
+    USUAL,
+    /** Some suspensions outlast the rows of a reported window. */
+    LONG_SUSPENSIONS,
+    /** The store comes back from older copies, at times with the loss of all entries. */
+    RETURNS
+  }
+
   private static final class Entry {
     private final String name;
     private ProcessLifecycle life = new ProcessLifecycle();
@@ -108,27 +119,35 @@
     /** Whether the schedule consists of graceful stops only, so that holders return quickly. */
     private final boolean onlyStops;
 
-    /** Whether some suspensions outlast the rows of a reported window. */
-    private final boolean longSuspensions;
+    private final Kind kind;
+    private final InMemoryStore store;
+
+    /** Draws of the store's returns, which leave those of all other faults as they are. */
+    private final Random returnRandom;
+
+    private Optional<InMemoryStore.Copy> copy = Optional.empty();
 
     private final DutyProcess.Environment environment;
     private final List<Entry> entries = new ArrayList<>();
     private final List<Received> received = new ArrayList<>();
     private final Set<ProcessLifecycle> justThawed = new HashSet<>();
 
-    Simulation(long seed, boolean longSuspensions) {
-      this.longSuspensions = longSuspensions;
+    Simulation(long seed, Kind kind) {
+      this.kind = kind;
       random = new Random(seed);
+      returnRandom = new Random(~seed);
+      store = new InMemoryStore(timer, random);
       onlyStops = seed % 4 == 0;
       environment =
           new DutyProcess.Environment(
               timer,
-              new InMemoryStore(timer, random),
+              store,
               WINDOW_MILLIS,
               SETTLE_MILLIS,
               Optional.of(CONFIG),
               FLEET,
-              SCALED);
+              SCALED,
+              kind != Kind.USUAL);
     }
 
     void boot(Entry entry) {
@@ -183,6 +202,25 @@
       };
     }
 
+    /** Makes a copy of the store, or lets the store come back from the last one. */
+    void injectReturn() {
+      int draw = returnRandom.nextInt(40);
+      if (draw < 4) {
+        copy = Optional.of(store.copy());
+      } else if (draw < 7 && copy.isPresent()) {
+        store.setDown(true);
+        timer.after(
+            returnRandom.nextInt(MAX_OUTAGE_MILLIS),
+            () -> {
+              store.returnFrom(copy.get());
+              store.setDown(false);
+            });
+        if (returnRandom.nextInt(4) == 0) {
+          entries.forEach(this::restartKilled);
+        }
+      }
+    }
+
     void injectFault(Entry entry) {
       if (onlyStops) {
         stop(entry);
@@ -212,7 +250,7 @@
     }
 
     private long freezeMillis() {
-      return longSuspensions && random.nextInt(3) == 0
+      return kind == Kind.LONG_SUSPENSIONS && random.nextInt(3) == 0
           ? random.nextInt(LONG_SUSPENSION_MIN_MILLIS, LONG_SUSPENSION_MAX_MILLIS)
           : 1_000 + random.nextInt(9_000);
     }
@@ -266,7 +304,7 @@
     int reports = 0;
     long orders = 0;
     for (long seed = 0; seed < SCHEDULES; seed++) {
-      Simulation simulation = run(seed, false, SCHEDULE_MILLIS);
+      Simulation simulation = run(seed, Kind.USUAL, SCHEDULE_MILLIS);
       checkEach(simulation.received, seed);
       reports += simulation.received.size();
       orders += simulation.received.stream().filter(each -> !each.subject().equals(USAGE)).count();
@@ -278,12 +316,19 @@
   @Test
   void noWindowIsReportedAgainAfterAnEntryWasSuspendedForLong() {
     for (long seed = 0; seed < LONG_SCHEDULES; seed++) {
-      checkEach(run(seed, true, LONG_SCHEDULE_MILLIS).received, seed);
+      checkEach(run(seed, Kind.LONG_SUSPENSIONS, LONG_SCHEDULE_MILLIS).received, seed);
     }
   }
 
-  private static Simulation run(long seed, boolean longSuspensions, long scheduleMillis) {
-    Simulation simulation = new Simulation(seed, longSuspensions);
+  @Test
+  void noTokenHasTwoHoldersAndNoWindowTwoCountsThoughTheStoreReturnsFromOlderCopies() {
+    for (long seed = 0; seed < RETURN_SCHEDULES; seed++) {
+      checkEach(run(seed, Kind.RETURNS, SCHEDULE_MILLIS).received, seed);
+    }
+  }
+
+  private static Simulation run(long seed, Kind kind, long scheduleMillis) {
+    Simulation simulation = new Simulation(seed, kind);
     for (int i = 0; i < 2 + simulation.random.nextInt(3); i++) {
       Entry entry = new Entry("edge-" + i);
       simulation.entries.add(entry);
@@ -296,6 +341,9 @@
       if (simulation.random.nextInt(3) == 0) {
         simulation.injectFault(entry);
       }
+      if (kind == Kind.RETURNS) {
+        simulation.injectReturn();
+      }
       simulation.timer.advance(STEP_MILLIS);
     }
     return simulation;
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyProcess.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyProcess.java
@@ -35,6 +35,8 @@
    *
    * @param scaled name of the service whose waiting requests are reported as demand; empty if no
    *     service is scaled
+   * @param ownClocks whether each process counts usage on its own clock, which a suspension puts
+   *     behind, as the daemon does
    */
   record Environment(
       ManualTimer timer,
@@ -43,12 +45,13 @@
       long settleMillis,
       Optional<FleetConfig> config,
       FleetView fleet,
-      String scaled) {
+      String scaled,
+      boolean ownClocks) {
     /** Returns an environment without upstreams or configuration. */
     static Environment of(
         ManualTimer timer, InMemoryStore store, long windowMillis, long settleMillis) {
       return new Environment(
-          timer, store, windowMillis, settleMillis, Optional.empty(), FleetView.empty(), "");
+          timer, store, windowMillis, settleMillis, Optional.empty(), FleetView.empty(), "", false);
     }
   }
 
@@ -65,7 +68,10 @@
       IntSupplier waiting) {
     time = life.timer(environment.timer());
     FleetClock clock = FleetClock.of(time);
-    usage = UsageCounts.of(environment.windowMillis(), clock::millis);
+    usage =
+        UsageCounts.of(
+            environment.windowMillis(),
+            environment.ownClocks() ? clock::millis : environment.timer()::wallMillis);
     peers = PeerReports.of(time);
     members = Members.of(RETRY_WINDOW_MILLIS, time);
     DutyClient client = clients.of(life);
--- a/forward/src/test/java/org/limpetvale/forward/duty/EntryRosterTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/EntryRosterTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.peer.PeerReports;
@@ -21,11 +22,11 @@
   private final EntryRoster roster = EntryRoster.of("a.1", members, peers, timer);
 
   private static Members.Row row(long version) {
-    return new Members.Row(version, ADDRESS, Map.of());
+    return new Members.Row(StoreVersion.of(version), ADDRESS, Map.of());
   }
 
   private void read(Map<String, Members.Row> rows) {
-    members.recordRead(rows, Moment.now(timer));
+    members.recordRead(rows, StoreVersion.of(1), Moment.now(timer));
   }
 
   private void report(String writer, long number) {
@@ -73,7 +74,9 @@
 
   @Test
   void anEntryThatHasLeftDoesNotCount() {
-    read(Map.of("a.1", row(1), "b.1", new Members.Row(2, Optional.empty(), Map.of())));
+    read(
+        Map.of(
+            "a.1", row(1), "b.1", new Members.Row(StoreVersion.of(2), Optional.empty(), Map.of())));
     timer.advance(2_000);
     assertThat(roster.entries()).containsExactly("a.1");
   }
--- a/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.forward.testing.ManualTimer;
 
@@ -19,11 +20,14 @@
 
   private static Members.Row row(long version, int port) {
     return new Members.Row(
-        version, Optional.of(new InetSocketAddress("127.0.0.1", port)), Map.of());
+        StoreVersion.of(version), Optional.of(new InetSocketAddress("127.0.0.1", port)), Map.of());
   }
 
   private void read(long version) {
-    members.recordRead(Map.of("a.1", row(version, 1), "b.1", row(version, 2)), Moment.now(timer));
+    members.recordRead(
+        Map.of("a.1", row(version, 1), "b.1", row(version, 2)),
+        StoreVersion.of(version),
+        Moment.now(timer));
   }
 
   /** Writes this entry's row and reads all rows once per usage window. */
@@ -59,8 +63,10 @@
   @Test
   void anEntryThatHasLeftIsNotLiveButStillCountsAsASharer() {
     renew(5);
-    Members.Row left = FleetRows.parseMember(99, FleetRows.encodeDeparture(Map.of()));
-    members.recordRead(Map.of("a.1", left, "b.1", row(99, 2)), Moment.now(timer));
+    Members.Row left =
+        FleetRows.parseMember(StoreVersion.of(99), FleetRows.encodeDeparture(Map.of()));
+    members.recordRead(
+        Map.of("a.1", left, "b.1", row(99, 2)), StoreVersion.of(99), Moment.now(timer));
     assertThat(members.share().fraction()).isEqualTo(0.5);
     assertThat(members.live()).containsExactly("b.1");
     assertThat(members.countBefore("c.1")).isEqualTo(1);
@@ -70,7 +76,10 @@
   private void readWhileOnlyTheSecondWrites(long millis) {
     for (long version = 2; version * ROUND_MILLIS <= millis + ROUND_MILLIS; version++) {
       timer.advance(ROUND_MILLIS);
-      members.recordRead(Map.of("a.1", row(1, 1), "b.1", row(version, 2)), Moment.now(timer));
+      members.recordRead(
+          Map.of("a.1", row(1, 1), "b.1", row(version, 2)),
+          StoreVersion.of(version),
+          Moment.now(timer));
     }
   }
 
--- a/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
@@ -126,6 +126,8 @@
               Map.of(),
               limits.recentNotices(),
               Map.of(),
+              0,
+              0,
               0);
       for (Entry other : entries) {
         boolean lost = peersCut || other.peersCut || random.nextDouble() < reportLossShare;
--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.FleetConfig;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.spi.StoredRow;
@@ -19,7 +20,7 @@
       ConfigCache.of(new VersionDecoder(), timer, EventLog.silent(), REVOCATION_LIMIT_MILLIS);
 
   private void update(String text) {
-    cache.onUpdate(List.of(new StoredRow("config", text, 1, false)));
+    cache.onUpdate(List.of(new StoredRow("config", text, StoreVersion.of(1), false)));
   }
 
   private long version() {
--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigExplorationTest.java
@@ -93,11 +93,12 @@
     }
 
     @Override
-    public CompletableFuture<StoreRead> changes(RowTable table, long since, long waitMillis) {
-      if (since < historyFrom) {
+    public CompletableFuture<StoreRead> changes(
+        RowTable table, StoreVersion since, long waitMillis) {
+      if (since.number() < historyFrom) {
         return answer(StoreRead.HistoryGone::new);
       }
-      if (since < version) {
+      if (since.number() < version) {
         return answer(this::page);
       }
       CompletableFuture<StoreRead> reply = new CompletableFuture<>();
@@ -115,8 +116,9 @@
     }
 
     private StoreRead page() {
-      StoredRow row = new StoredRow("config", Long.toString(version), version, false);
-      return new StoreRead.Page(new RowPage(List.of(row), version, 0));
+      StoredRow row =
+          new StoredRow("config", Long.toString(version), StoreVersion.of(version), false);
+      return new StoreRead.Page(new RowPage(List.of(row), StoreVersion.of(version), 0));
     }
 
     private CompletableFuture<StoreRead> answer(java.util.function.Supplier<StoreRead> read) {
@@ -130,6 +132,9 @@
       return reply;
     }
 
+    @Override
+    public void onReturn(Runnable action) {}
+
     @Override
     public StoreVersion newestVersion() {
       return StoreVersion.NONE;
@@ -209,6 +214,11 @@
         cache.onConfirmed(mutant == Mutant.CONFIRMED_AT_ANSWER ? Moment.now(timer) : asOf);
       }
 
+      @Override
+      public void onStoreReturned(StoreVersion version) {
+        cache.onStoreReturned(version);
+      }
+
       @Override
       public void onStoreRecovered() {
         cache.onStoreRecovered();
--- a/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
@@ -45,11 +45,14 @@
 
     @Override
     public CompletableFuture<StoreRead> changes(
-        RowTable table, long sinceVersion, long waitMillis) {
-      events.add("changes since " + sinceVersion);
+        RowTable table, StoreVersion sinceVersion, long waitMillis) {
+      events.add("changes since " + sinceVersion.number());
       return newPendingCall();
     }
 
+    @Override
+    public void onReturn(Runnable action) {}
+
     @Override
     public StoreVersion newestVersion() {
       return StoreVersion.NONE;
@@ -83,6 +86,11 @@
       events.add("confirmed");
     }
 
+    @Override
+    public void onStoreReturned(StoreVersion version) {
+      events.add("returned");
+    }
+
     @Override
     public void onStoreRecovered() {
       events.add("store recovered");
@@ -96,9 +104,9 @@
   private static StoreRead page(long version, int rows) {
     List<StoredRow> list = new ArrayList<>();
     for (int i = 0; i < rows; i++) {
-      list.add(new StoredRow("k" + i, "v", version, false));
+      list.add(new StoredRow("k" + i, "v", StoreVersion.of(version), false));
     }
-    return new StoreRead.Page(new RowPage(list, version, 0));
+    return new StoreRead.Page(new RowPage(list, StoreVersion.of(version), 0));
   }
 
   @Test
--- a/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.FleetConfig;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.spi.RowDecoder;
 import org.limpetvale.forward.spi.StoredRow;
@@ -39,7 +40,7 @@
   }
 
   private static StoredRow row(String id, String text) {
-    return new StoredRow(id, text, 1, text.isEmpty());
+    return new StoredRow(id, text, StoreVersion.of(1), text.isEmpty());
   }
 
   private List<String> ready() {
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
@@ -29,7 +29,9 @@
             "u", new PeerReport.Limit(LimitNotice.of(2.1, 1_700_000_000_000L), 5),
             "v", new PeerReport.Limit(LimitNotice.ended(1_700_000_000_001L), 6)),
         Map.of("v", 6L),
-        4);
+        4,
+        2,
+        17);
   }
 
   @Test
@@ -64,6 +66,8 @@
             Map.of(),
             Map.of(),
             Map.of(),
+            0,
+            0,
             0));
     assertThat(peerReports.usageByEntry(7)).containsEntry("a.1", Map.of("w", 9L));
     assertThat(peerReports.peerLoad("u").requests()).isZero();
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamLimitsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamLimitsTest.java
@@ -54,6 +54,8 @@
         Map.of(),
         Map.of("i-1", new PeerReport.Limit(notice, startedMillis)),
         Map.of(),
+        0,
+        0,
         0);
   }
 
