A window whose report was removed as old is not sealed again

Cause: that a window has been reported was remembered by its row only, which is removed after 80 s, while usage rows can arrive later, from an entry that was suspended. Class: a deduplication record that is dropped before the last duplicate.

The transaction that removes old reports now raises the first window that may be sealed, in the row of the era, which every seal requires unchanged. That does not depend on anybody's clock. Beside it, windows that ended 40 s ago are not sealed any more. Ruled out as a mend: longer retention, which only makes the gap rarer.

--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLease.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLease.java
@@ -31,7 +31,8 @@
  * effect even if the lease row has the same version number again.
  *
  * <p>The row of the era names the first usage window that may be sealed in it. A window that ended
- * earlier may have been reported by a holder that only the lost part of the store knew.
+ * earlier may have been reported by a holder that only the lost part of the store knew, or its
+ * report may have been removed as old.
  */
 final class DutyLease {
   static final long DURATION_MILLIS = 4_000;
@@ -162,7 +163,13 @@
             revision.era(),
             view.epoch(),
             era.get().firstWindow(),
-            stillHeld));
+            stillHeld,
+            this::raiseFirstWindow));
+  }
+
+  private void raiseFirstWindow(StoreVersion version, long firstWindow) {
+    era = Optional.of(new Era(version, firstWindow));
+    heldSinceWindow = Math.max(heldSinceWindow, firstWindow);
   }
 
   private List<RowTransaction.Condition> conditions(StoreVersion revision) {
--- a/forward/src/main/java/org/limpetvale/forward/duty/HeldLease.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/HeldLease.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.forward.spi.RowTransaction;
 
 /**
@@ -14,16 +15,30 @@
  * @param epoch fencing token of the lease
  * @param firstWindow first usage window that may be sealed in this era
  * @param stillHeld decides whether this entry may still act as the holder
+ * @param marks receives the versions of the era's row that this entry writes
  */
 record HeldLease(
     List<RowTransaction.Condition> conditions,
     long era,
     long epoch,
     long firstWindow,
-    BooleanSupplier stillHeld) {
+    BooleanSupplier stillHeld,
+    FirstWindowMarks marks) {
   HeldLease {
     conditions = List.copyOf(Objects.requireNonNull(conditions, "conditions is null"));
     Objects.requireNonNull(stillHeld, "stillHeld is null");
+    Objects.requireNonNull(marks, "marks is null");
+  }
+
+  /** Receives a confirmed change of the first window that may be sealed. */
+  interface FirstWindowMarks {
+    /**
+     * Records the change.
+     *
+     * @param version new version of the era's row
+     * @param firstWindow the window
+     */
+    void raised(StoreVersion version, long firstWindow);
   }
 
   /** Returns the conditions of the lease and one more. */
--- a/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
@@ -3,6 +3,7 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -181,15 +182,19 @@
         steps = steps.thenCompose(ignored -> seal(each.getKey(), each.getValue(), lease));
       }
     }
-    return steps.thenCompose(ignored -> removeObsoleteRows(windows, reports, page));
+    return steps
+        .thenCompose(ignored -> removeObsoleteRows(windows, page))
+        .thenCompose(ignored -> removeOldReports(reports, lease));
   }
 
   /**
-   * Returns whether no other counts of a window can have been reported. A holder before the era may
-   * have reported a window that ended before it.
+   * Returns whether no other counts of a window can have been reported. The report of an old window
+   * may have been removed, and a holder before the era may have reported one that ended before it.
    */
   private boolean maySeal(long number, HeldLease lease) {
-    return number >= lease.firstWindow() && !known.isSealed(number);
+    return number >= lease.firstWindow()
+        && usage.sinceEndMillis(number) <= RETENTION_MILLIS
+        && !known.isSealed(number);
   }
 
   /** Sends a sealed report again if it holds the counts that this entry knows. */
@@ -306,9 +311,42 @@
     return store.commit(write).thenCompose(commit -> done());
   }
 
+  /**
+   * Removes old accepted reports. As usage of their windows may still arrive, from an entry that
+   * was suspended for instance, the row of the era says that they must not be sealed again.
+   */
+  private CompletableFuture<Void> removeOldReports(
+      List<FleetRows.ReportRow> reports, HeldLease lease) {
+    List<Long> removed =
+        reports.stream()
+            .filter(FleetRows.ReportRow::accepted)
+            .map(FleetRows.ReportRow::window)
+            .filter(window -> usage.sinceEndMillis(window) > 2 * RETENTION_MILLIS)
+            .limit(MAX_REMOVALS)
+            .toList();
+    if (removed.isEmpty() || !lease.stillHeld().getAsBoolean()) {
+      return done();
+    }
+    long firstWindow = Math.max(lease.firstWindow(), Collections.max(removed) + 1);
+    RowTransaction write =
+        new RowTransaction(
+            lease.conditions(),
+            List.of(
+                new RowTransaction.Write(
+                    FleetRows.eraKey(lease.era()), FleetRows.encodeEra(firstWindow))),
+            removed.stream().map(FleetRows::reportKey).toList());
+    return store
+        .commit(write)
+        .thenAccept(
+            commit -> {
+              if (commit instanceof StoreCommit.Committed(StoreVersion version, long ignored)) {
+                lease.marks().raised(version, firstWindow);
+              }
+            });
+  }
+
   /** Removes the rows of old windows and of forgotten entries. */
-  private CompletableFuture<Void> removeObsoleteRows(
-      TreeMap<Long, Window> windows, List<FleetRows.ReportRow> reports, RowPage page) {
+  private CompletableFuture<Void> removeObsoleteRows(TreeMap<Long, Window> windows, RowPage page) {
     List<String> removals = new ArrayList<>();
     windows.forEach(
         (number, window) -> {
@@ -316,11 +354,6 @@
             removals.addAll(window.keys);
           }
         });
-    for (FleetRows.ReportRow report : reports) {
-      if (report.accepted() && usage.sinceEndMillis(report.window()) > 2 * RETENTION_MILLIS) {
-        removals.add(FleetRows.reportKey(report.window()));
-      }
-    }
     for (StoredRow row : page.rows()) {
       if (row.key().startsWith(FleetRows.MEMBER_PREFIX)
           && members.isForgotten(row.key().substring(FleetRows.MEMBER_PREFIX.length()))) {
