After a return the entries tell each other which configuration they have in force

An entry that was cut off from the store, or that starts just after a return from an older copy, read the copy's configuration as confirmed and could accept a key whose withdrawal was lost with the store. Now a confirmation waits for 1.2 s after a return, in which the others tell their versions, and is not given while one of them has a newer version; an entry that has just started waits only if the row of the era says that the era is recent. Reports also go to the senders of recent reports, so that a new entry hears from the others before they have read its row.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -241,6 +241,12 @@
     config.setClockDriftHandler(configFollower::restart);
     config.setStoreRecoveryHandler(duties::runNow);
     store.onReturn(this::scheduleFullReads);
+    duties.setFirstReadAction(
+        eraIsRecent -> {
+          if (!eraIsRecent) {
+            config.endWithholding();
+          }
+        });
     crashes.onSuspicion(duties::runNow);
     metrics.registerGauge(ForwardMetrics.Gauge.OPEN_CONNECTIONS, callers::openConnections);
     logBindFailure("callers", callers.listen(settings.callers()));
@@ -269,6 +275,7 @@
   }
 
   private void follow() {
+    config.withholdConfirmations(ConfigCache.PEER_WORD_MILLIS);
     configFollower.restart();
     upstreamFollower.restart();
     duties.start();
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLease.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLease.java
@@ -45,6 +45,9 @@
 
   private static final String DUTY_NAME = "duties";
 
+  /** Number of usage windows for which an era counts as recent. */
+  private static final long RECENT_ERA_WINDOWS = 2;
+
   private final DutyLoop.Identity self;
   private final UsageCounts usage;
   private final PeerReports peers;
@@ -62,25 +65,24 @@
   /** First window that no other holder can have sealed, as this entry held the lease since. */
   private long heldSinceWindow;
 
-  /**
-   * The row of the store's current era.
-   *
-   * @param version version of the row
-   * @param firstWindow first usage window that may be sealed in the era
-   */
-  private record Era(StoreVersion version, long firstWindow) {}
+  /** The row of the store's current era and its version. */
+  private record Era(StoreVersion version, FleetRows.EraRow row) {
+    long firstWindow() {
+      return row.firstWindow();
+    }
+  }
 
   /**
    * A write of the lease.
    *
    * @param row the row to write
-   * @param newEraFirstWindow first window of the era if it has no row yet
+   * @param newEra row of the era if it has none yet
    * @param isContinuation whether this entry held the lease when the store came back from a copy
    * @param transaction the transaction that writes it
    */
   record Write(
       LeaseRow row,
-      Optional<Long> newEraFirstWindow,
+      Optional<FleetRows.EraRow> newEra,
       boolean isContinuation,
       RowTransaction transaction) {}
 
@@ -165,14 +167,14 @@
             conditions(revision),
             revision.era(),
             view.epoch(),
-            era.get().firstWindow(),
+            era.get().row(),
             stillHeld,
             this::raiseFirstWindow));
   }
 
-  private void raiseFirstWindow(StoreVersion version, long firstWindow) {
-    era = Optional.of(new Era(version, firstWindow));
-    heldSinceWindow = Math.max(heldSinceWindow, firstWindow);
+  private void raiseFirstWindow(StoreVersion version, FleetRows.EraRow row) {
+    era = Optional.of(new Era(version, row));
+    heldSinceWindow = Math.max(heldSinceWindow, row.firstWindow());
   }
 
   private List<RowTransaction.Condition> conditions(StoreVersion revision) {
@@ -182,6 +184,17 @@
         new RowTransaction.Condition(FleetRows.eraKey(revision.era()), eraVersion));
   }
 
+  /**
+   * Returns whether the store may have come back from an older copy a moment ago, so that what was
+   * written again since is not complete.
+   */
+  boolean isEraRecent() {
+    boolean returned = view.revision().filter(each -> each.era() > 0).isPresent();
+    long windows =
+        usage.currentWindow() - era.map(each -> each.row().startWindow()).orElse(Long.MAX_VALUE);
+    return returned && windows < RECENT_ERA_WINDOWS;
+  }
+
   /** Returns the time until another entry's lease expires unless its row changes. */
   long remainingMillis() {
     return view.expiresAtMillis() - timer.nowMillis();
@@ -209,16 +222,20 @@
     StoreVersion revision = view.revision().orElseThrow();
     List<RowTransaction.Write> writes = new ArrayList<>(others);
     writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.encodeLease(row)));
-    Optional<Long> firstWindow =
-        era.isPresent() ? Optional.empty() : Optional.of(firstWindow(revision.era(), continues));
-    firstWindow.ifPresent(
-        window ->
+    Optional<FleetRows.EraRow> newEra =
+        era.isPresent()
+            ? Optional.empty()
+            : Optional.of(
+                new FleetRows.EraRow(
+                    firstWindow(revision.era(), continues), usage.currentWindow()));
+    newEra.ifPresent(
+        each ->
             writes.add(
                 new RowTransaction.Write(
-                    FleetRows.eraKey(revision.era()), FleetRows.encodeEra(window))));
+                    FleetRows.eraKey(revision.era()), FleetRows.encodeEra(each))));
     List<String> removals = era.isPresent() ? List.of() : earlierEraKeys;
     return new Write(
-        row, firstWindow, continues, new RowTransaction(conditions(revision), writes, removals));
+        row, newEra, continues, new RowTransaction(conditions(revision), writes, removals));
   }
 
   /**
@@ -243,7 +260,7 @@
         if (view.epoch() != write.row().epoch()) {
           acquired(write, sentAt.monotonicMillis());
         }
-        write.newEraFirstWindow().ifPresent(window -> era = Optional.of(new Era(version, window)));
+        write.newEra().ifPresent(each -> era = Optional.of(new Era(version, each)));
         view = view.afterWrite(write.row(), version, sentAt.monotonicMillis());
         requestedAt = sentAt;
         yield true;
@@ -276,11 +293,11 @@
         field("epoch", write.row().epoch()),
         field("afterRelease", released),
         field("continued", write.isContinuation()),
-        field("firstWindowOfEra", write.newEraFirstWindow().map(String::valueOf).orElse("")));
+        field("firstWindowOfEra", write.newEra().map(each -> "" + each.firstWindow()).orElse("")));
   }
 
   private long firstWindowAfter(Write write) {
-    return write.newEraFirstWindow().orElse(era.map(Era::firstWindow).orElse(0L));
+    return write.newEra().or(() -> era.map(Era::row)).map(FleetRows.EraRow::firstWindow).orElse(0L);
   }
 
   private boolean notWritten(String cause) {
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.account.UsageCounts;
@@ -87,6 +88,8 @@
   /** Era of the store in which this entry's rows were last written. */
   private long ownRowsEra;
 
+  private Consumer<Boolean> firstReadAction = eraIsRecent -> {};
+  private boolean hasRead;
   private boolean readFailed;
   private boolean roundRunning;
   private boolean stopped;
@@ -134,6 +137,14 @@
         self, store, calls, usage, scaling, members, suspects, peers, clock, timer, log);
   }
 
+  /**
+   * Sets the action that runs after the first read of the rows of all entries. It receives whether
+   * the store may have come back from an older copy a moment ago.
+   */
+  public void setFirstReadAction(Consumer<Boolean> action) {
+    firstReadAction = Objects.requireNonNull(action, "action is null");
+  }
+
   /** Runs the first round and starts the periodic ones. */
   public void start() {
     scaling.start();
@@ -371,6 +382,10 @@
     members.recordRead(rows, page.version(), sentAt).forEach(this::mergeCrashes);
     logSharers();
     lease.applyPage(page, readFailed);
+    if (!hasRead) {
+      hasRead = true;
+      firstReadAction.accept(lease.isEraRecent());
+    }
     usageDuty.learn(page);
     readFailed = false;
   }
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -52,18 +52,35 @@
     return ERA_PREFIX + era;
   }
 
-  /** Returns the row of an era of the store, with the first window that may be sealed in it. */
-  static String encodeEra(long firstWindow) {
-    return JSON.createObjectNode().put("firstWindow", firstWindow).toString();
+  /**
+   * The row of an era of the store.
+   *
+   * @param firstWindow first usage window that may be sealed in the era
+   * @param startWindow usage window in which the row was first written
+   */
+  record EraRow(long firstWindow, long startWindow) {
+    /** Stands for an unreadable row: no window may be sealed. */
+    static final EraRow UNREADABLE = new EraRow(Long.MAX_VALUE, Long.MAX_VALUE);
+
+    EraRow withFirstWindow(long window) {
+      return new EraRow(window, startWindow);
+    }
   }
 
-  /** Returns the first window that may be sealed in an era; none if the row is unreadable. */
-  static long parseEra(String text) {
+  static String encodeEra(EraRow row) {
+    return JSON.createObjectNode()
+        .put("firstWindow", row.firstWindow())
+        .put("startWindow", row.startWindow())
+        .toString();
+  }
+
+  static EraRow parseEra(String text) {
     return parse(text)
-        .map(node -> node.path("firstWindow"))
-        .filter(JsonNode::isIntegralNumber)
-        .map(JsonNode::asLong)
-        .orElse(Long.MAX_VALUE);
+        .filter(node -> node.path("firstWindow").isIntegralNumber())
+        .map(
+            node ->
+                new EraRow(node.path("firstWindow").asLong(), node.path("startWindow").asLong()))
+        .orElse(EraRow.UNREADABLE);
   }
 
   static String encodeMember(
--- a/forward/src/main/java/org/limpetvale/forward/duty/HeldLease.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/HeldLease.java
@@ -13,7 +13,7 @@
  * @param conditions conditions of a transaction that takes effect only while the lease is unchanged
  * @param era era of the store in which the lease was written
  * @param epoch fencing token of the lease
- * @param firstWindow first usage window that may be sealed in this era
+ * @param eraRow row of the era, with the first usage window that may be sealed in it
  * @param stillHeld decides whether this entry may still act as the holder
  * @param marks receives the versions of the era's row that this entry writes
  */
@@ -21,11 +21,12 @@
     List<RowTransaction.Condition> conditions,
     long era,
     long epoch,
-    long firstWindow,
+    FleetRows.EraRow eraRow,
     BooleanSupplier stillHeld,
     FirstWindowMarks marks) {
   HeldLease {
     conditions = List.copyOf(Objects.requireNonNull(conditions, "conditions is null"));
+    Objects.requireNonNull(eraRow, "eraRow is null");
     Objects.requireNonNull(stillHeld, "stillHeld is null");
     Objects.requireNonNull(marks, "marks is null");
   }
@@ -36,9 +37,14 @@
      * Records the change.
      *
      * @param version new version of the era's row
-     * @param firstWindow the window
+     * @param row the row
      */
-    void raised(StoreVersion version, long firstWindow);
+    void raised(StoreVersion version, FleetRows.EraRow row);
+  }
+
+  /** Returns the first usage window that may be sealed. */
+  long firstWindow() {
+    return eraRow.firstWindow();
   }
 
   /** Returns the conditions of the lease and one more. */
--- a/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
@@ -327,20 +327,21 @@
     if (removed.isEmpty() || !lease.stillHeld().getAsBoolean()) {
       return done();
     }
-    long firstWindow = Math.max(lease.firstWindow(), Collections.max(removed) + 1);
+    FleetRows.EraRow raised =
+        lease.eraRow().withFirstWindow(Math.max(lease.firstWindow(), Collections.max(removed) + 1));
     RowTransaction write =
         new RowTransaction(
             lease.conditions(),
             List.of(
                 new RowTransaction.Write(
-                    FleetRows.eraKey(lease.era()), FleetRows.encodeEra(firstWindow))),
+                    FleetRows.eraKey(lease.era()), FleetRows.encodeEra(raised))),
             removed.stream().map(FleetRows::reportKey).toList());
     return store
         .commit(write)
         .thenAccept(
             commit -> {
               if (commit instanceof StoreCommit.Committed(StoreVersion version, long ignored)) {
-                lease.marks().raised(version, firstWindow);
+                lease.marks().raised(version, raised);
               }
             });
   }
--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
@@ -28,6 +28,9 @@
 
   private static final long NO_VERSION = -1;
 
+  /** Time within which running entries tell which version they have in force. */
+  public static final long PEER_WORD_MILLIS = 1_200;
+
   private final RowDecoder decoder;
   private final TimerService timer;
   private final EventLog log;
@@ -42,6 +45,8 @@
   /** When the request was sent whose response last confirmed the newest configuration. */
   private Optional<Moment> confirmedAsOf = Optional.empty();
 
+  private Optional<Moment> withheldAsOf = Optional.empty();
+  private long withheldUntilMillis = Long.MIN_VALUE;
   private boolean driftDetected;
   private boolean olderThanPeersLogged;
 
@@ -127,8 +132,36 @@
     return config.get().map(FleetConfig::version).orElse(NO_VERSION);
   }
 
+  /**
+   * Withholds confirmations for a time in which other entries tell which version they have in
+   * force. Is used when the store may have come back from an older copy, which lacks the newest
+   * version.
+   */
+  public void withholdConfirmations(long millis) {
+    withheldUntilMillis = timer.nowMillis() + millis;
+    timer.after(millis, this::confirmWithheld);
+  }
+
+  /** Ends the withholding of confirmations early. */
+  public void endWithholding() {
+    withheldUntilMillis = timer.nowMillis();
+    confirmWithheld();
+  }
+
+  private void confirmWithheld() {
+    Optional<Moment> asOf = withheldAsOf;
+    if (timer.nowMillis() >= withheldUntilMillis) {
+      withheldAsOf = Optional.empty();
+      asOf.ifPresent(this::onConfirmed);
+    }
+  }
+
   @Override
   public void onConfirmed(Moment asOf) {
+    if (timer.nowMillis() < withheldUntilMillis) {
+      withheldAsOf = Optional.of(asOf);
+      return;
+    }
     long peerVersion = newestPeerVersion.getAsLong();
     if (peerVersion > version()) {
       logOlderThanPeers(peerVersion);
@@ -149,6 +182,7 @@
 
   @Override
   public void onStoreReturned(StoreVersion storeVersion) {
+    withholdConfirmations(PEER_WORD_MILLIS);
     log.stateChange(
         "config_kept_over_older_copy", field("version", version()), field("store", storeVersion));
   }
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerLink.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerLink.java
@@ -10,10 +10,13 @@
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.http.Transport;
 import org.limpetvale.forward.log.EventLog;
@@ -36,6 +39,11 @@
   /** Largest datagram that passes common networks without fragmentation. */
   private static final int MAX_DATAGRAM_BYTES = 1_400;
 
+  /** Time for which the sender of a report is sent reports. */
+  private static final long SENDER_RETENTION_MILLIS = 3_000;
+
+  private static final int MAX_SENDERS = 1_000;
+
   private final Transport transport;
   private final InetSocketAddress address;
   private final PeerReports reports;
@@ -43,6 +51,7 @@
   private final Function<ReportOptions, PeerReport> report;
   private final TimerService timer;
   private final EventLog log;
+  private final Map<InetSocketAddress, Long> heardAtMillis = new HashMap<>();
   private Channel channel;
   private long lastSequenceNumber;
   private boolean tooLargeLogged;
@@ -116,11 +125,27 @@
    * every entry receives the reports of all others.
    */
   private void sendAndSchedule() {
-    List<InetSocketAddress> others = peers.get();
+    List<InetSocketAddress> others = recipients();
     send(others, lastSequenceNumber % (1 + others.size() / PEERS_PER_OMITTED_USAGE) == 0);
     timer.after(periodMillis(others.size()), this::sendAndSchedule);
   }
 
+  /**
+   * Returns the other entries, and the senders of recent reports. An entry that has just started
+   * hears from the others before they have read its row.
+   */
+  private List<InetSocketAddress> recipients() {
+    long nowMillis = timer.nowMillis();
+    heardAtMillis.values().removeIf(heard -> nowMillis - heard > SENDER_RETENTION_MILLIS);
+    return Stream.concat(peers.get().stream(), heardAtMillis.keySet().stream()).distinct().toList();
+  }
+
+  private void noteSender(InetSocketAddress sender) {
+    if (!sender.equals(address) && heardAtMillis.size() < MAX_SENDERS) {
+      heardAtMillis.put(sender, timer.nowMillis());
+    }
+  }
+
   static long periodMillis(int peers) {
     long period = MIN_PERIOD_MILLIS * Math.max(1, peers) / MAX_PEERS_AT_MIN_PERIOD;
     return Math.clamp(period, MIN_PERIOD_MILLIS, MAX_PERIOD_MILLIS);
@@ -128,7 +153,7 @@
 
   /** Sends a report with usage immediately. */
   public void send() {
-    send(peers.get(), true);
+    send(recipients(), true);
   }
 
   private void send(List<InetSocketAddress> others, boolean withUsage) {
@@ -154,7 +179,12 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
       ByteBuf bytes = packet.content();
-      PeerReport.parse(bytes.toString(StandardCharsets.UTF_8)).ifPresent(reports::accept);
+      PeerReport.parse(bytes.toString(StandardCharsets.UTF_8))
+          .ifPresent(
+              received -> {
+                noteSender(packet.sender());
+                reports.accept(received);
+              });
     }
 
     @Override
--- a/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
@@ -60,6 +60,26 @@
     assertThat(members.share().fraction()).isZero();
   }
 
+  @Test
+  void anEntryWhoseRowAnOlderCopyLacksStillCountsUntilItIsForgotten() {
+    renew(5);
+    readOwnRowOfNewEra(0);
+    assertThat(members.share().fraction()).isEqualTo(0.5);
+    for (int i = 1; i <= 6; i++) {
+      timer.advance(WINDOW_MILLIS);
+      members.recordRenewal(Moment.now(timer));
+      readOwnRowOfNewEra(i);
+    }
+    assertThat(members.share().fraction()).isEqualTo(1.0);
+  }
+
+  private void readOwnRowOfNewEra(long number) {
+    StoreVersion version = new StoreVersion(1, number);
+    Members.Row own =
+        new Members.Row(version, Optional.of(new InetSocketAddress("127.0.0.1", 1)), Map.of());
+    members.recordRead(Map.of("a.1", own), version, Moment.now(timer));
+  }
+
   @Test
   void anEntryThatHasLeftIsNotLiveButStillCountsAsASharer() {
     renew(5);
--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
@@ -36,6 +36,53 @@
     assertThat(version()).isEqualTo(9);
   }
 
+  private void updateIn(long era, String text) {
+    cache.onUpdate(List.of(new StoredRow("config", text, new StoreVersion(era, 3), false)));
+  }
+
+  @Test
+  void anOlderCopyOfTheStoreDoesNotUndoTheConfigurationInForce() {
+    update("7");
+    cache.onStoreReturned(new StoreVersion(1, 3));
+    updateIn(1, "5");
+    assertThat(version()).isEqualTo(7);
+    updateIn(1, "8");
+    assertThat(version()).isEqualTo(8);
+  }
+
+  @Test
+  void aVersionThatIsGivenOutTwiceIsInForceWithItsLaterContent() {
+    update("7 before");
+    updateIn(0, "7 other");
+    assertThat(cache.config().orElseThrow().services()).containsKey("before");
+    updateIn(1, "7 after");
+    assertThat(cache.config().orElseThrow().services()).containsKey("after");
+  }
+
+  @Test
+  void keysAreNotConfirmedWhileAnotherEntryHasANewerVersion() {
+    long[] peerVersion = {9};
+    cache.setNewestPeerVersion(() -> peerVersion[0]);
+    update("7");
+    cache.onConfirmed(Moment.now(timer));
+    assertThat(cache.keysAreCurrent()).isFalse();
+    update("9");
+    cache.onConfirmed(Moment.now(timer));
+    assertThat(cache.keysAreCurrent()).isTrue();
+  }
+
+  @Test
+  void afterAReturnKeysAreConfirmedOnlyWhenTheOtherEntriesHadTimeToTellTheirVersions() {
+    update("7");
+    cache.onStoreReturned(new StoreVersion(1, 3));
+    Moment sent = Moment.now(timer);
+    cache.onConfirmed(sent);
+    assertThat(cache.keysAreCurrent()).isFalse();
+    timer.advance(ConfigCache.PEER_WORD_MILLIS);
+    assertThat(cache.keysAreCurrent()).isTrue();
+    assertThat(cache.confirmedAgeMillis()).isEqualTo(ConfigCache.PEER_WORD_MILLIS);
+  }
+
   @Test
   void anUnusableConfigurationLeavesThePreviousOneInForce() {
     update("7");
--- a/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
@@ -102,11 +102,43 @@
   }
 
   private static StoreRead page(long version, int rows) {
+    return page(StoreVersion.of(version), rows);
+  }
+
+  private static StoreRead page(StoreVersion version, int rows) {
     List<StoredRow> list = new ArrayList<>();
     for (int i = 0; i < rows; i++) {
-      list.add(new StoredRow("k" + i, "v", StoreVersion.of(version), false));
+      list.add(new StoredRow("k" + i, "v", version, false));
     }
-    return new StoreRead.Page(new RowPage(list, StoreVersion.of(version), 0));
+    return new StoreRead.Page(new RowPage(list, version, 0));
+  }
+
+  @Test
+  void aLowerVersionOfALaterEraIsFollowedAtOnce() {
+    follower.restart();
+    answer(page(250, 2));
+    answer(new StoreRead.HistoryGone());
+    answer(page(new StoreVersion(1, 28), 1));
+    assertThat(events)
+        .containsExactly(
+            "read",
+            "snapshot 2",
+            "confirmed",
+            "changes since 250",
+            "read",
+            "returned",
+            "snapshot 1",
+            "confirmed",
+            "changes since 28");
+  }
+
+  @Test
+  void aTableOfAnEarlierEraIsNotTaken() {
+    follower.restart();
+    answer(page(new StoreVersion(1, 28), 2));
+    events.clear();
+    answer(page(new StoreVersion(0, 300), 2));
+    assertThat(events).isEmpty();
   }
 
   @Test
--- a/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
@@ -73,6 +73,48 @@
     assertThat(ready()).containsExactly("a");
   }
 
+  private static StoredRow rowIn(long era, long number, String id, String text) {
+    return new StoredRow(id, text, new StoreVersion(era, number), text.isEmpty());
+  }
+
+  private void returnFromCopy(StoredRow... rows) {
+    registry.onStoreReturned(new StoreVersion(1, 5));
+    registry.onSnapshot(List.of(rows));
+  }
+
+  @Test
+  void aCopyDoesNotBringLeavingOrEndedUpstreamsBackUntilTheyHaveHadTimeToWriteAgain() {
+    registry.onSnapshot(List.of(row("a", "ready"), row("b", "ready"), row("c", "ready")));
+    registry.onUpdate(List.of(row("a", "draining"), row("b", "")));
+    StoredRow a = rowIn(1, 2, "a", "ready");
+    StoredRow b = rowIn(1, 2, "b", "ready");
+    StoredRow c = rowIn(1, 2, "c", "ready");
+    returnFromCopy(a, b, c);
+    assertThat(ready()).containsExactly("c");
+    timer.advance(6_000);
+    registry.onSnapshot(List.of(a, b, c));
+    assertThat(ready()).containsExactly("a", "b", "c");
+  }
+
+  @Test
+  void anUpstreamThatWritesItsDescriptionAfterTheReturnIsBackAtOnce() {
+    registry.onSnapshot(List.of(row("a", "ready"), row("b", "ready")));
+    registry.onUpdate(List.of(row("b", "")));
+    returnFromCopy(rowIn(1, 2, "a", "ready"), rowIn(1, 2, "b", "ready"));
+    registry.onUpdate(List.of(rowIn(1, 6, "b", "ready")));
+    assertThat(ready()).containsExactly("a", "b");
+  }
+
+  @Test
+  void anUpstreamThatACopyLacksIsKeptUntilItHasHadTimeToWriteAgain() {
+    registry.onSnapshot(List.of(row("a", "ready"), row("b", "ready"), row("c", "ready")));
+    returnFromCopy(rowIn(1, 2, "a", "ready"));
+    assertThat(ready()).containsExactly("a", "b", "c");
+    registry.onUpdate(List.of(rowIn(1, 7, "b", "ready")));
+    timer.advance(2_500);
+    assertThat(ready()).containsExactly("a", "b");
+  }
+
   @Test
   void anUpstreamWhoseDescriptionBecomesUnusableIsRemoved() {
     registry.onSnapshot(List.of(row("a", "ready"), row("b", "ready")));
--- a/forward/src/test/java/org/limpetvale/forward/testing/VersionDecoder.java
+++ b/forward/src/test/java/org/limpetvale/forward/testing/VersionDecoder.java
@@ -1,14 +1,19 @@
 package org.limpetvale.forward.testing;
 
 import java.util.Map;
+import java.util.Optional;
 import org.limpetvale.core.fleet.CallerLimits;
 import org.limpetvale.core.fleet.FleetConfig;
 import org.limpetvale.core.fleet.RouteTable;
+import org.limpetvale.core.fleet.ServicePolicy;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.forward.spi.RowDecoder;
 import org.limpetvale.forward.spi.StoredRow;
 
-/** Decodes the text of a row as the version of a configuration; the text "odd" is unusable. */
+/**
+ * Decodes the text of a row as the version of a configuration, which may be followed by the name of
+ * a service; the text "odd" is unusable.
+ */
 public final class VersionDecoder implements RowDecoder {
   @Override
   public boolean isConfig(StoredRow row) {
@@ -17,18 +22,25 @@
 
   @Override
   public Decoded<FleetConfig> decodeConfig(StoredRow row) {
+    String[] words = row.text().split(" ");
     return row.text().equals("odd")
         ? new Decoded.Unusable<>("odd")
         : new Decoded.Value<>(
             new FleetConfig(
-                Long.parseLong(row.text()),
+                Long.parseLong(words[0]),
                 RouteTable.empty(),
-                Map.of(),
+                services(words),
                 CallerLimits.DEFAULT,
                 true,
                 Map.of()));
   }
 
+  private static Map<String, ServicePolicy> services(String[] words) {
+    return words.length == 1
+        ? Map.of()
+        : Map.of(words[1], new ServicePolicy(words[1], 1, Optional.empty(), Optional.empty()));
+  }
+
   @Override
   public Decoded<Upstream> decodeUpstream(StoredRow row) {
     return new Decoded.Unusable<>("none");
