On the fallback transport too, requests of callers that have left are not started

Cause: a request is started by a task behind its reading, so that a close that has arrived is read first. Netty's NIO transport ends the reading of a connection for one pass of the event loop once a read does not fill its buffer; a close behind the request is then read only in the next pass, after the start. The native transport is told of the close together with the bytes. Ruled out: the put-off of a start after a pause; it looks at the time after the reading, and here the whole pause lies before it. No pause is needed: a busy event loop is enough. Change: on the fallback, connections of callers are read until nothing is left, within Netty's own 16 reads a pass (printed by a NioSocketChannel of this version). It does not depend on noticing a pause, and the put-off start stays. Cost, by reading the code, not measured: one more read call for each read, on the fallback only. What neither transport covers: a close behind more than 16 reads.

--- a/forward/src/main/java/org/limpetvale/forward/http/Transport.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/Transport.java
@@ -2,11 +2,13 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollDatagramChannel;
@@ -36,6 +38,9 @@
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final long SHUTDOWN_TIMEOUT_MILLIS = 100;
 
+  /** Netty's own value for TCP connections. */
+  private static final int MAX_READS_PER_PASS = 16;
+
   /** Value of SO_LINGER with which a close discards what is not sent and resets the connection. */
   private static final int LINGER_RESET = 0;
 
@@ -113,7 +118,18 @@
           .childOption(EpollChannelOption.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
           .childOption(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLIS);
     }
-    return bootstrap;
+    return bootstrap.childOption(ChannelOption.RECVBUF_ALLOCATOR, readingUntilNothingIsLeft());
+  }
+
+  /**
+   * Returns an allocator with which a connection is read until nothing is left. By default, a read
+   * that does not fill its buffer ends the pass, and a close behind it is read only after the tasks
+   * of the pass. The native transport is told of a close together with the last bytes.
+   */
+  private static RecvByteBufAllocator readingUntilNothingIsLeft() {
+    return new AdaptiveRecvByteBufAllocator()
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_READS_PER_PASS);
   }
 
   /** Returns a datagram bootstrap on the event loop. */
