A broken stream does not go on with an answer of another status or encoding, or with one that was not run

What callers saw: a stream of a resumable route had begun and broke off. The next upstream answered with a signed 204 or 205 typed as an event stream: the caller got the last chunk after event 2 of 5, a stream that ends as if it were complete. With a 206, with a Content-Encoding, or with a 200 that says that it was not executed, its body was appended.

Cause: CallerResponse.canContinueWith asked for any success (below 300) of the same media type. What makes two bodies parts of one was not compared as a whole. Representation now holds status, media type and encoding of the first answer's header, and only an equal one may go on; an answer that states that it was not executed never does.

--- a/forward/src/main/java/org/limpetvale/forward/relay/CallerResponse.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/CallerResponse.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.Locale;
 import java.util.Optional;
 import org.limpetvale.forward.accept.IncomingRequest;
 import org.limpetvale.forward.accept.ProblemResponses;
@@ -21,7 +20,7 @@
 final class CallerResponse {
   private final ResponseWriter responseWriter;
   private final IncomingRequest request;
-  private Optional<String> contentType = Optional.empty();
+  private Optional<Representation> representation = Optional.empty();
   private boolean started;
   private boolean resumable;
 
@@ -49,13 +48,11 @@
   }
 
   /**
-   * Returns whether a response may continue the one already started. A successful response with
-   * another content type is not part of the same stream and must not be appended to it.
+   * Returns whether a response may continue the one already started. A response with another
+   * status, content type or encoding is not part of the same stream and must not be appended to it.
    */
   boolean canContinueWith(HttpResponse response) {
-    return resumable
-        && StatusCodes.isSuccess(response.status().code())
-        && contentType.equals(contentTypeOf(response));
+    return resumable && representation.equals(Optional.of(Representation.of(response)));
   }
 
   /**
@@ -68,7 +65,7 @@
   void start(HttpResponse response, boolean mayResume) {
     started = true;
     resumable = mayResume && StatusCodes.isSuccess(response.status().code());
-    contentType = contentTypeOf(response);
+    representation = Optional.of(Representation.of(response));
     HttpHeaders headers = HopByHopHeaders.endToEnd(response.headers());
     if (resumable) {
       headers.remove(HttpHeaderNames.CONTENT_LENGTH);
@@ -138,11 +135,4 @@
     }
     responseWriter.finish();
   }
-
-  private static Optional<String> contentTypeOf(HttpResponse response) {
-    return Optional.ofNullable(response.headers().get(HttpHeaderNames.CONTENT_TYPE))
-        .map(HttpUtil::getMimeType)
-        .map(CharSequence::toString)
-        .map(type -> type.toLowerCase(Locale.ROOT));
-  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -380,7 +380,7 @@
       return false;
     }
     if (callerResponse.isStarted()) {
-      return callerResponse.canContinueWith(response);
+      return !notRun && callerResponse.canContinueWith(response);
     }
     if (notRun) {
       return status != StatusCodes.MISDIRECTED && !mayHaveRun && !acquireRetry(false);
