A resumed stream that begins with an event without an id is not appended

What callers saw: a stream broke off after event 2; the next upstream answered with a signed 200 typed as an event stream whose body was an error ("data: ...", "event: error", or a plain text that ends with a blank line). The error's text came behind event 2, and the last chunk after it.

Cause: EventStreamBuffer looked for events of a resumed stream at or before the resume point; an event without an id passed, so that nothing had to show that the answer goes on behind that point. Now the first event has to have an id (blocks of comments are no events); else nothing of the answer is passed on, and another upstream may still be asked behind the same event. Later events may lack one, as a last mark does.

The price: a stream that breaks off just before a last mark without an id is broken off for its caller, not completed. Ruled out: demanding an id of each event (a last mark without one would break whole streams off). Not told apart: an error in an event that has the next id, and a signed empty stream, which is right where no event is left.

--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -255,9 +255,10 @@
       buffer(copy);
     } else {
       byte[] forwardable = eventBuffer.map(each -> each.append(copy)).orElse(copy);
-      if (eventBuffer.isPresent() && eventBuffer.get().startsAgain()) {
+      Optional<String> discontinuity = eventBuffer.flatMap(EventStreamBuffer::discontinuity);
+      if (discontinuity.isPresent()) {
         connection.cancel();
-        onFailure(FailureReason.SPOILED, "the resumed stream repeats events");
+        onFailure(FailureReason.SPOILED, discontinuity.get());
         return;
       }
       if (forwardable.length > 0) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
@@ -7,7 +7,8 @@
 /**
  * Holds back incomplete events of a stream and remembers the id of the last complete one, so that a
  * stream that is interrupted within an event can be resumed at another upstream. Of a resumed
- * stream, it checks that it goes on behind the event that it was asked to follow.
+ * stream, it checks that it goes on behind the event that it was asked to follow: its first event
+ * has an id, and none has that event's id or an earlier one.
  */
 final class EventStreamBuffer {
   private static final byte[] EMPTY = new byte[0];
@@ -25,6 +26,13 @@
 
   private boolean startsAgain;
 
+  /**
+   * Whether the first event of a resumed stream has no id; none of the stream is passed on then.
+   */
+  private boolean beginsUnidentified;
+
+  private boolean hasEvent;
+
   /** The id in the event whose lines are being read. */
   private Optional<String> idInEvent = Optional.empty();
 
@@ -71,7 +79,7 @@
    * Returns the id of the last complete event, or of the one that the stream is to go on behind.
    */
   Optional<String> lastId() {
-    return lastId;
+    return beginsUnidentified ? resumedAfter : lastId;
   }
 
   /**
@@ -80,7 +88,15 @@
    * itself: some of its events may have been passed on.
    */
   boolean canBeResumed() {
-    return lastEventIdentified && !startsAgain;
+    return beginsUnidentified || lastEventIdentified && !startsAgain;
+  }
+
+  /** Describes why a resumed stream is not the rest of the one before it; empty if it may be. */
+  Optional<String> discontinuity() {
+    if (beginsUnidentified) {
+      return Optional.of("the resumed stream begins with an event without an id");
+    }
+    return startsAgain ? Optional.of("the resumed stream repeats events") : Optional.empty();
   }
 
   /** Returns whether a resumed stream contains the event that it should follow, or earlier ones. */
@@ -104,6 +120,8 @@
     if (!eventHasField) {
       return;
     }
+    beginsUnidentified |= !hasEvent && resumedAfter.isPresent() && idInEvent.isEmpty();
+    hasEvent = true;
     lastEventIdentified = idInEvent.isPresent() && !idInEvent.equals(lastId);
     startsAgain |= idInEvent.isPresent() && resumedAfter.isPresent() && isNotAfterResumePoint();
     lastId = idInEvent.or(() -> lastId);
--- a/forward/src/test/java/org/limpetvale/forward/relay/EventStreamBufferTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/EventStreamBufferTest.java
@@ -102,4 +102,23 @@
     buffer.append(bytes("id: b\n\n"));
     assertThat(buffer.startsAgain()).isTrue();
   }
+
+  @Test
+  void aResumedStreamBeginsWithAnEventThatHasAnId() {
+    EventStreamBuffer buffer = EventStreamBuffer.resumedAfter(Optional.of("2"));
+    buffer.append(bytes(": comment\n\n"));
+    assertThat(buffer.discontinuity()).isEmpty();
+    buffer.append(bytes("data: an error\n\nid: 7\n\n"));
+    assertThat(buffer.discontinuity()).isPresent();
+    assertThat(buffer.canBeResumed()).isTrue();
+    assertThat(buffer.lastId()).contains("2");
+  }
+
+  @Test
+  void laterEventsOfAResumedStreamMayHaveNoId() {
+    EventStreamBuffer buffer = EventStreamBuffer.resumedAfter(Optional.of("2"));
+    buffer.append(bytes("id: 3\n\ndata: the end\n\n"));
+    assertThat(buffer.discontinuity()).isEmpty();
+    assertThat(buffer.canBeResumed()).isFalse();
+  }
 }
