An engine's error within its stream is not the end of the answer (sidecar)

What callers of the older path would see: an engine that fails in the middle of a stream, or on a request that continues a text, sends the error as an event ("data: {"error": ...}") and then "data: [DONE]". ModelRunner looked for choices only: the error was skipped, the last mark completed the attempt, and the entry ended a truncated text with [DONE] and usage. An error beside a choice came as text. An answer without a body (204) threw a NullPointerException out of run, so that the attempt had no last event.

Cause: what an event states about the run was read only where it has the expected form, and all else passed for nothing. An event with an error now ends the attempt as UPSTREAM_ERROR, as another status does; a missing body is one too.

Ruled out (9 answers in place of a stream; all but 204 failed the attempt before as well): 500 with a stream's body and cut, 206, 200 as JSON, 200 without a body, events that are no JSON, bytes without a head, a cut head.

How an entry passes the failure on (an error event without [DONE], docs/RESULT-CODES.md) was read, not run.

--- a/sidecar/src/main/java/org/limpetvale/sidecar/ModelRunner.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/ModelRunner.java
@@ -17,6 +17,7 @@
 import org.apache.hc.client5.http.classic.methods.HttpPost;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.limpetvale.core.result.ResultCode;
@@ -165,9 +166,10 @@
   private CallResult read(ClassicHttpResponse response, Attempt attempt, Progress progress)
       throws IOException {
     if (response.getCode() != OK) {
-      return new CallResult.Rejected(
-          response.getCode(),
-          new String(EntityUtils.toByteArray(response.getEntity()), StandardCharsets.UTF_8));
+      return new CallResult.Rejected(response.getCode(), text(response.getEntity()));
+    }
+    if (response.getEntity() == null) {
+      return new CallResult.Rejected(response.getCode(), "no body");
     }
     BufferedReader lines =
         new BufferedReader(
@@ -192,6 +194,10 @@
                 usage.promptTokens(), usage.completionTokens(), usage.cachedTokens(), reason);
       }
       JsonNode chunk = MAPPER.readTree(data);
+      if (chunk.hasNonNull("error")) {
+        EntityUtils.consumeQuietly(response.getEntity());
+        return new CallResult.Rejected(response.getCode(), chunk.path("error").toString());
+      }
       JsonNode choice = chunk.path("choices").path(0);
       String text = choice.path("delta").path("content").asText("");
       if (!text.isEmpty()) {
@@ -207,6 +213,11 @@
     }
   }
 
+  /** Returns the text of a body; empty if there is none, as for status 204. */
+  private static String text(HttpEntity body) throws IOException {
+    return body == null ? "" : new String(EntityUtils.toByteArray(body), StandardCharsets.UTF_8);
+  }
+
   private static CallResult.Completed usage(JsonNode usage) {
     return new CallResult.Completed(
         usage.path("prompt_tokens").asInt(),
