A running entry confirms its keys at once after a return; one that has just started waits for the operator

The wait of refused callers: in a run of StoreReturnsFromOlderCopyTest at a load of 48, 8 requests at one entry got 503, as its last confirmation was 3 s old before an outage of 1 s. It is not needed there: the reports of the others tell their versions without the store.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -68,6 +68,12 @@
   /** Number of usage windows in a peer report, counted back from the current one. */
   private static final int REPORTED_WINDOWS = 3;
 
+  /**
+   * Time after the store's return from a copy in which the operator writes its configuration again.
+   * An entry that has just started may be the only one, and knows only the copy.
+   */
+  private static final long OPERATOR_REWRITE_MILLIS = 2_500;
+
   /** Time over which the entries spread their reads after the store's return from a copy. */
   private static final long RETURN_READ_SPREAD_MILLIS = 250;
 
@@ -243,7 +249,9 @@
     store.onReturn(this::scheduleFullReads);
     duties.setFirstReadAction(
         eraIsRecent -> {
-          if (!eraIsRecent) {
+          if (eraIsRecent) {
+            config.withholdConfirmations(OPERATOR_REWRITE_MILLIS);
+          } else {
             config.endWithholding();
           }
         });
--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
@@ -182,7 +182,6 @@
 
   @Override
   public void onStoreReturned(StoreVersion storeVersion) {
-    withholdConfirmations(PEER_WORD_MILLIS);
     log.stateChange(
         "config_kept_over_older_copy", field("version", version()), field("store", storeVersion));
   }
