An odd row among those that entries share no longer stops the duties of all entries

One row such as report/abc, usage/x/y or a member with port 70000 ended each round of each entry with an exception: usage was no longer reported.

Cause: keys were parsed with Long.parseLong and ports given to InetSocketAddress unchecked, within the reading of all rows. An exception while a round started also left roundRunning set, so no round followed. Negative or wrapped counts were added to reports. A member's host name was looked up on the event loop.

Fix: unreadable rows are logged once and skipped. An unreadable lease row is the lease of an unknown holder with the last known token; an unreadable row of the era is replaced and allows the windows that have not begun. An exception while a round starts fails this round only. Members write their address in digits.

MembersTest: parseMember returns an Optional now; the test calls orElseThrow on it and asserts the same.

--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLease.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLease.java
@@ -48,9 +48,13 @@
   /** Number of usage windows for which an era counts as recent. */
   private static final long RECENT_ERA_WINDOWS = 2;
 
+  /** Stands for the holder in a row that cannot be read; no entry has this id. */
+  private static final String UNKNOWN_HOLDER = "?";
+
   private final DutyLoop.Identity self;
   private final UsageCounts usage;
   private final PeerReports peers;
+  private final UnreadableRows unreadable;
   private final TimerService timer;
   private final EventLog log;
   private LeaseView view = LeaseView.empty();
@@ -70,6 +74,10 @@
     long firstWindow() {
       return row.firstWindow();
     }
+
+    boolean isReadable() {
+      return !row.equals(FleetRows.EraRow.UNREADABLE);
+    }
   }
 
   /**
@@ -90,11 +98,13 @@
       DutyLoop.Identity self,
       UsageCounts usage,
       PeerReports peers,
+      UnreadableRows unreadable,
       TimerService timer,
       EventLog log) {
     this.self = Objects.requireNonNull(self, "self is null");
     this.usage = Objects.requireNonNull(usage, "usage is null");
     this.peers = Objects.requireNonNull(peers, "peers is null");
+    this.unreadable = Objects.requireNonNull(unreadable, "unreadable is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.log = Objects.requireNonNull(log, "log is null");
   }
@@ -112,10 +122,10 @@
     List<String> earlierKeys = new ArrayList<>();
     for (StoredRow each : page.rows()) {
       if (each.key().equals(FleetRows.LEASE_KEY)) {
-        row = FleetRows.parseLease(each.text());
+        row = Optional.of(parse(each));
         revision = each.version();
       } else if (each.key().equals(FleetRows.eraKey(currentEra))) {
-        era = Optional.of(new Era(each.version(), FleetRows.parseEra(each.text())));
+        era = Optional.of(parseEra(each));
       } else if (each.key().startsWith(FleetRows.ERA_PREFIX)) {
         earlierKeys.add(each.key());
       }
@@ -135,6 +145,27 @@
     }
   }
 
+  private Era parseEra(StoredRow row) {
+    Era read = new Era(row.version(), FleetRows.parseEra(row.text()));
+    if (!read.isReadable()) {
+      unreadable.log(row);
+    }
+    return read;
+  }
+
+  /**
+   * Parses the lease row. An unreadable one counts as the lease of an unknown holder, with the last
+   * token that this entry knows, so that no token is given out again.
+   */
+  private LeaseRow parse(StoredRow row) {
+    Optional<LeaseRow> readable = FleetRows.parseLease(row.text());
+    if (readable.isEmpty()) {
+      unreadable.log(row);
+    }
+    return readable.orElseGet(
+        () -> new LeaseRow(DUTY_NAME, UNKNOWN_HOLDER, view.epoch(), DURATION_MILLIS, ""));
+  }
+
   /**
    * Returns whether this entry holds the lease. The monotonic clock does not advance while the VM
    * is suspended, so the lease is not trusted after a suspension until it has been renewed.
@@ -222,12 +253,7 @@
     StoreVersion revision = view.revision().orElseThrow();
     List<RowTransaction.Write> writes = new ArrayList<>(others);
     writes.add(new RowTransaction.Write(FleetRows.LEASE_KEY, FleetRows.encodeLease(row)));
-    Optional<FleetRows.EraRow> newEra =
-        era.isPresent()
-            ? Optional.empty()
-            : Optional.of(
-                new FleetRows.EraRow(
-                    firstWindow(revision.era(), continues), usage.currentWindow()));
+    Optional<FleetRows.EraRow> newEra = newEraRow(revision.era(), continues);
     newEra.ifPresent(
         each ->
             writes.add(
@@ -238,6 +264,19 @@
         row, newEra, continues, new RowTransaction(conditions(revision), writes, removals));
   }
 
+  /**
+   * Returns the row of the era to write; empty if there is a readable one. An unreadable one may
+   * have allowed any window, so only those that have not begun remain.
+   */
+  private Optional<FleetRows.EraRow> newEraRow(long number, boolean continues) {
+    if (era.filter(Era::isReadable).isPresent()) {
+      return Optional.empty();
+    }
+    long first =
+        era.isEmpty() ? firstWindow(number, continues) : usage.currentWindow() + 1;
+    return Optional.of(new FleetRows.EraRow(first, usage.currentWindow()));
+  }
+
   /**
    * Returns the first window that may be sealed in an era without a row. The window after the
    * current one has not ended for any entry, whatever its clock says.
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -70,6 +70,7 @@
   private final ScalingDuty scaling;
   private final TimerService timer;
   private final EventLog log;
+  private final UnreadableRows unreadable;
   private final DutyLease lease;
   private long releasedEpoch;
   private TimerService.Subscription expiryCheck = () -> {};
@@ -116,8 +117,9 @@
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.log = Objects.requireNonNull(log, "log is null");
     this.peers = Objects.requireNonNull(peers, "peers is null");
-    this.lease = new DutyLease(self, usage, peers, timer, log);
-    this.usageDuty = new UsageDuty(self, store, calls, usage, members, peers, log);
+    this.unreadable = new UnreadableRows(log);
+    this.lease = new DutyLease(self, usage, peers, unreadable, timer, log);
+    this.usageDuty = new UsageDuty(self, store, calls, usage, members, peers, unreadable, log);
   }
 
   /** Creates a loop that has not been started. */
@@ -209,20 +211,27 @@
   private void round() {
     roundRunning = true;
     writtenWindow = usage.closedWindow();
-    CompletableFuture<Void> steps =
-        lease.isHeld() && storeEra() == ownRowsEra
-            ? holderRound()
-            : writeOwnRows()
-                .thenCompose(commit -> readAll())
-                .thenCompose(this::restoreReports)
-                .thenCompose(this::tryTakeOver);
-    steps.whenComplete(
-        (done, failure) -> {
-          roundRunning = false;
-          if (failure != null) {
-            log.stateChange("duty_round_failed", field("cause", failure.toString()));
-          }
-        });
+    steps()
+        .whenComplete(
+            (done, failure) -> {
+              roundRunning = false;
+              if (failure != null) {
+                log.stateChange("duty_round_failed", field("cause", failure.toString()));
+              }
+            });
+  }
+
+  /** Starts the steps of a round; an exception while they start fails them, too. */
+  private CompletableFuture<Void> steps() {
+    return done()
+        .thenCompose(
+            ignored ->
+                lease.isHeld() && storeEra() == ownRowsEra
+                    ? holderRound()
+                    : writeOwnRows()
+                        .thenCompose(commit -> readAll())
+                        .thenCompose(this::restoreReports)
+                        .thenCompose(this::tryTakeOver));
   }
 
   private CompletableFuture<Void> holderRound() {
@@ -376,7 +385,7 @@
     for (StoredRow row : page.rows()) {
       if (row.key().startsWith(FleetRows.MEMBER_PREFIX)) {
         String writer = row.key().substring(FleetRows.MEMBER_PREFIX.length());
-        rows.put(writer, FleetRows.parseMember(row.version(), row.text()));
+        rows.put(writer, parseMember(row));
       }
     }
     members.recordRead(rows, page.version(), sentAt).forEach(this::mergeCrashes);
@@ -390,6 +399,14 @@
     readFailed = false;
   }
 
+  private Members.Row parseMember(StoredRow row) {
+    Optional<Members.Row> member = FleetRows.parseMember(row.version(), row.text());
+    if (member.isEmpty()) {
+      unreadable.log(row);
+    }
+    return member.orElseGet(() -> Members.Row.unreadable(row.version()));
+  }
+
   /** Merges the crashes from the row of an entry that does not report them to this one directly. */
   private void mergeCrashes(String writer, Members.Row row) {
     if (!writer.equals(self.writer()) && !peers.liveEntryIds().contains(writer)) {
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -1,6 +1,5 @@
 package org.limpetvale.forward.duty;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -11,8 +10,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.limpetvale.core.lease.LeaseRow;
 import org.limpetvale.core.store.StoreVersion;
+import org.limpetvale.forward.json.JsonFields;
+import org.limpetvale.forward.json.NumericAddress;
+import org.limpetvale.forward.json.UnusableJsonException;
 
 /** Encodes and parses the keys and values of the rows that entries share. */
 final class FleetRows {
@@ -22,6 +26,16 @@
   static final String REPORT_PREFIX = "report/";
   static final String ERA_PREFIX = "era/";
 
+  /** Number of a window whose end, in milliseconds, is far from an overflow. */
+  private static final long MAX_WINDOW = 999_999_999_999L;
+
+  private static final long MAX_LEASE_MILLIS = 60_000;
+
+  private static final String WINDOW = "(-?\\d{1,12})";
+  private static final Pattern USAGE_KEY =
+      Pattern.compile(USAGE_PREFIX + WINDOW + "/(.*)", Pattern.DOTALL);
+  private static final Pattern REPORT_KEY = Pattern.compile(REPORT_PREFIX + WINDOW);
+
   private static final ObjectMapper JSON = JsonMapper.builder().build();
 
   private FleetRows() {}
@@ -74,25 +88,35 @@
         .toString();
   }
 
+  /** Parses the row of an era; {@link EraRow#UNREADABLE} if it is unreadable. */
   static EraRow parseEra(String text) {
-    return parse(text)
-        .filter(node -> node.path("firstWindow").isIntegralNumber())
-        .map(
-            node ->
-                new EraRow(node.path("firstWindow").asLong(), node.path("startWindow").asLong()))
-        .orElse(EraRow.UNREADABLE);
+    try {
+      JsonNode node = JsonFields.parseObject(text);
+      return new EraRow(eraWindow(node, "firstWindow"), eraWindow(node, "startWindow"));
+    } catch (UnusableJsonException e) {
+      return EraRow.UNREADABLE;
+    }
+  }
+
+  private static long eraWindow(JsonNode node, String name) throws UnusableJsonException {
+    return JsonFields.number(node.path(name), name, -MAX_WINDOW, JsonFields.MAX_EXACT);
   }
 
   static String encodeMember(
       InetSocketAddress address, long heartbeat, Map<String, Set<String>> crashes) {
     ObjectNode node = JSON.createObjectNode();
-    node.put("host", address.getHostString());
+    node.put("host", hostOf(address));
     node.put("port", address.getPort());
     node.put("beat", heartbeat);
     putCrashes(node, crashes);
     return node.toString();
   }
 
+  /** Returns the numeric host, since other entries do not look names up. */
+  private static String hostOf(InetSocketAddress address) {
+    return address.isUnresolved() ? address.getHostString() : address.getAddress().getHostAddress();
+  }
+
   /**
    * Returns the row of an entry that has stopped. It still counts as a sharer of the retry budget
    * for the retries that it has sent.
@@ -111,28 +135,35 @@
     }
   }
 
-  static Members.Row parseMember(StoreVersion version, String text) {
-    Optional<JsonNode> node = parse(text);
-    Map<String, Set<String>> crashes = new TreeMap<>();
-    node.ifPresent(
-        each ->
-            each.path("crashes")
-                .properties()
-                .forEach(entry -> crashes.put(entry.getKey(), texts(entry.getValue()))));
-    return new Members.Row(version, node.flatMap(FleetRows::address), crashes);
+  /** Parses the row of an entry; empty if it is unreadable. */
+  static Optional<Members.Row> parseMember(StoreVersion version, String text) {
+    try {
+      JsonNode node = JsonFields.parseObject(text);
+      Map<String, Set<String>> crashes = new TreeMap<>();
+      for (Map.Entry<String, JsonNode> each : JsonFields.object(node, "crashes").properties()) {
+        crashes.put(each.getKey(), texts(each.getValue()));
+      }
+      Optional<InetSocketAddress> address =
+          JsonFields.flag(node, "left") ? Optional.empty() : Optional.of(address(node));
+      return Optional.of(new Members.Row(version, address, crashes));
+    } catch (UnusableJsonException e) {
+      return Optional.empty();
+    }
   }
 
-  private static Set<String> texts(JsonNode array) {
+  private static Set<String> texts(JsonNode array) throws UnusableJsonException {
     Set<String> texts = new HashSet<>();
-    array.forEach(each -> texts.add(each.asText()));
+    for (JsonNode each : array) {
+      texts.add(JsonFields.element(each, "crashes"));
+    }
     return texts;
   }
 
-  private static Optional<InetSocketAddress> address(JsonNode node) {
-    boolean present = node.path("host").isTextual() && node.path("port").isInt();
-    return present
-        ? Optional.of(new InetSocketAddress(node.path("host").asText(), node.path("port").asInt()))
-        : Optional.empty();
+  private static InetSocketAddress address(JsonNode node) throws UnusableJsonException {
+    String host = JsonFields.text(node, "host");
+    long port = JsonFields.number(node.path("port"), "port", 1, NumericAddress.MAX_PORT);
+    return NumericAddress.of(host, port)
+        .orElseThrow(() -> new UnusableJsonException("host is not an IP address"));
   }
 
   static String encodeLease(LeaseRow row) {
@@ -145,16 +176,20 @@
     return node.toString();
   }
 
+  /** Parses the lease row; empty if it is unreadable. */
   static Optional<LeaseRow> parseLease(String text) {
-    return parse(text)
-        .map(
-            node ->
-                new LeaseRow(
-                    node.path("duty").asText(),
-                    node.path("holder").asText(),
-                    node.path("epoch").asLong(),
-                    node.path("durationMillis").asLong(),
-                    node.path("token").asText()));
+    try {
+      JsonNode node = JsonFields.parseObject(text);
+      return Optional.of(
+          new LeaseRow(
+              JsonFields.text(node, "duty"),
+              JsonFields.text(node, "holder"),
+              JsonFields.number(node.path("epoch"), "epoch", 0, JsonFields.MAX_EXACT),
+              JsonFields.number(node.path("durationMillis"), "durationMillis", 0, MAX_LEASE_MILLIS),
+              JsonFields.text(node, "token")));
+    } catch (UnusableJsonException e) {
+      return Optional.empty();
+    }
   }
 
   static String encodeUsage(boolean closed, Map<String, Long> counts) {
@@ -164,19 +199,20 @@
     return node.toString();
   }
 
+  /** Parses usage counts; empty if their row is unreadable. */
   static Optional<UsageRow> parseUsage(String key, String text) {
-    String[] parts = key.substring(USAGE_PREFIX.length()).split("/", 2);
-    if (parts.length != 2) {
+    Matcher parts = USAGE_KEY.matcher(key);
+    if (!parts.matches()) {
+      return Optional.empty();
+    }
+    try {
+      JsonNode node = JsonFields.parseObject(text);
+      long window = Long.parseLong(parts.group(1));
+      boolean closed = JsonFields.flag(node, "closed");
+      return Optional.of(new UsageRow(window, parts.group(2), closed, counts(node)));
+    } catch (UnusableJsonException e) {
       return Optional.empty();
     }
-    return parse(text)
-        .map(
-            node ->
-                new UsageRow(
-                    Long.parseLong(parts[0]),
-                    parts[1],
-                    node.path("closed").asBoolean(),
-                    counts(node)));
   }
 
   static String encodeReport(boolean accepted, Map<String, Long> counts) {
@@ -186,10 +222,19 @@
     return node.toString();
   }
 
+  /** Parses a sealed report; empty if its row is unreadable. */
   static Optional<ReportRow> parseReport(String key, String text) {
-    long window = Long.parseLong(key.substring(REPORT_PREFIX.length()));
-    return parse(text)
-        .map(node -> new ReportRow(window, node.path("taken").asBoolean(), counts(node)));
+    Matcher parts = REPORT_KEY.matcher(key);
+    if (!parts.matches()) {
+      return Optional.empty();
+    }
+    try {
+      JsonNode node = JsonFields.parseObject(text);
+      long window = Long.parseLong(parts.group(1));
+      return Optional.of(new ReportRow(window, JsonFields.flag(node, "taken"), counts(node)));
+    } catch (UnusableJsonException e) {
+      return Optional.empty();
+    }
   }
 
   private static void putCounts(ObjectNode node, Map<String, Long> counts) {
@@ -197,19 +242,12 @@
     new TreeMap<>(counts).forEach(inner::put);
   }
 
-  private static Map<String, Long> counts(JsonNode node) {
+  private static Map<String, Long> counts(JsonNode node) throws UnusableJsonException {
     Map<String, Long> counts = new TreeMap<>();
-    node.path("counts")
-        .properties()
-        .forEach(entry -> counts.put(entry.getKey(), entry.getValue().asLong()));
-    return counts;
-  }
-
-  private static Optional<JsonNode> parse(String text) {
-    try {
-      return Optional.of(JSON.readTree(text));
-    } catch (JsonProcessingException e) {
-      return Optional.empty();
+    for (Map.Entry<String, JsonNode> each : JsonFields.object(node, "counts").properties()) {
+      long count = JsonFields.number(each.getValue(), "a count", 0, JsonFields.MAX_EXACT);
+      counts.put(each.getKey(), count);
     }
+    return counts;
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -41,7 +41,8 @@
    * An entry's row.
    *
    * @param version version of the row
-   * @param address address on which the entry receives peer reports; empty when it has left
+   * @param address address on which the entry receives peer reports; empty when it has left or the
+   *     row is unreadable
    * @param crashes upstream processes that the entry saw crash, by request digest
    */
   record Row(
@@ -52,6 +53,11 @@
       crashes = Map.copyOf(crashes);
     }
 
+    /** Returns a row of which only the version is known. */
+    static Row unreadable(StoreVersion version) {
+      return new Row(version, Optional.empty(), Map.of());
+    }
+
     boolean hasLeft() {
       return address.isEmpty();
     }
--- a/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
@@ -6,11 +6,14 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
 import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.forward.account.UsageCounts;
 import org.limpetvale.forward.log.EventLog;
@@ -52,6 +55,7 @@
   private final UsageCounts usage;
   private final Members members;
   private final PeerReports peers;
+  private final UnreadableRows unreadable;
   private final EventLog log;
   private final long bootWindow;
   private final SealedReports known = new SealedReports();
@@ -66,6 +70,7 @@
       UsageCounts usage,
       Members members,
       PeerReports peers,
+      UnreadableRows unreadable,
       EventLog log) {
     this.self = self;
     this.store = store;
@@ -73,6 +78,7 @@
     this.usage = usage;
     this.members = members;
     this.peers = peers;
+    this.unreadable = unreadable;
     this.log = log;
     this.bootWindow = usage.currentWindow() - 1;
   }
@@ -116,13 +122,25 @@
     known.removeBefore(usage.currentWindow() - retainedWindows);
   }
 
-  private static List<FleetRows.ReportRow> reportsOf(RowPage page) {
-    return page.rows().stream()
-        .filter(row -> row.key().startsWith(FleetRows.REPORT_PREFIX))
-        .flatMap(row -> FleetRows.parseReport(row.key(), row.text()).stream())
+  private List<FleetRows.ReportRow> reportsOf(RowPage page) {
+    return readable(page, FleetRows.REPORT_PREFIX, FleetRows::parseReport).values().stream()
         .toList();
   }
 
+  /** Parses the rows whose keys have a prefix, and logs and skips the unreadable ones. */
+  private <T> Map<StoredRow, T> readable(
+      RowPage page, String prefix, BiFunction<String, String, Optional<T>> parser) {
+    Map<StoredRow, T> values = new LinkedHashMap<>();
+    for (StoredRow row : page.rows()) {
+      if (row.key().startsWith(prefix)) {
+        parser
+            .apply(row.key(), row.text())
+            .ifPresentOrElse(value -> values.put(row, value), () -> unreadable.log(row));
+      }
+    }
+    return values;
+  }
+
   /**
    * Writes the sealed reports again that the store no longer has because it has come back from an
    * older copy, unless another entry was faster.
@@ -164,11 +182,8 @@
   CompletableFuture<Void> act(RowPage page, HeldLease lease) {
     firstWindow = lease.firstWindow();
     TreeMap<Long, Window> windows = new TreeMap<>();
-    for (StoredRow row : page.rows()) {
-      if (row.key().startsWith(FleetRows.USAGE_PREFIX)) {
-        FleetRows.parseUsage(row.key(), row.text()).ifPresent(each -> add(windows, row, each));
-      }
-    }
+    readable(page, FleetRows.USAGE_PREFIX, FleetRows::parseUsage)
+        .forEach((row, each) -> add(windows, row, each));
     windows.forEach(this::addDirectReports);
     List<FleetRows.ReportRow> reports = reportsOf(page);
     CompletableFuture<Void> steps = done();
--- a/forward/src/test/java/org/limpetvale/forward/duty/DutyLoopTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/DutyLoopTest.java
@@ -2,21 +2,33 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.fleet.FleetView;
+import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.forward.account.UsageCounts;
+import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.peer.PeerReports;
+import org.limpetvale.forward.place.UpstreamStates;
 import org.limpetvale.forward.spi.DutyClient;
 import org.limpetvale.forward.spi.DutyReply;
+import org.limpetvale.forward.spi.FleetStore;
+import org.limpetvale.forward.spi.RowTable;
+import org.limpetvale.forward.spi.RowTransaction;
+import org.limpetvale.forward.spi.StoreCommit;
+import org.limpetvale.forward.spi.StoreRead;
 import org.limpetvale.forward.testing.InMemoryStore;
 import org.limpetvale.forward.testing.ManualTimer;
 import org.limpetvale.forward.testing.ProcessLifecycle;
+import org.limpetvale.forward.time.FleetClock;
 
 /** Tests which entry takes over the duties after their holder has gone, and how soon. */
 final class DutyLoopTest {
@@ -150,4 +162,72 @@
         .map(FleetRows.UsageRow::entry)
         .toList();
   }
+
+  /** A store whose transactions raise an exception until it is repaired. */
+  private final class FaultyStore implements FleetStore {
+    private final FleetStore store = DutyLoopTest.this.store.clientOf(new ProcessLifecycle());
+    private boolean repaired;
+
+    @Override
+    public CompletableFuture<StoreRead> read(RowTable table, String fromKey, String toKey) {
+      return store.read(table, fromKey, toKey);
+    }
+
+    @Override
+    public CompletableFuture<StoreRead> changes(
+        RowTable table, StoreVersion sinceVersion, long waitMillis) {
+      return store.changes(table, sinceVersion, waitMillis);
+    }
+
+    @Override
+    public CompletableFuture<StoreCommit> commit(RowTransaction transaction) {
+      if (!repaired) {
+        throw new IllegalStateException("odd row");
+      }
+      return store.commit(transaction);
+    }
+
+    @Override
+    public void onReturn(Runnable action) {
+      store.onReturn(action);
+    }
+
+    @Override
+    public StoreVersion newestVersion() {
+      return store.newestVersion();
+    }
+  }
+
+  @Test
+  void aRoundThatFailsWhileItStartsIsFollowedByOthers() {
+    FaultyStore faulty = new FaultyStore();
+    UsageCounts usage = UsageCounts.of(WINDOW_MILLIS, timer::wallMillis);
+    DutyLoop loop =
+        DutyLoop.of(
+            new DutyLoop.Identity("edge-3", "b", new InetSocketAddress("127.0.0.1", 1), 0),
+            faulty,
+            first,
+            usage,
+            ScalingDuty.of(
+                "edge-3",
+                Optional::empty,
+                FleetView::empty,
+                new Demand(
+                    FleetView::empty, UpstreamStates.empty(), PeerReports.of(timer), Map::of),
+                first,
+                timer,
+                EventLog.silent()),
+            Members.of(DutyProcess.RETRY_WINDOW_MILLIS, timer),
+            SharedSuspects.none(),
+            PeerReports.of(timer),
+            FleetClock.of(timer),
+            timer,
+            EventLog.silent());
+    loop.start();
+    timer.advance(10_000);
+    assertThat(store.texts()).doesNotContainKey(FleetRows.memberKey("edge-3.b"));
+    faulty.repaired = true;
+    timer.advance(10_000);
+    assertThat(store.texts()).containsKey(FleetRows.memberKey("edge-3.b"));
+  }
 }
--- a/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
@@ -84,7 +84,8 @@
   void anEntryThatHasLeftIsNotLiveButStillCountsAsASharer() {
     renew(5);
     Members.Row left =
-        FleetRows.parseMember(StoreVersion.of(99), FleetRows.encodeDeparture(Map.of()));
+        FleetRows.parseMember(StoreVersion.of(99), FleetRows.encodeDeparture(Map.of()))
+            .orElseThrow();
     members.recordRead(
         Map.of("a.1", left, "b.1", row(99, 2)), StoreVersion.of(99), Moment.now(timer));
     assertThat(members.share().fraction()).isEqualTo(0.5);
