A follower goes on after an exception while it reads or applies a table

An exception in a subscriber, in a decoder or of a call ended the follower for ever: the entry kept its state and never learned of a change again.

Cause: thenAccept drops an exception of the handler, and neither a call that ends with an exception nor one that throws was handled.

Fix: the follower logs the exception once, and reads the full table after the usual backoff, which ends only when the subscriber has accepted a page. Signals of a return or a recovery that the subscriber has not accepted are given again. An exception of a decoder concerns its row only. Periodic tasks go on after a StackOverflowError, too. An unusable configuration is logged once, not at each full read.

Failed before: 5 new tests of TableFollowerTest, and one each of ConfigCacheTest (NumberFormatException) and UpstreamRegistryTest (IllegalStateException). The change to EventLoopTimer has no test of its own.

--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
@@ -47,6 +47,9 @@
 
   private Optional<Moment> withheldAsOf = Optional.empty();
   private long withheldUntilMillis = Long.MIN_VALUE;
+  /** Version of the last row that could not be used. */
+  private StoreVersion unusableVersion = StoreVersion.NONE;
+
   private boolean driftDetected;
   private boolean olderThanPeersLogged;
 
@@ -195,10 +198,25 @@
     if (row.removed() || !decoder.isConfig(row)) {
       return;
     }
-    switch (decoder.decodeConfig(row)) {
+    switch (decode(row)) {
       case RowDecoder.Decoded.Value<FleetConfig>(FleetConfig next) -> install(row, next);
-      case RowDecoder.Decoded.Unusable<FleetConfig>(String reason) ->
-          log.stateChange("config_unusable", field("row", row.version()), field("cause", reason));
+      case RowDecoder.Decoded.Unusable<FleetConfig>(String reason) -> logUnusable(row, reason);
+    }
+  }
+
+  /** Decodes a row; after an exception of the decoder, the configuration in force stays. */
+  private RowDecoder.Decoded<FleetConfig> decode(StoredRow row) {
+    try {
+      return decoder.decodeConfig(row);
+    } catch (RuntimeException | StackOverflowError e) {
+      return new RowDecoder.Decoded.Unusable<>("exception: " + e);
+    }
+  }
+
+  private void logUnusable(StoredRow row, String reason) {
+    if (!row.version().equals(unusableVersion)) {
+      unusableVersion = row.version();
+      log.stateChange("config_unusable", field("row", row.version()), field("cause", reason));
     }
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/fleet/TableFollower.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/TableFollower.java
@@ -4,7 +4,10 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.core.time.Moment;
 import org.limpetvale.core.time.TimerService;
@@ -20,6 +23,9 @@
  *
  * <p>The full table is read again when the store has dropped its change history, after failures,
  * and periodically, since a store that loses history may miss a change.
+ *
+ * <p>An exception while a call is made or its rows are applied is logged, and the full table is
+ * read again after the backoff. The following ends only with the process.
  */
 public final class TableFollower {
   private static final long INITIAL_BACKOFF_MILLIS = 100;
@@ -73,6 +79,15 @@
   private long backoffMillis;
   private boolean failing;
 
+  /** Whether the subscriber has not yet accepted the signal that the store is available again. */
+  private boolean recoveryPending;
+
+  /** Whether the subscriber has not yet accepted the signal that the store has returned. */
+  private boolean returnPending;
+
+  /** The last logged exception; empty after a read without one. */
+  private String loggedFault = "";
+
   /** Number of the running sequence of calls. Incrementing it ends the previous sequence. */
   private long generation;
 
@@ -110,7 +125,54 @@
 
   private void readTable(long expectedGeneration) {
     Moment sentAt = Moment.now(timer);
-    store.read(table, "", "").thenAccept(read -> handleTable(expectedGeneration, sentAt, read));
+    follow(
+        expectedGeneration,
+        () -> store.read(table, "", ""),
+        read -> handleTable(expectedGeneration, sentAt, read));
+  }
+
+  /** Makes a call and handles its answer; an exception of either leads to a full read. */
+  private void follow(
+      long expectedGeneration,
+      Supplier<CompletableFuture<StoreRead>> call,
+      Consumer<StoreRead> handler) {
+    orReadAgain(
+        expectedGeneration,
+        () ->
+            call.get()
+                .whenComplete(
+                    (read, failure) ->
+                        orReadAgain(
+                            expectedGeneration,
+                            () -> handler.accept(failure == null ? read : failed(failure)))));
+  }
+
+  private static StoreRead failed(Throwable failure) {
+    return new StoreRead.Failed("exception: " + failure);
+  }
+
+  private void orReadAgain(long expectedGeneration, Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | StackOverflowError e) {
+      logFault(e);
+      if (expectedGeneration == generation) {
+        scheduleFullRead(expectedGeneration);
+      }
+    }
+  }
+
+  private void logFault(Throwable fault) {
+    String text = fault.toString();
+    if (!text.equals(loggedFault)) {
+      loggedFault = text;
+      log.stateChange(
+          "table_not_applied",
+          field("table", table),
+          field("version", version),
+          field("cause", text),
+          field("at", fault.getStackTrace().length > 0 ? fault.getStackTrace()[0] : ""));
+    }
   }
 
   private void handleTable(long expectedGeneration, Moment sentAt, StoreRead read) {
@@ -121,14 +183,17 @@
       case StoreRead.Page(RowPage page) when !page.version().isBefore(version) -> {
         boolean returned =
             !version.equals(StoreVersion.NONE) && version.isOfEarlierEraThan(page.version());
+        returnPending |= returned;
         version = page.version();
         fullReadAtMillis = sentAt.monotonicMillis();
         readSucceeded();
-        if (returned) {
+        if (returnPending) {
           subscriber.onStoreReturned(version);
+          returnPending = false;
         }
         subscriber.onSnapshot(page.rows());
         subscriber.onConfirmed(sentAt);
+        applied();
         waitForChanges(expectedGeneration);
       }
       case StoreRead.Page(RowPage page) ->
@@ -145,9 +210,10 @@
       readTable(expectedGeneration);
       return;
     }
-    store
-        .changes(table, version, timing.longPollMillis())
-        .thenAccept(read -> handleChanges(expectedGeneration, sentAt, read));
+    follow(
+        expectedGeneration,
+        () -> store.changes(table, version, timing.longPollMillis()),
+        read -> handleChanges(expectedGeneration, sentAt, read));
   }
 
   private void continueAfter(long expectedGeneration, boolean changed) {
@@ -176,6 +242,7 @@
           subscriber.onUpdate(page.rows());
         }
         subscriber.onConfirmed(sentAt);
+        applied();
         continueAfter(expectedGeneration, !page.rows().isEmpty());
       }
       case StoreRead.Page(RowPage page) ->
@@ -190,20 +257,33 @@
   }
 
   private void readSucceeded() {
-    backoffMillis = 0;
     if (failing) {
       failing = false;
+      recoveryPending = true;
       log.stateChange("store_regained", field("table", table), field("version", version));
+    }
+    if (recoveryPending) {
       subscriber.onStoreRecovered();
+      recoveryPending = false;
     }
   }
 
+  /** Ends the backoff, as the subscriber has accepted what was read. */
+  private void applied() {
+    backoffMillis = 0;
+    loggedFault = "";
+  }
+
   private void readFailed(long expectedGeneration, String detail) {
     if (!failing) {
       failing = true;
       log.stateChange(
           "store_lost", field("table", table), field("version", version), field("cause", detail));
     }
+    scheduleFullRead(expectedGeneration);
+  }
+
+  private void scheduleFullRead(long expectedGeneration) {
     backoffMillis =
         Math.min(MAX_BACKOFF_MILLIS, Math.max(INITIAL_BACKOFF_MILLIS, backoffMillis * 2));
     long delayMillis =
--- a/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
@@ -149,8 +149,17 @@
         || known.startedMillis() == described.startedMillis() && leaves;
   }
 
+  /** Decodes a row; an exception of the decoder concerns this row only. */
+  private RowDecoder.Decoded<Upstream> decode(StoredRow row) {
+    try {
+      return decoder.decodeUpstream(row);
+    } catch (RuntimeException | StackOverflowError e) {
+      return new RowDecoder.Decoded.Unusable<>("exception: " + e);
+    }
+  }
+
   private FleetView withRow(FleetView base, StoredRow row) {
-    return switch (decoder.decodeUpstream(row)) {
+    return switch (decode(row)) {
       case RowDecoder.Decoded.Value<Upstream>(Upstream upstream) -> {
         missing.remove(upstream.id());
         if (isOutdated(base, row, upstream)) {
--- a/forward/src/main/java/org/limpetvale/forward/time/EventLoopTimer.java
+++ b/forward/src/main/java/org/limpetvale/forward/time/EventLoopTimer.java
@@ -57,7 +57,7 @@
   private void runLogged(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) {
       log.stateChange("timer_task_failed", EventLog.field("cause", e.toString()));
     }
   }
@@ -81,8 +81,11 @@
       if (cancelled) {
         return;
       }
-      runLogged(task);
-      schedule();
+      try {
+        runLogged(task);
+      } finally {
+        schedule();
+      }
     }
 
     @Override
--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
@@ -120,4 +120,13 @@
     cache.onConfirmed(Moment.now(timer));
     assertThat(cache.keysAreCurrent()).isTrue();
   }
+
+  @Test
+  void anExceptionOfTheDecoderLeavesThePreviousConfigurationInForce() {
+    update("7");
+    update("raises an exception");
+    assertThat(version()).isEqualTo(7);
+    update("9");
+    assertThat(version()).isEqualTo(9);
+  }
 }
--- a/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/TableFollowerTest.java
@@ -26,6 +26,12 @@
   private final Deque<CompletableFuture<StoreRead>> calls = new ArrayDeque<>();
   private final TableFollower follower = follower(0);
 
+  /** Event whose delivery throws; empty for none. */
+  private String faultyEvent = "";
+
+  /** Whether calls of the store throw. */
+  private boolean faultyStore;
+
   private TableFollower follower(long batchDelayMillis) {
     return TableFollower.of(
         new ScriptedStore(),
@@ -64,6 +70,9 @@
     }
 
     private CompletableFuture<StoreRead> newPendingCall() {
+      if (faultyStore) {
+        throw new IllegalStateException("odd call");
+      }
       CompletableFuture<StoreRead> call = new CompletableFuture<>();
       calls.addLast(call);
       return call;
@@ -73,28 +82,36 @@
   private final class Recorder implements TableFollower.Subscriber {
     @Override
     public void onSnapshot(List<StoredRow> rows) {
-      events.add("snapshot " + rows.size());
+      deliver("snapshot " + rows.size());
     }
 
     @Override
     public void onUpdate(List<StoredRow> rows) {
-      events.add("update " + rows.size());
+      deliver("update " + rows.size());
     }
 
     @Override
     public void onConfirmed(Moment asOf) {
-      events.add("confirmed");
+      deliver("confirmed");
     }
 
     @Override
     public void onStoreReturned(StoreVersion version) {
-      events.add("returned");
+      deliver("returned");
     }
 
     @Override
     public void onStoreRecovered() {
-      events.add("store recovered");
+      deliver("store recovered");
+    }
+  }
+
+  private void deliver(String event) {
+    if (event.equals(faultyEvent)) {
+      events.add("fault of " + event);
+      throw new IllegalStateException("odd row");
     }
+    events.add(event);
   }
 
   private void answer(StoreRead read) {
@@ -218,4 +235,89 @@
     answer(page(5, 1));
     assertThat(events).contains("snapshot 1");
   }
+
+  @Test
+  void anExceptionWhileRowsAreAppliedLeadsToAFullReadAfterABackoff() {
+    long version = 5;
+    for (String event : List.of("snapshot 1", "update 1", "confirmed")) {
+      faultyEvent = event;
+      follower.restart();
+      calls.removeIf(call -> call != calls.getLast());
+      answer(page(version, 1));
+      if (event.equals("update 1")) {
+        answer(page(version + 2, 1));
+      }
+      assertThat(events).as(event).endsWith("fault of " + event);
+      timer.advance(1_000);
+      assertThat(events).as(event).endsWith("fault of " + event, "read");
+      faultyEvent = "";
+      answer(page(version + 4, 1));
+      assertThat(events)
+          .as(event)
+          .endsWith("snapshot 1", "confirmed", "changes since " + (version + 4));
+      version += 10;
+    }
+  }
+
+  @Test
+  void anExceptionAtTheStoresReturnLeadsToAFullRead() {
+    follower.restart();
+    answer(page(5, 1));
+    faultyEvent = "returned";
+    answer(new StoreRead.HistoryGone());
+    answer(pageOfNextEra());
+    timer.advance(1_000);
+    assertThat(events).endsWith("fault of returned", "read");
+    faultyEvent = "";
+    answer(pageOfNextEra());
+    assertThat(events).endsWith("returned", "snapshot 0", "confirmed", "changes since 3");
+  }
+
+  private static StoreRead pageOfNextEra() {
+    return new StoreRead.Page(new RowPage(List.of(), new StoreVersion(1, 3), 0));
+  }
+
+  @Test
+  void aRecoveryWhoseSignalFailedIsSignalledAgain() {
+    follower.restart();
+    answer(page(5, 1));
+    answer(new StoreRead.Failed("down"));
+    timer.advance(1_000);
+    faultyEvent = "store recovered";
+    answer(page(6, 1));
+    timer.advance(1_000);
+    faultyEvent = "";
+    answer(page(6, 1));
+    assertThat(events).endsWith("store recovered", "snapshot 1", "confirmed", "changes since 6");
+  }
+
+  @Test
+  void repeatedExceptionsAreSpreadByTheBackoff() {
+    faultyEvent = "snapshot 1";
+    follower.restart();
+    for (int i = 0; i < 200; i++) {
+      if (!calls.isEmpty()) {
+        answer(page(5, 1));
+      }
+      timer.advance(50);
+    }
+    assertThat(events.stream().filter("read"::equals).count()).isBetween(10L, 30L);
+  }
+
+  @Test
+  void aCallThatEndsWithAnExceptionLeadsToAFullReadAfterABackoff() {
+    follower.restart();
+    calls.removeFirst().completeExceptionally(new IllegalStateException("odd answer"));
+    timer.advance(1_000);
+    answer(page(5, 1));
+    calls.removeFirst().completeExceptionally(new IllegalStateException("odd answer"));
+    timer.advance(1_000);
+    answer(page(7, 1));
+    faultyStore = true;
+    answer(page(8, 1));
+    faultyStore = false;
+    timer.advance(1_000);
+    answer(page(9, 1));
+    assertThat(events).endsWith("snapshot 1", "confirmed", "changes since 9");
+  }
 }
--- a/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
@@ -31,6 +31,9 @@
 
     @Override
     public Decoded<Upstream> decodeUpstream(StoredRow row) {
+      if (row.text().equals("faulty")) {
+        throw new IllegalStateException("odd row");
+      }
       return row.text().equals("odd")
           ? new Decoded.Unusable<>("odd")
           : new Decoded.Value<>(
@@ -121,4 +124,12 @@
     registry.onUpdate(List.of(row("a", "odd")));
     assertThat(ready()).containsExactly("b");
   }
+
+  @Test
+  void anExceptionOfTheDecoderConcernsItsRowOnly() {
+    registry.onSnapshot(List.of(row("a", "ready"), row("f", "faulty"), row("b", "ready")));
+    assertThat(ready()).containsExactly("a", "b");
+    registry.onUpdate(List.of(row("f", "faulty"), row("c", "ready")));
+    assertThat(ready()).containsExactly("a", "b", "c");
+  }
 }
