An odd datagram is not taken for a report of another entry

Cause: numbers of a wrong type, beyond their range or wrapped were used; a version of the configuration of 2^63-1 from one datagram would have kept all entries from confirming theirs, so that keyed requests are refused.

Fix: each field is read with its type and range; a report with an unusable one is dropped and logged once. Counts are limited so that their sums do not overflow. The next report is scheduled before one is sent, so that a failure to send does not end the reports (without a test of its own).

--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerLink.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerLink.java
@@ -55,6 +55,7 @@
   private Channel channel;
   private long lastSequenceNumber;
   private boolean tooLargeLogged;
+  private boolean unreadableLogged;
 
   /**
    * What a new report contains.
@@ -122,12 +123,13 @@
 
   /**
    * Sends a report and schedules the next one. The period grows with the number of entries because
-   * every entry receives the reports of all others.
+   * every entry receives the reports of all others. The next one is scheduled first, so that a
+   * failure to send one does not end the reports.
    */
   private void sendAndSchedule() {
     List<InetSocketAddress> others = recipients();
-    send(others, lastSequenceNumber % (1 + others.size() / PEERS_PER_OMITTED_USAGE) == 0);
     timer.after(periodMillis(others.size()), this::sendAndSchedule);
+    send(others, lastSequenceNumber % (1 + others.size() / PEERS_PER_OMITTED_USAGE) == 0);
   }
 
   /**
@@ -180,11 +182,19 @@
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
       ByteBuf bytes = packet.content();
       PeerReport.parse(bytes.toString(StandardCharsets.UTF_8))
-          .ifPresent(
+          .ifPresentOrElse(
               received -> {
                 noteSender(packet.sender());
                 reports.accept(received);
-              });
+              },
+              () -> logUnreadable(packet.sender()));
+    }
+
+    private void logUnreadable(InetSocketAddress sender) {
+      if (!unreadableLogged) {
+        unreadableLogged = true;
+        log.stateChange("peer_report_unreadable", field("sender", sender));
+      }
     }
 
     @Override
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -1,6 +1,5 @@
 package org.limpetvale.forward.peer;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -14,6 +13,8 @@
 import java.util.Set;
 import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.placement.EngineModel;
+import org.limpetvale.forward.json.JsonFields;
+import org.limpetvale.forward.json.UnusableJsonException;
 
 /**
  * The state that one entry reports to the others. A later report replaces earlier ones.
@@ -58,6 +59,11 @@
   public static final long USAGE_OMITTED = -1;
 
   private static final double TENTHS = 10;
+  private static final String WINDOW_PATTERN = "-?\\d{1,12}";
+
+  /** Largest count that is used, far above what one entry reaches. */
+  private static final int MAX_COUNT = 1_000_000;
+
   private static final ObjectMapper JSON = JsonMapper.builder().build();
 
   // The JSON names are short because a report is sent to every other entry several times a second.
@@ -197,37 +203,51 @@
   /** Parses a report; empty if the text is not a valid report. */
   public static Optional<PeerReport> parse(String json) {
     try {
-      JsonNode node = JSON.readTree(json);
-      if (!node.path(WRITER).isTextual() || !node.path(NUMBER).isIntegralNumber()) {
-        return Optional.empty();
-      }
-      return Optional.of(
-          new PeerReport(
-              node.path(WRITER).asText(),
-              node.path(NUMBER).asLong(),
-              node.path(CLOCK_OFFSET).asLong(),
-              node.path(CLOSED_WINDOW).asLong(),
-              usage(node.path(USAGE)),
-              loads(node.path(LOADS)),
-              lists(node.path(PLACEMENTS)),
-              counts(node.path(WAITING)),
-              lists(node.path(CRASHES)),
-              engines(node.path(ENGINES)),
-              limits(node.path(LIMITS)),
-              startTimes(node.path(LEAVING)),
-              node.path(RELEASED_EPOCH).asLong(),
-              node.path(STORE_ERA).asLong(),
-              node.path(CONFIG_VERSION).asLong(NO_CONFIG)));
-    } catch (JsonProcessingException | NumberFormatException e) {
+      return Optional.of(read(JsonFields.parseObject(json)));
+    } catch (UnusableJsonException e) {
       return Optional.empty();
     }
   }
 
-  private static Map<Long, Map<String, Long>> usage(JsonNode node) {
+  private static PeerReport read(JsonNode node) throws UnusableJsonException {
+    return new PeerReport(
+        JsonFields.text(node, WRITER),
+        integer(node.path(NUMBER), NUMBER),
+        integer(node, CLOCK_OFFSET, 0),
+        integer(node, CLOSED_WINDOW, 0),
+        usage(JsonFields.object(node, USAGE)),
+        loads(JsonFields.object(node, LOADS)),
+        lists(JsonFields.object(node, PLACEMENTS)),
+        counts(JsonFields.object(node, WAITING)),
+        lists(JsonFields.object(node, CRASHES)),
+        engines(JsonFields.object(node, ENGINES)),
+        limits(JsonFields.object(node, LIMITS)),
+        startTimes(JsonFields.object(node, LEAVING)),
+        integer(node, RELEASED_EPOCH, 0),
+        integer(node, STORE_ERA, 0),
+        integer(node, CONFIG_VERSION, NO_CONFIG));
+  }
+
+  private static long integer(JsonNode node, String name, long defaultValue)
+      throws UnusableJsonException {
+    return JsonFields.isAbsent(node.path(name)) ? defaultValue : integer(node.path(name), name);
+  }
+
+  private static long integer(JsonNode value, String name) throws UnusableJsonException {
+    return JsonFields.number(value, name, -JsonFields.MAX_EXACT, JsonFields.MAX_EXACT);
+  }
+
+  private static Map<Long, Map<String, Long>> usage(JsonNode node) throws UnusableJsonException {
     Map<Long, Map<String, Long>> usage = new HashMap<>();
     for (Map.Entry<String, JsonNode> window : node.properties()) {
+      if (!window.getKey().matches(WINDOW_PATTERN)) {
+        throw new UnusableJsonException("a window is not a number");
+      }
       Map<String, Long> counts = new HashMap<>();
-      window.getValue().properties().forEach(e -> counts.put(e.getKey(), e.getValue().asLong()));
+      for (Map.Entry<String, JsonNode> each : window.getValue().properties()) {
+        counts.put(
+            each.getKey(), JsonFields.number(each.getValue(), USAGE, 0, JsonFields.MAX_EXACT));
+      }
       usage.put(Long.parseLong(window.getKey()), counts);
     }
     return usage;
@@ -241,11 +261,13 @@
         });
   }
 
-  private static Map<String, Set<String>> lists(JsonNode node) {
+  private static Map<String, Set<String>> lists(JsonNode node) throws UnusableJsonException {
     Map<String, Set<String>> lists = new HashMap<>();
     for (Map.Entry<String, JsonNode> each : node.properties()) {
       Set<String> values = new HashSet<>();
-      each.getValue().forEach(value -> values.add(value.asText()));
+      for (JsonNode value : each.getValue()) {
+        values.add(JsonFields.element(value, each.getKey()));
+      }
       lists.put(each.getKey(), values);
     }
     return lists;
@@ -258,12 +280,20 @@
     }
   }
 
-  private static Map<String, Integer> counts(JsonNode node) {
+  private static Map<String, Integer> counts(JsonNode node) throws UnusableJsonException {
     Map<String, Integer> counts = new HashMap<>();
-    node.properties().forEach(each -> counts.put(each.getKey(), each.getValue().asInt()));
+    for (Map.Entry<String, JsonNode> each : node.properties()) {
+      counts.put(each.getKey(), count(each.getValue(), WAITING));
+    }
     return counts;
   }
 
+  /** Returns a count, limited so that sums over all entries do not overflow. */
+  private static int count(JsonNode value, String name) throws UnusableJsonException {
+    long count = JsonFields.number(value, name, Integer.MIN_VALUE, Integer.MAX_VALUE);
+    return (int) Math.clamp(count, 0, MAX_COUNT);
+  }
+
   /** Writes the figures in tenths, rounded, because integers are shorter in JSON. */
   private void putEngines(ObjectNode node) {
     if (engines.isEmpty()) {
@@ -279,13 +309,17 @@
                 .add(Math.round(model.readingPauseMillis() * TENTHS)));
   }
 
-  private static Map<String, EngineModel> engines(JsonNode node) {
+  private static long tenths(JsonNode value) throws UnusableJsonException {
+    return JsonFields.number(value, ENGINES, Long.MIN_VALUE, Long.MAX_VALUE);
+  }
+
+  private static Map<String, EngineModel> engines(JsonNode node) throws UnusableJsonException {
     Map<String, EngineModel> engines = new HashMap<>();
     for (Map.Entry<String, JsonNode> each : node.properties()) {
-      double tokensPerMilli = each.getValue().path(0).asLong() / TENTHS;
+      double tokensPerMilli = tenths(each.getValue().path(0)) / TENTHS;
       if (tokensPerMilli > 0) {
-        double idleMillis = each.getValue().path(1).asLong() / TENTHS;
-        double readingMillis = each.getValue().path(2).asLong() / TENTHS;
+        double idleMillis = tenths(each.getValue().path(1)) / TENTHS;
+        double readingMillis = tenths(each.getValue().path(2)) / TENTHS;
         engines.put(each.getKey(), new EngineModel(tokensPerMilli, idleMillis, readingMillis));
       }
     }
@@ -306,16 +340,17 @@
                 .add(limit.startedMillis()));
   }
 
-  private static Map<String, Limit> limits(JsonNode node) {
+  private static Map<String, Limit> limits(JsonNode node) throws UnusableJsonException {
     Map<String, Limit> limits = new HashMap<>();
     for (Map.Entry<String, JsonNode> each : node.properties()) {
-      double requestsPerSecond = each.getValue().path(0).asDouble(NO_LIMIT);
-      long statedAtMillis = each.getValue().path(1).asLong();
+      double requestsPerSecond =
+          JsonFields.decimal(each.getValue().path(0), LIMITS, NO_LIMIT, Double.MAX_VALUE);
+      long statedAtMillis = integer(each.getValue().path(1), LIMITS);
       LimitNotice notice =
           requestsPerSecond >= 0
               ? LimitNotice.of(requestsPerSecond, statedAtMillis)
               : LimitNotice.ended(statedAtMillis);
-      limits.put(each.getKey(), new Limit(notice, each.getValue().path(2).asLong()));
+      limits.put(each.getKey(), new Limit(notice, integer(each.getValue().path(2), LIMITS)));
     }
     return limits;
   }
@@ -327,24 +362,26 @@
     }
   }
 
-  private static Map<String, Long> startTimes(JsonNode node) {
+  private static Map<String, Long> startTimes(JsonNode node) throws UnusableJsonException {
     Map<String, Long> startTimes = new HashMap<>();
-    node.properties().forEach(each -> startTimes.put(each.getKey(), each.getValue().asLong()));
+    for (Map.Entry<String, JsonNode> each : node.properties()) {
+      startTimes.put(each.getKey(), integer(each.getValue(), LEAVING));
+    }
     return startTimes;
   }
 
-  private static Map<String, Load> loads(JsonNode node) {
+  private static Map<String, Load> loads(JsonNode node) throws UnusableJsonException {
     Map<String, Load> loads = new HashMap<>();
     for (Map.Entry<String, JsonNode> each : node.properties()) {
       JsonNode values = each.getValue();
       loads.put(
           each.getKey(),
           new Load(
-              values.path(0).asInt(),
-              values.path(1).asInt(),
-              values.path(2).asInt(),
-              values.path(3).asInt(),
-              values.path(4).asInt()));
+              count(values.path(0), LOADS),
+              count(values.path(1), LOADS),
+              count(values.path(2), LOADS),
+              count(values.path(3), LOADS),
+              count(values.path(4), LOADS)));
     }
     return loads;
   }
