A refusal written twice on a kept connection is not taken for the next answer

What callers saw: "not run, try again" (503) for requests that had run or were running, and requests that may not be repeated ran at a second upstream. An upstream wrote a refusal once more on a kept connection, without its id.

Cause: UpstreamConnection.readHead took an answer without an id for the one expected. Class: an answer is matched to its request by its place on the connection, which an upstream can shift. Two further ways to the same end were found: a request that uses the id of an earlier one on the connection, and a request without an id, which any answer matches.

Ruled out: copies with the id of another request and whole messages in the same read as the answer were skipped or closed the connection before this change too.

Fix: on a kept connection only an answer with the request's id is its answer; others are skipped. On a new connection an answer without an id is passed on and the connection closed after it, but if it states "not run" (408, 421, 429, 503 or the header) it is spoiled: the request may have run. A request without an id, or whose id the connection has carried, gets a new connection; a connection is closed after 256 requests, so that it can remember all ids. A byte on an idle connection closes it. Why it works: the id is all that tells two answers apart, and no two requests of a connection now share one.

--- a/forward/src/main/java/org/limpetvale/forward/http/ReceiveLimit.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/ReceiveLimit.java
@@ -35,6 +35,11 @@
     receivedBytes = 0;
   }
 
+  /** Allows no bytes at all until {@link #recordProgress}, as while no response is expected. */
+  public void allowNone() {
+    receivedBytes = maxBytes;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     long before = receivedBytes;
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -258,6 +258,7 @@
         .upstreamPool()
         .acquire(
             upstream,
+            head.requestId(),
             route().isRetryable(),
             lease -> {
               state.release(uncachedTokens);
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseExpectation.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseExpectation.java
@@ -10,7 +10,7 @@
 /**
  * What a request says about its response.
  *
- * @param requestId the id that the response repeats
+ * @param requestId the id that the response repeats; empty if the request has none
  * @param streaming whether the route's successful responses are event streams
  * @param resumedAfter id of the event that a resumed stream goes on behind
  * @param continuesStream whether the caller asks for the events after a given one, so that none may
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -14,8 +14,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.limpetvale.core.time.TimerService;
@@ -28,8 +30,9 @@
 /**
  * One connection to an upstream, with at most one request in progress.
  *
- * <p>Responses to other requests are discarded. After a response, the connection is released only
- * once everything read together with it is known to belong to it.
+ * <p>Responses to other requests are discarded: those with another id and, except on a new
+ * connection, those without one. After a response, the connection is released only once everything
+ * read together with it is known to belong to it. Bytes that arrive while it is idle close it.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
@@ -47,6 +50,9 @@
    */
   private static final int MAX_SKIPPED_RESPONSES = 16;
 
+  /** Requests after which a connection is closed, which bounds the ids that it remembers. */
+  private static final int MAX_REQUESTS = 256;
+
   /** Maximum time from the header to the end of a response to another request. */
   private static final long MAX_SKIP_MILLIS = 1_000;
 
@@ -55,6 +61,14 @@
   private final HeaderCodec dialect;
   private final TimerService timer;
   private final Owner owner;
+
+  /**
+   * Hashes of the ids of all requests sent. A response to one of them may still arrive, so another
+   * request with its id needs another connection.
+   */
+  private final Set<Integer> sentIdHashes = new HashSet<>();
+
+  private int sentRequests;
   private ResponseListener listener;
   private ResponseExpectation expectation;
 
@@ -65,6 +79,7 @@
   private TimerService.Subscription skipTimeout = () -> {};
   private ResponseLimits limits;
   private boolean responseKeepsAlive;
+  private boolean identified;
   private boolean framedByLength;
   private boolean requestWritten;
 
@@ -111,6 +126,8 @@
       ResponseListener responseSink) {
     listener = responseSink;
     expectation = expected;
+    sentRequests++;
+    sentIdHashes.add(expected.requestId().hashCode());
     skipping = false;
     skippedResponses = 0;
     receiveLimit.recordProgress();
@@ -163,6 +180,11 @@
     return channel.isActive() && listener == null && idleMillis() <= safeIdleMillis;
   }
 
+  /** Returns whether the response to a request could be told apart from all earlier ones. */
+  boolean canIdentify(String requestId) {
+    return !requestId.isEmpty() && !sentIdHashes.contains(requestId.hashCode());
+  }
+
   /** Returns the time since the last response. */
   long idleMillis() {
     return timer.nowMillis() - idleSinceMillis;
@@ -219,12 +241,16 @@
     }
     ResponseHead head = dialect.decodeResponse(response.status().code(), response.headers());
     skipping =
-        response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            || (!head.requestId().isEmpty() && !head.requestId().equals(expectation.requestId()));
+        response.status().codeClass() == HttpStatusClass.INFORMATIONAL || isToAnotherRequest(head);
     if (skipping) {
       skip(response);
       return;
     }
+    identified = !head.requestId().isEmpty();
+    if (!identified && isUnprovenRefusal(response, head)) {
+      fail(ResponseListener.FailureReason.SPOILED, "a refusal without the request's id");
+      return;
+    }
     receiveLimit.recordProgress();
     limits = ResponseLimits.of(response, expectation.isEventStream(response));
     responseStarted = true;
@@ -235,6 +261,22 @@
     listener.onHead(response, head);
   }
 
+  /**
+   * Returns whether a response is not to the request in progress. Without an id it is taken for
+   * that only if there was no earlier request that it could belong to.
+   */
+  private boolean isToAnotherRequest(ResponseHead head) {
+    return head.requestId().isEmpty()
+        ? sentRequests > 1
+        : !head.requestId().equals(expectation.requestId());
+  }
+
+  /** Returns whether a response without an id denies the execution of a request that has one. */
+  private boolean isUnprovenRefusal(HttpResponse response, ResponseHead head) {
+    return !expectation.requestId().isEmpty()
+        && (head.notExecuted() || StatusCodes.promisesNotRun(response.status().code()));
+  }
+
   /** Skips a response other than the expected one, within limits on number and time. */
   private void skip(HttpResponse response) {
     skippedResponses++;
@@ -324,15 +366,24 @@
 
   private void release() {
     responseStarted = false;
-    if (!responseKeepsAlive || !framedByLength || !requestWritten) {
+    if (!canServeAnother()) {
       channel.close();
       return;
     }
     idleSinceMillis = timer.nowMillis();
+    receiveLimit.allowNone();
     channel.config().setAutoRead(true);
     owner.onReusable(this);
   }
 
+  private boolean canServeAnother() {
+    return responseKeepsAlive
+        && framedByLength
+        && requestWritten
+        && identified
+        && sentRequests < MAX_REQUESTS;
+  }
+
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
     if (event instanceof ChannelInputShutdownEvent) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
@@ -10,6 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
@@ -71,10 +72,12 @@
    * Acquires a connection to an upstream.
    *
    * @param upstream the upstream
+   * @param requestId id of the request; empty if it has none, for which a new connection is used
    * @param mayRepeat whether the request may be sent again if the connection turns out to be closed
    * @param callback receives the outcome, now or later
    */
-  void acquire(Upstream upstream, boolean mayRepeat, Consumer<AcquireResult> callback) {
+  void acquire(
+      Upstream upstream, String requestId, boolean mayRepeat, Consumer<AcquireResult> callback) {
     IdleConnections connections =
         idleByUpstreamId.computeIfAbsent(upstream.id(), id -> new IdleConnections(upstream));
     if (!connections.upstream.isSameProcess(upstream)) {
@@ -83,7 +86,8 @@
       idleByUpstreamId.put(upstream.id(), connections);
     }
     UpstreamConnection idle =
-        connections.take(mayRepeat ? Long.MAX_VALUE : MAX_IDLE_MILLIS_FOR_NON_REPEATABLE);
+        connections.take(
+            requestId, mayRepeat ? Long.MAX_VALUE : MAX_IDLE_MILLIS_FOR_NON_REPEATABLE);
     if (idle != null) {
       callback.accept(new AcquireResult.Connected(idle));
       return;
@@ -155,20 +159,22 @@
     }
 
     /**
-     * Takes the most recently used connection; returns null if it has been idle for longer than the
-     * limit or there is none.
+     * Takes the most recently used connection that can identify the response; returns null if it
+     * has been idle for longer than the limit or there is none.
      */
-    UpstreamConnection take(long maxIdleMillis) {
-      while (!idle.isEmpty()) {
-        UpstreamConnection connection = idle.getLast();
-        if (connection.isUsable() && connection.idleMillis() > maxIdleMillis) {
+    UpstreamConnection take(String requestId, long maxIdleMillis) {
+      Iterator<UpstreamConnection> newestFirst = idle.descendingIterator();
+      while (newestFirst.hasNext()) {
+        UpstreamConnection connection = newestFirst.next();
+        if (!connection.isUsable()) {
+          newestFirst.remove();
+          connection.close();
+        } else if (connection.idleMillis() > maxIdleMillis) {
           return null;
-        }
-        idle.removeLast();
-        if (connection.isUsable()) {
+        } else if (connection.canIdentify(requestId)) {
+          newestFirst.remove();
           return connection;
         }
-        connection.close();
       }
       return null;
     }
--- a/forward/src/test/java/org/limpetvale/forward/http/ReceiveLimitTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/http/ReceiveLimitTest.java
@@ -34,4 +34,13 @@
     receive(1);
     assertThat(channel.inboundMessages()).hasSize(1);
   }
+
+  @Test
+  void whereNoBytesAreAllowedTheFirstIsReported() {
+    limit.allowNone();
+    assertThatThrownBy(() -> receive(1)).isInstanceOf(TooLongFrameException.class);
+    limit.recordProgress();
+    receive(MAX_BYTES);
+    assertThat(channel.inboundMessages()).hasSize(1);
+  }
 }
