An extra answer of the store or the platform is not taken for that of the next call

What could be seen: a call to the store or the duty platform got the answer of the call before it (a repeated 412 or 200 of a transaction, rows of another table, a 200 for a usage report that was not taken).

Cause: HttpCaller reused connections, and these calls and answers carry no id.

Weighed: a check of bytes on idle connections and behind the answer in the same read leaves the copy that is written after the next call was sent. A connection for each call leaves nothing, but on a link that loses packets each call would wait for a handshake. Taken: a connection for each call, and one opened in advance with each call for the next one; a byte on it before its call closes it. Not measured: connections at the store under load, calls on links with loss.

--- a/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/HttpCaller.java
@@ -22,20 +22,21 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
- * A client of one HTTP server that reuses connections, with one call at a time on each.
+ * A client of one HTTP server, with a connection for each call.
  *
- * <p>A connection with an abandoned call is reset, so that bytes that are still in transit are
- * discarded instead of arriving late. All methods must only be used on the event loop.
+ * <p>Answers carry nothing that tells to which call they belong, so an extra answer on a reused
+ * connection would be taken for that of the next call. With each call, a connection is opened in
+ * advance for the next one, which then does not wait for it. A connection with an abandoned call is
+ * reset. All methods must only be used on the event loop.
  */
 public final class HttpCaller {
   private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
@@ -43,11 +44,13 @@
   /** Maximum size of a response including its header and any bytes before it. */
   private static final long MAX_RECEIVED_BYTES = MAX_RESPONSE_BYTES + 256L * 1024;
 
-  private static final int MAX_IDLE_CONNECTIONS = 4;
-
   private final Transport transport;
   private final InetSocketAddress address;
-  private final Deque<Connection> idle = new ArrayDeque<>();
+
+  /** The connection for the next call, until it is used or closed. */
+  private Optional<Connection> spare = Optional.empty();
+
+  private boolean openingSpare;
 
   private HttpCaller(Transport transport, InetSocketAddress address) {
     this.transport = Objects.requireNonNull(transport, "transport is null");
@@ -67,54 +70,66 @@
    */
   public CompletableFuture<HttpResult> call(HttpCall call) {
     CompletableFuture<HttpResult> reply = new CompletableFuture<>();
-    Connection kept = takeIdle();
-    if (kept != null) {
-      kept.send(call, reply);
-    } else {
-      connect(call, reply);
-    }
+    Optional<Connection> opened = spare.filter(each -> each.channel.isActive());
+    spare = Optional.empty();
+    opened.ifPresentOrElse(each -> each.send(call, reply), () -> connect(call, reply));
+    openSpare();
     return reply;
   }
 
-  private Connection takeIdle() {
-    while (!idle.isEmpty()) {
-      Connection connection = idle.removeLast();
-      if (connection.channel.isActive()) {
-        return connection;
-      }
-    }
-    return null;
-  }
-
   private void connect(HttpCall call, CompletableFuture<HttpResult> reply) {
-    ChannelFuture connecting =
-        transport
-            .clientBootstrap()
-            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-            .handler(
-                new ChannelInitializer<>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    ReceiveLimit received = ReceiveLimit.of(MAX_RECEIVED_BYTES);
-                    channel
-                        .pipeline()
-                        .addLast(received)
-                        .addLast(new HttpClientCodec())
-                        .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
-                        .addLast(new Connection(channel, received));
-                  }
-                })
-            .connect(address);
+    ChannelFuture connecting = connect();
     connecting.addListener(
         done -> {
           if (!done.isSuccess()) {
             reply.complete(new HttpResult.NotSent("not connected: " + done.cause()));
             return;
           }
-          connecting.channel().pipeline().get(Connection.class).send(call, reply);
+          connection(connecting).send(call, reply);
+        });
+  }
+
+  /** Opens a connection for the next call. If that fails, the call opens its own. */
+  private void openSpare() {
+    if (openingSpare) {
+      return;
+    }
+    openingSpare = true;
+    ChannelFuture connecting = connect();
+    connecting.addListener(
+        done -> {
+          openingSpare = false;
+          if (done.isSuccess()) {
+            spare = Optional.of(connection(connecting));
+          }
         });
   }
 
+  private static Connection connection(ChannelFuture connected) {
+    return connected.channel().pipeline().get(Connection.class);
+  }
+
+  private ChannelFuture connect() {
+    return transport
+        .clientBootstrap()
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .handler(
+            new ChannelInitializer<>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                ReceiveLimit received = ReceiveLimit.of(MAX_RECEIVED_BYTES);
+                received.allowNone();
+                channel
+                    .pipeline()
+                    .addLast(received)
+                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+                    .addLast(new Connection(channel, received));
+              }
+            })
+        .connect(address);
+  }
+
   private FullHttpRequest request(HttpCall call) {
     ByteBuf body = Unpooled.copiedBuffer(call.body(), StandardCharsets.UTF_8);
     FullHttpRequest request =
@@ -129,7 +144,7 @@
     return request;
   }
 
-  /** A connection with at most one call in progress. */
+  /** A connection for one call. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final Channel channel;
     private final ReceiveLimit received;
@@ -169,13 +184,8 @@
         return;
       }
       String body = response.content().toString(StandardCharsets.UTF_8);
-      boolean keep = HttpUtil.isKeepAlive(response);
       CompletableFuture<HttpResult> waiting = finish();
-      if (keep && idle.size() < MAX_IDLE_CONNECTIONS) {
-        idle.addLast(this);
-      } else {
-        channel.close();
-      }
+      channel.close();
       waiting.complete(new HttpResult.Response(response.status().code(), headers(response), body));
     }
 
@@ -212,7 +222,7 @@
     }
 
     private void completeLost(String detail) {
-      idle.remove(this);
+      spare = spare.filter(each -> each != this);
       if (reply != null) {
         finish().complete(new HttpResult.NoResponse(detail));
       }
