--- a/ports/src/main/java/org/limpetvale/ports/http/JsonHttpClient.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/JsonHttpClient.java
@@ -16,27 +16,23 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
-import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 
-/** Sends JSON over HTTP to one service of the platform. It never retries a call. */
+/**
+ * Sends JSON over HTTP to one service of the platform. It never retries a call, and opens a
+ * connection for each: on a reused one, an extra answer would be taken for that of the next call.
+ */
 public final class JsonHttpClient {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int MAX_CONNECTIONS = 32;
   private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
   private final CloseableHttpClient client;
-  private final PoolingHttpClientConnectionManager connections;
   private final String baseUrl;
   private final String processName;
 
-  private JsonHttpClient(
-      CloseableHttpClient client,
-      PoolingHttpClientConnectionManager connections,
-      String baseUrl,
-      String processName) {
+  private JsonHttpClient(CloseableHttpClient client, String baseUrl, String processName) {
     this.client = client;
-    this.connections = connections;
     this.baseUrl = baseUrl;
     this.processName = processName;
   }
@@ -67,7 +63,6 @@
         ConnectionConfig.custom()
             .setConnectTimeout(Timeout.ofMilliseconds(CONNECT_TIMEOUT_MILLIS))
             .setSocketTimeout(Timeout.ofMilliseconds(timeoutMillis))
-            .setValidateAfterInactivity(Timeout.ofMilliseconds(CONNECT_TIMEOUT_MILLIS))
             .build();
     PoolingHttpClientConnectionManager connections =
         PoolingHttpClientConnectionManagerBuilder.create()
@@ -79,6 +74,7 @@
         HttpClients.custom()
             .disableAutomaticRetries()
             .disableCookieManagement()
+            .setConnectionReuseStrategy((request, response, context) -> false)
             .setConnectionManager(connections)
             .setDefaultRequestConfig(
                 RequestConfig.custom()
@@ -86,7 +82,7 @@
                     .setConnectionRequestTimeout(Timeout.ofMilliseconds(timeoutMillis))
                     .build())
             .build();
-    return new JsonHttpClient(client, connections, baseUrl, processName);
+    return new JsonHttpClient(client, baseUrl, processName);
   }
 
   /**
@@ -121,8 +117,6 @@
     } catch (ConnectException e) {
       return new Response.NotReached(String.valueOf(e.getMessage()));
     } catch (IOException e) {
-      // The idle connections of the pool may be dead as well.
-      connections.closeIdle(TimeValue.ZERO_MILLISECONDS);
       return new Response.Lost(e.getClass().getSimpleName() + ": " + e.getMessage());
     }
   }
--- a/sidecar/src/main/java/org/limpetvale/sidecar/HttpOrderExecutor.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/HttpOrderExecutor.java
@@ -51,7 +51,7 @@
           MAPPER.writeValueAsString(new LoadOrder(model, request.getEpoch(), request.getOrderId()));
       post.setEntity(new StringEntity(body, ContentType.APPLICATION_JSON));
       boolean loaded =
-          http.singleUse()
+          http.client()
               .execute(
                   post,
                   response -> {
--- a/sidecar/src/main/java/org/limpetvale/sidecar/ModelRunner.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/ModelRunner.java
@@ -131,7 +131,7 @@
     request.setHeader("X-Request-Id", attempt.open().getRequestId());
     attempt.onAbort(request::cancel);
     try {
-      return http.pooled().execute(request, response -> read(response, attempt, progress));
+      return http.client().execute(request, response -> read(response, attempt, progress));
     } catch (ConnectException e) {
       upstream.markDown();
       return new CallResult.NotConnected(String.valueOf(e.getMessage()));
--- a/sidecar/src/main/java/org/limpetvale/sidecar/ServiceRunner.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/ServiceRunner.java
@@ -8,7 +8,6 @@
 import java.util.Objects;
 import java.util.Set;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
-import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ContentType;
@@ -42,13 +41,11 @@
     if (!call.getBody().isEmpty()) {
       request.setEntity(new ByteArrayEntity(call.getBody().toByteArray(), contentType(call)));
     }
-    boolean repeatable = attempt.open().getRepeatable();
-    if (repeatable) {
+    if (attempt.open().getRepeatable()) {
       attempt.onAbort(request::cancel);
     }
-    CloseableHttpClient client = repeatable ? http.pooled() : http.singleUse();
     try {
-      ServiceAnswer answer = client.execute(request, this::answer);
+      ServiceAnswer answer = http.client().execute(request, this::answer);
       attempt.serviceAnswer(answer);
       attempt.finished(0, 0, 0, "answered");
     } catch (ConnectException e) {
--- a/sidecar/src/main/java/org/limpetvale/sidecar/UpstreamHttpClient.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/UpstreamHttpClient.java
@@ -9,24 +9,23 @@
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
-import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 
-/** HTTP client for the upstream of this sidecar. */
+/**
+ * HTTP client for the upstream of this sidecar. It opens a connection for each call: a connection
+ * of a pool may be dead, and an extra answer on it would be taken for that of the next call.
+ */
 final class UpstreamHttpClient {
   private static final int MAX_CONNECTIONS = 8192;
   private static final long CONNECT_TIMEOUT_MILLIS = 500;
   private static final long HEALTH_CHECK_TIMEOUT_MILLIS = 500;
   private static final int OK = 200;
 
-  private final CloseableHttpClient pooled;
-  private final CloseableHttpClient singleUse;
+  private final CloseableHttpClient client;
   private final String baseUrl;
 
-  private UpstreamHttpClient(
-      CloseableHttpClient client, CloseableHttpClient singleUse, String baseUrl) {
-    this.pooled = client;
-    this.singleUse = singleUse;
+  private UpstreamHttpClient(CloseableHttpClient client, String baseUrl) {
+    this.client = client;
     this.baseUrl = baseUrl;
   }
 
@@ -37,23 +36,12 @@
    * @param readTimeoutMillis read timeout, in milliseconds
    */
   static UpstreamHttpClient of(String baseUrl, long readTimeoutMillis) {
-    return new UpstreamHttpClient(
-        pooled(readTimeoutMillis, TimeValue.ofMinutes(1)),
-        pooled(readTimeoutMillis, TimeValue.ZERO_MILLISECONDS),
-        baseUrl);
+    return new UpstreamHttpClient(singleUse(readTimeoutMillis), baseUrl);
   }
 
-  /** Returns the client that reuses connections, for calls that may be retried. */
-  CloseableHttpClient pooled() {
-    return pooled;
-  }
-
-  /**
-   * Returns the client that opens a new connection for each call. Calls that must not be retried
-   * use it, so that none of them is sent on a dead connection of the pool.
-   */
-  CloseableHttpClient singleUse() {
-    return singleUse;
+  /** Returns the client that sends the calls. */
+  CloseableHttpClient client() {
+    return client;
   }
 
   String url(String path) {
@@ -68,7 +56,7 @@
             .setResponseTimeout(Timeout.of(HEALTH_CHECK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
             .build());
     try {
-      return singleUse.execute(
+      return client.execute(
           request,
           response -> {
             EntityUtils.consume(response.getEntity());
@@ -79,20 +67,18 @@
     }
   }
 
-  private static CloseableHttpClient pooled(long readTimeoutMillis, TimeValue timeToLive) {
+  private static CloseableHttpClient singleUse(long readTimeoutMillis) {
     ConnectionConfig connection =
         ConnectionConfig.custom()
             .setConnectTimeout(Timeout.ofMilliseconds(CONNECT_TIMEOUT_MILLIS))
             .setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMillis))
-            .setTimeToLive(timeToLive)
             .build();
     return HttpClients.custom()
         .disableAutomaticRetries()
         .disableRedirectHandling()
         .disableCookieManagement()
         .disableContentCompression()
-        .setConnectionReuseStrategy(
-            (request, response, context) -> timeToLive.compareTo(TimeValue.ZERO_MILLISECONDS) > 0)
+        .setConnectionReuseStrategy((request, response, context) -> false)
         .setConnectionManager(
             PoolingHttpClientConnectionManagerBuilder.create()
                 .setDefaultConnectionConfig(connection)
