A confirmation from an older copy is taken back, and the fleet's time stays at a return

Now keys are not current while another entry tells a newer version within 10 s of a return or of a start beside one; a running entry uses a confirmation from the copy only when its last one is about to expire, or when the configuration was written again; and the clock keeps its last correction until the others have reported in the new era.

--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
@@ -28,6 +28,12 @@
 
   private static final long NO_VERSION = -1;
 
+  /** Time before the last confirmation expires at which one from an older copy takes its place. */
+  private static final long EARLY_CONFIRMATION_MILLIS = 700;
+
+  /** Time after a return in which the newest version may be known to other entries only. */
+  private static final long RECENT_RETURN_MILLIS = 10_000;
+
   /** Time within which running entries tell which version they have in force. */
   public static final long PEER_WORD_MILLIS = 1_200;
 
@@ -47,6 +53,8 @@
 
   private Optional<Moment> withheldAsOf = Optional.empty();
   private long withheldUntilMillis = Long.MIN_VALUE;
+  private long returnedAtMillis = Long.MIN_VALUE / 2;
+
   /** Version of the last row that could not be used. */
   private StoreVersion unusableVersion = StoreVersion.NONE;
 
@@ -112,7 +120,14 @@
       reportDrift(driftMillis);
       return false;
     }
-    return confirmedAgeMillis() < revocationLimitMillis - REQUEST_MARGIN_MILLIS;
+    return confirmedAgeMillis() < revocationLimitMillis - REQUEST_MARGIN_MILLIS
+        && !mayBeConfirmedFromOlderCopy();
+  }
+
+  /** Another entry may tell a newer version only after one of an older copy was confirmed. */
+  private boolean mayBeConfirmedFromOlderCopy() {
+    return timer.nowMillis() - returnedAtMillis < RECENT_RETURN_MILLIS
+        && newestPeerVersion.getAsLong() > version();
   }
 
   @Override
@@ -127,6 +142,9 @@
 
   @Override
   public void onUpdate(List<StoredRow> rows) {
+    if (rows.stream().anyMatch(row -> !row.removed() && decoder.isConfig(row))) {
+      withheldUntilMillis = timer.nowMillis();
+    }
     rows.forEach(this::apply);
   }
 
@@ -141,7 +159,8 @@
    * version.
    */
   public void withholdConfirmations(long millis) {
-    withheldUntilMillis = timer.nowMillis() + millis;
+    returnedAtMillis = timer.nowMillis();
+    withheldUntilMillis = returnedAtMillis + millis;
     timer.after(millis, this::confirmWithheld);
   }
 
@@ -185,6 +204,8 @@
 
   @Override
   public void onStoreReturned(StoreVersion storeVersion) {
+    long validMillis = revocationLimitMillis - REQUEST_MARGIN_MILLIS - confirmedAgeMillis();
+    withholdConfirmations(Math.max(0, validMillis - EARLY_CONFIRMATION_MILLIS));
     log.stateChange(
         "config_kept_over_older_copy", field("version", version()), field("store", storeVersion));
   }
--- a/forward/src/main/java/org/limpetvale/forward/time/FleetClock.java
+++ b/forward/src/main/java/org/limpetvale/forward/time/FleetClock.java
@@ -27,6 +27,9 @@
   private long offsetMillis;
   private List<Long> peerOffsets = List.of();
 
+  /** Difference between the last median and this entry's own offset. */
+  private long correctionMillis;
+
   private FleetClock(TimerService timer) {
     this.timer = Objects.requireNonNull(timer, "timer is null");
   }
@@ -72,9 +75,16 @@
     wallAtSyncMillis = wallMillis;
   }
 
-  /** Sets the offsets determined by the other entries, in milliseconds. */
+  /**
+   * Sets the offsets determined by the other entries, in milliseconds. Without any, as just after
+   * the store's clock may have gone back, the difference between this entry's offset and the last
+   * median stays.
+   */
   public void setPeerOffsets(Collection<Long> offsets) {
     peerOffsets = List.copyOf(offsets);
+    if (!offsets.isEmpty()) {
+      correctionMillis = medianOffset() - offsetMillis;
+    }
   }
 
   /** Returns the offset determined by this entry; 0 before the store's first response. */
@@ -92,6 +102,9 @@
   }
 
   private long medianOffset() {
+    if (peerOffsets.isEmpty()) {
+      return offsetMillis + correctionMillis;
+    }
     List<Long> sorted =
         Stream.concat(Stream.of(offsetMillis), peerOffsets.stream()).sorted().toList();
     return sorted.get((sorted.size() - 1) / 2);
--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
@@ -74,7 +74,7 @@
   @Test
   void anEntryThatHasJustStartedConfirmsKeysOnlyWhenTheOthersHadTimeToTellTheirVersions() {
     cache.withholdConfirmations(ConfigCache.PEER_WORD_MILLIS);
-    update("7");
+    cache.onSnapshot(List.of(new StoredRow("config", "7", StoreVersion.of(1), false)));
     Moment sent = Moment.now(timer);
     cache.onConfirmed(sent);
     assertThat(cache.keysAreCurrent()).isFalse();
@@ -83,6 +83,36 @@
     assertThat(cache.confirmedAgeMillis()).isEqualTo(ConfigCache.PEER_WORD_MILLIS);
   }
 
+  @Test
+  void aConfirmationFromAnOlderCopyIsUsedOnlyWhenTheLastOneIsAboutToExpire() {
+    update("7");
+    cache.onConfirmed(Moment.now(timer));
+    cache.onStoreReturned(new StoreVersion(1, 3));
+    cache.onConfirmed(Moment.now(timer));
+    for (int i = 0; i < 8; i++) {
+      assertThat(cache.keysAreCurrent()).isTrue();
+      timer.advance(1_000);
+      cache.onConfirmed(Moment.now(timer));
+    }
+  }
+
+  @Test
+  void aConfirmationFromAnOlderCopyIsTakenBackWhenAnotherEntryTellsANewerVersion() {
+    long[] peerVersion = {-1};
+    cache.setNewestPeerVersion(() -> peerVersion[0]);
+    cache.withholdConfirmations(ConfigCache.PEER_WORD_MILLIS);
+    update("4");
+    timer.advance(ConfigCache.PEER_WORD_MILLIS);
+    cache.onConfirmed(Moment.now(timer));
+    assertThat(cache.keysAreCurrent()).isTrue();
+    timer.advance(300);
+    peerVersion[0] = 5;
+    assertThat(cache.keysAreCurrent()).isFalse();
+    update("5");
+    cache.onConfirmed(Moment.now(timer));
+    assertThat(cache.keysAreCurrent()).isTrue();
+  }
+
   @Test
   void aReturnOfTheStoreDoesNotDelayTheConfirmationOfARunningEntry() {
     update("7");
--- a/forward/src/test/java/org/limpetvale/forward/time/FleetClockTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/time/FleetClockTest.java
@@ -41,6 +41,17 @@
     assertThat(clock.millis()).isEqualTo(startMillis);
   }
 
+  @Test
+  void aVmWithAWrongClockKeepsTheFleetsTimeWhileNoOtherEntryHasReported() {
+    timer.stepWall(40_000);
+    sync(50_000);
+    long correctOffset = clock.ownOffsetMillis() - 40_000;
+    clock.setPeerOffsets(List.of(correctOffset, correctOffset + 1));
+    clock.setPeerOffsets(List.of());
+    sync(10);
+    assertThat(clock.millis()).isEqualTo(startMillis + 1);
+  }
+
   @Test
   void theStoreCorrectsTheTimeAfterASuspension() {
     sync(50_000);
