--- a/core/src/main/java/org/limpetvale/core/lease/LeaseView.java
+++ b/core/src/main/java/org/limpetvale/core/lease/LeaseView.java
@@ -36,6 +36,12 @@
    */
   private static final double HOLDER_SHARE = 0.7;
 
+  /**
+   * Part of the lease duration that is left out where its full length decides. A VM may have been
+   * suspended for this long without being noticed.
+   */
+  private static final long CLOCK_MARGIN_MILLIS = 400;
+
   public LeaseView {
     Objects.requireNonNull(row, "row is null");
     Objects.requireNonNull(revision, "revision is null");
@@ -52,7 +58,7 @@
     boolean olderCopy =
         revision.filter(each -> each.isOfEarlierEraThan(readRevision)).isPresent()
             && !isOfEra(read, readRevision.era());
-    boolean wasLastHolder = heldUntilMillis > 0 && nowMillis < expiresAtMillis();
+    boolean wasLastHolder = heldUntilMillis > 0 && isExclusiveAt(nowMillis);
     return new LeaseView(
         read,
         Optional.of(readRevision),
@@ -63,16 +69,27 @@
 
   /**
    * Returns the view after this process wrote the row. A renewal that was sent in an earlier era
-   * and took effect in the current one shows that no other process has taken the lease since.
+   * and took effect in the current one shows that no other process has taken the lease since, if
+   * its answer comes before the lease would have expired.
+   *
+   * @param sentMillis when the write was sent
+   * @param nowMillis when its answer has come
    */
-  public LeaseView afterWrite(LeaseRow written, StoreVersion newRevision, long sentMillis) {
+  public LeaseView afterWrite(
+      LeaseRow written, StoreVersion newRevision, long sentMillis, long nowMillis) {
+    boolean renewal = heldUntilMillis > 0 && epoch() == written.epoch();
     long held = sentMillis + Math.round(written.durationMillis() * HOLDER_SHARE);
     return new LeaseView(
         Optional.of(written),
         Optional.of(newRevision),
         sentMillis,
         written.holder().isEmpty() ? 0 : held,
-        !isOfEra(Optional.of(written), newRevision.era()));
+        !isOfEra(Optional.of(written), newRevision.era()) && renewal && isExclusiveAt(nowMillis));
+  }
+
+  /** Returns whether no other process can have taken the lease that this process wrote last. */
+  private boolean isExclusiveAt(long nowMillis) {
+    return nowMillis + CLOCK_MARGIN_MILLIS < expiresAtMillis();
   }
 
   private static boolean isOfEra(Optional<LeaseRow> row, long era) {
@@ -112,6 +129,15 @@
     return unchangedSinceMillis + rowDurationMillis();
   }
 
+  /**
+   * Returns the time at which this process may take the lease unless its row changes.
+   *
+   * @param durationMillis usual lease duration, for a row that an older copy lacks
+   */
+  public long takeableAtMillis(long durationMillis) {
+    return unchangedSinceMillis + waitMillis(durationMillis);
+  }
+
   /** A row that the copy lacks may have existed, with the usual duration. */
   private long waitMillis(long durationMillis) {
     return row.isPresent() ? rowDurationMillis() : durationMillis;
@@ -164,7 +190,7 @@
       return Optional.of(new LeaseRow(duty, self, epoch(), durationMillis, token));
     }
     boolean released = isOfCurrentEra() && (row.isEmpty() || isHeldBy(""));
-    boolean expired = nowMillis >= unchangedSinceMillis + waitMillis(durationMillis);
+    boolean expired = nowMillis >= takeableAtMillis(durationMillis);
     return released || expired || lastHolderOfEarlierEra
         ? Optional.of(
             new LeaseRow(duty, self, FencingToken.next(epoch(), era()), durationMillis, token))
--- a/entry/src/main/java/org/limpetvale/entry/control/LeaseManager.java
+++ b/entry/src/main/java/org/limpetvale/entry/control/LeaseManager.java
@@ -120,7 +120,8 @@
             durationMillis / ROUNDS_PER_LEASE);
     switch (outcome) {
       case TransactionRunner.Outcome.Applied(long revision) ->
-          leaseView = leaseView.afterWrite(next, StoreVersion.of(revision), sentMillis);
+          leaseView =
+              leaseView.afterWrite(next, StoreVersion.of(revision), sentMillis, timer.nowMillis());
       case TransactionRunner.Outcome.Conflict() -> {
         logger.atInfo().log("lease lost duty=%s epoch=%d", duty, leaseView.epoch());
         leaseView = LeaseView.empty();
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLease.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLease.java
@@ -69,12 +69,14 @@
   /** First window that no other holder can have sealed, as this entry held the lease since. */
   private long heldSinceWindow;
 
+  /**
+   * First window behind those that this entry knows to be sealed. The store may lack their reports,
+   * so that the next holder must not seal them.
+   */
+  private long knownSealedBefore;
+
   /** The row of the store's current era and its version. */
   private record Era(StoreVersion version, FleetRows.EraRow row) {
-    long firstWindow() {
-      return row.firstWindow();
-    }
-
     boolean isReadable() {
       return !row.equals(FleetRows.EraRow.UNREADABLE);
     }
@@ -228,7 +230,7 @@
 
   /** Returns the time until another entry's lease expires unless its row changes. */
   long remainingMillis() {
-    return view.expiresAtMillis() - timer.nowMillis();
+    return view.takeableAtMillis(DURATION_MILLIS) - timer.nowMillis();
   }
 
   /** Returns the fencing token of the lease if its row names this entry; 0 otherwise. */
@@ -240,8 +242,10 @@
    * Returns the write that renews or takes the lease; empty if another entry holds it.
    *
    * @param others rows to write in the same transaction
+   * @param firstUnsealedWindow first window behind those that this entry knows to be sealed
    */
-  Optional<Write> nextWrite(List<RowTransaction.Write> others) {
+  Optional<Write> nextWrite(List<RowTransaction.Write> others, long firstUnsealedWindow) {
+    knownSealedBefore = firstUnsealedWindow;
     long nowMillis = timer.nowMillis();
     boolean continues = wasHeldInEarlierEra();
     return view.nextWrite(
@@ -272,8 +276,7 @@
     if (era.filter(Era::isReadable).isPresent()) {
       return Optional.empty();
     }
-    long first =
-        era.isEmpty() ? firstWindow(number, continues) : usage.currentWindow() + 1;
+    long first = era.isEmpty() ? firstWindow(number, continues) : usage.currentWindow() + 1;
     return Optional.of(new FleetRows.EraRow(first, usage.currentWindow()));
   }
 
@@ -285,7 +288,9 @@
     if (number == 0) {
       return 0;
     }
-    return continues ? Math.max(heldSinceWindow, usage.oldestWindow()) : usage.currentWindow() + 1;
+    return continues
+        ? Math.max(Math.max(heldSinceWindow, knownSealedBefore), usage.oldestWindow())
+        : usage.currentWindow() + 1;
   }
 
   /**
@@ -300,7 +305,7 @@
           acquired(write, sentAt.monotonicMillis());
         }
         write.newEra().ifPresent(each -> era = Optional.of(new Era(version, each)));
-        view = view.afterWrite(write.row(), version, sentAt.monotonicMillis());
+        view = view.afterWrite(write.row(), version, sentAt.monotonicMillis(), timer.nowMillis());
         requestedAt = sentAt;
         yield true;
       }
@@ -323,7 +328,9 @@
             .releaseOf(view.epoch())
             .map(PeerReports.Release::firstReceivedMillis)
             .orElse(sentMillis);
-    earliestActionMillis = released ? releasedMillis + self.settleMillis() : sentMillis;
+    long earliestMillis = released ? releasedMillis + self.settleMillis() : sentMillis;
+    earliestActionMillis =
+        write.isContinuation() ? Math.max(earliestActionMillis, earliestMillis) : earliestMillis;
     if (!write.isContinuation()) {
       heldSinceWindow = Math.max(usage.currentWindow(), firstWindowAfter(write));
     }
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -237,7 +237,7 @@
   private CompletableFuture<Void> holderRound() {
     Moment sentAt = Moment.now(timer);
     long era = storeEra();
-    Optional<DutyLease.Write> write = lease.nextWrite(ownRows());
+    Optional<DutyLease.Write> write = lease.nextWrite(ownRows(), usageDuty.firstUnsealedWindow());
     if (write.isEmpty()) {
       return done();
     }
@@ -260,7 +260,8 @@
     if (page.isEmpty()) {
       return done();
     }
-    Optional<DutyLease.Write> write = stopped ? Optional.empty() : lease.nextWrite(List.of());
+    Optional<DutyLease.Write> write =
+        stopped ? Optional.empty() : lease.nextWrite(List.of(), usageDuty.firstUnsealedWindow());
     if (write.isEmpty()) {
       scheduleExpiryCheck();
       return done();
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -47,8 +47,18 @@
    * The final usage counts of a window.
    *
    * @param accepted whether the platform has accepted them
+   * @param era era of the store in which the row was sealed, or written again by an entry that knew
+   *     it before
    */
-  record ReportRow(long window, boolean accepted, Map<String, Long> counts) {}
+  record ReportRow(long window, boolean accepted, Map<String, Long> counts, long era) {
+    ReportRow withAccepted(boolean value) {
+      return new ReportRow(window, value, counts, era);
+    }
+
+    ReportRow withEra(long value) {
+      return new ReportRow(window, accepted, counts, value);
+    }
+  }
 
   static String memberKey(String entry) {
     return MEMBER_PREFIX + entry;
@@ -215,10 +225,11 @@
     }
   }
 
-  static String encodeReport(boolean accepted, Map<String, Long> counts) {
+  static String encodeReport(ReportRow row) {
     ObjectNode node = JSON.createObjectNode();
-    node.put("taken", accepted);
-    putCounts(node, counts);
+    node.put("taken", row.accepted());
+    node.put("era", row.era());
+    putCounts(node, row.counts());
     return node.toString();
   }
 
@@ -231,7 +242,8 @@
     try {
       JsonNode node = JsonFields.parseObject(text);
       long window = Long.parseLong(parts.group(1));
-      return Optional.of(new ReportRow(window, JsonFields.flag(node, "taken"), counts(node)));
+      long era = JsonFields.number(node, "era", 0, 0, JsonFields.MAX_EXACT);
+      return Optional.of(new ReportRow(window, JsonFields.flag(node, "taken"), counts(node), era));
     } catch (UnusableJsonException e) {
       return Optional.empty();
     }
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -72,10 +72,22 @@
   private record Observation(Row row, long changedAtMillis, long silentMillis) {
     /** Returns the observation after another read, which covers the given time. */
     Observation afterRead(Observation latest, long coveredMillis) {
+      if (row.version().isOfEarlierEraThan(latest.row.version())) {
+        return withCopied(latest.row).silentFor(coveredMillis);
+      }
       boolean same = latest.row.version().equals(row.version());
       return same ? silentFor(coveredMillis) : latest;
     }
 
+    /**
+     * Returns the observation with the row of an older copy, which is no sign of life. An entry
+     * that has left stays so.
+     */
+    private Observation withCopied(Row copied) {
+      Row known = new Row(copied.version(), row.address(), row.crashes());
+      return new Observation(row.hasLeft() ? known : copied, changedAtMillis, silentMillis);
+    }
+
     /** Returns the observation after a read that shows no change and covers the given time. */
     Observation silentFor(long coveredMillis) {
       return new Observation(row, changedAtMillis, silentMillis + coveredMillis);
--- a/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/UsageDuty.java
@@ -115,6 +115,11 @@
     return false;
   }
 
+  /** Returns the first window behind those that this entry knows to be sealed. */
+  long firstUnsealedWindow() {
+    return known.firstUnsealedWindow();
+  }
+
   /** Remembers the sealed reports among the rows of all entries. */
   void learn(RowPage page) {
     known.learn(reportsOf(page), page.version().era());
@@ -148,20 +153,28 @@
   CompletableFuture<Void> restoreLostReports(RowPage page) {
     long era = page.version().era();
     CompletableFuture<Void> steps = done();
-    for (FleetRows.ReportRow report : known.lostBefore(era)) {
-      steps = steps.thenCompose(ignored -> restore(report, era));
+    for (FleetRows.ReportRow lost : known.lostBefore(era)) {
+      StoreVersion present = versionOf(FleetRows.reportKey(lost.window()), page);
+      steps = steps.thenCompose(ignored -> restore(lost.withEra(era), present));
     }
     return steps;
   }
 
-  private CompletableFuture<Void> restore(FleetRows.ReportRow report, long era) {
+  private static StoreVersion versionOf(String key, RowPage page) {
+    return page.rows().stream()
+        .filter(row -> row.key().equals(key))
+        .map(StoredRow::version)
+        .findFirst()
+        .orElse(StoreVersion.absentIn(page.version().era()));
+  }
+
+  /** Writes a report if the version of its row has not changed. */
+  private CompletableFuture<Void> restore(FleetRows.ReportRow report, StoreVersion present) {
     String key = FleetRows.reportKey(report.window());
     RowTransaction write =
         new RowTransaction(
-            List.of(new RowTransaction.Condition(key, StoreVersion.absentIn(era))),
-            List.of(
-                new RowTransaction.Write(
-                    key, FleetRows.encodeReport(report.accepted(), report.counts()))),
+            List.of(new RowTransaction.Condition(key, present)),
+            List.of(new RowTransaction.Write(key, FleetRows.encodeReport(report))),
             List.of());
     return store
         .commit(write)
@@ -173,7 +186,7 @@
                   field("accepted", report.accepted()),
                   field("outcome", commit.toString()));
               if (commit instanceof StoreCommit.Committed) {
-                known.sealed(report, era);
+                known.sealed(report, report.era());
               }
             });
   }
@@ -212,14 +225,21 @@
         && !known.isSealed(number);
   }
 
-  /** Sends a sealed report again if it holds the counts that this entry knows. */
+  /**
+   * Sends a sealed report again if it holds the counts that this entry knows, from this era or from
+   * before it. Any other may have been written late by a holder of an earlier era, when other
+   * counts had been sent.
+   */
   private CompletableFuture<Void> resend(FleetRows.ReportRow report, HeldLease lease) {
-    if (known.isAccepted(report.window())
-        || known.counts(report.window()).filter(report.counts()::equals).isEmpty()) {
+    long window = report.window();
+    boolean trusted = report.era() == lease.era() || known.isKnownBefore(window, lease.era());
+    if (!trusted
+        || known.isAccepted(window)
+        || known.counts(window).filter(report.counts()::equals).isEmpty()) {
       log.stateChange("usage_report_not_resent", field("window", report.window()));
       return done();
     }
-    return send(report.window(), report.counts(), lease);
+    return send(report, lease);
   }
 
   private static void add(Map<Long, Window> windows, StoredRow row, FleetRows.UsageRow usageRow) {
@@ -255,7 +275,7 @@
       return done();
     }
     Map<String, Long> sums = known.counts(number).orElseGet(window::sums);
-    FleetRows.ReportRow report = new FleetRows.ReportRow(number, false, sums);
+    FleetRows.ReportRow report = new FleetRows.ReportRow(number, false, sums, lease.era());
     RowTransaction write =
         new RowTransaction(
             lease.conditionsWith(
@@ -263,7 +283,7 @@
                     FleetRows.reportKey(number), StoreVersion.absentIn(lease.era()))),
             List.of(
                 new RowTransaction.Write(
-                    FleetRows.reportKey(number), FleetRows.encodeReport(false, sums))),
+                    FleetRows.reportKey(number), FleetRows.encodeReport(report))),
             List.of());
     return store
         .commit(write)
@@ -286,7 +306,7 @@
     return switch (commit) {
       case StoreCommit.Committed ignored -> {
         known.sealed(report, lease.era());
-        yield send(report.window(), report.counts(), lease);
+        yield send(report, lease);
       }
       case StoreCommit.Unknown ignored -> {
         known.maybeSealed(report, lease.era());
@@ -297,7 +317,9 @@
     };
   }
 
-  private CompletableFuture<Void> send(long number, Map<String, Long> counts, HeldLease lease) {
+  private CompletableFuture<Void> send(FleetRows.ReportRow report, HeldLease lease) {
+    long number = report.window();
+    Map<String, Long> counts = report.counts();
     if (!lease.stillHeld().getAsBoolean()) {
       return done();
     }
@@ -312,17 +334,18 @@
                   field("requests", counts.values().stream().mapToLong(Long::longValue).sum()),
                   field("sinceEndMillis", usage.sinceEndMillis(number)),
                   field("outcome", reply.toString()));
-              return reply instanceof DutyReply.Taken ? markAccepted(number, counts) : done();
+              return reply instanceof DutyReply.Taken ? markAccepted(report) : done();
             });
   }
 
-  private CompletableFuture<Void> markAccepted(long number, Map<String, Long> counts) {
-    known.accepted(number);
+  private CompletableFuture<Void> markAccepted(FleetRows.ReportRow report) {
+    known.accepted(report.window());
     RowTransaction write =
         RowTransaction.of(
             List.of(
                 new RowTransaction.Write(
-                    FleetRows.reportKey(number), FleetRows.encodeReport(true, counts))));
+                    FleetRows.reportKey(report.window()),
+                    FleetRows.encodeReport(report.withAccepted(true)))));
     return store.commit(write).thenCompose(commit -> done());
   }
 
