--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -283,7 +283,7 @@
   }
 
   private void follow() {
-    config.withholdConfirmations(ConfigCache.PEER_WORD_MILLIS);
+    config.withholdConfirmations(ConfigCache.PEER_REPORT_WAIT_MILLIS);
     configFollower.restart();
     upstreamFollower.restart();
     duties.start();
--- a/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/ConfigCache.java
@@ -35,7 +35,7 @@
   private static final long RECENT_RETURN_MILLIS = 10_000;
 
   /** Time within which running entries tell which version they have in force. */
-  public static final long PEER_WORD_MILLIS = 1_200;
+  public static final long PEER_REPORT_WAIT_MILLIS = 1_200;
 
   private final RowDecoder decoder;
   private final TimerService timer;
--- a/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/ConfigCacheTest.java
@@ -73,14 +73,14 @@
 
   @Test
   void anEntryThatHasJustStartedConfirmsKeysOnlyWhenTheOthersHadTimeToTellTheirVersions() {
-    cache.withholdConfirmations(ConfigCache.PEER_WORD_MILLIS);
+    cache.withholdConfirmations(ConfigCache.PEER_REPORT_WAIT_MILLIS);
     cache.onSnapshot(List.of(new StoredRow("config", "7", StoreVersion.of(1), false)));
     Moment sent = Moment.now(timer);
     cache.onConfirmed(sent);
     assertThat(cache.keysAreCurrent()).isFalse();
-    timer.advance(ConfigCache.PEER_WORD_MILLIS);
+    timer.advance(ConfigCache.PEER_REPORT_WAIT_MILLIS);
     assertThat(cache.keysAreCurrent()).isTrue();
-    assertThat(cache.confirmedAgeMillis()).isEqualTo(ConfigCache.PEER_WORD_MILLIS);
+    assertThat(cache.confirmedAgeMillis()).isEqualTo(ConfigCache.PEER_REPORT_WAIT_MILLIS);
   }
 
   @Test
@@ -100,9 +100,9 @@
   void aConfirmationFromAnOlderCopyIsTakenBackWhenAnotherEntryTellsANewerVersion() {
     long[] peerVersion = {-1};
     cache.setNewestPeerVersion(() -> peerVersion[0]);
-    cache.withholdConfirmations(ConfigCache.PEER_WORD_MILLIS);
+    cache.withholdConfirmations(ConfigCache.PEER_REPORT_WAIT_MILLIS);
     update("4");
-    timer.advance(ConfigCache.PEER_WORD_MILLIS);
+    timer.advance(ConfigCache.PEER_REPORT_WAIT_MILLIS);
     cache.onConfirmed(Moment.now(timer));
     assertThat(cache.keysAreCurrent()).isTrue();
     timer.advance(300);
