Logs: the shared parts of a prompt, and how and when a crash became known

Change: place and attempt_failed carry the ids of all shared parts (place named the last one only, as prefix); crash_suspect carries cause and lossAgeMillis. No logic is changed.

--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -7,6 +7,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HashSet;
 import java.util.HexFormat;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -26,10 +27,21 @@
  */
 public final class CrashGuard implements SharedSuspects {
   private static final int DIGEST_BYTES = 8;
+  private static final int MAX_FIRST_LOSSES = 256;
 
   private final CrashSuspects suspects = CrashSuspects.empty();
   private final TimerService timer;
   private final EventLog log;
+
+  /** When a request's connection to a process was first lost, for the log. */
+  private final Map<String, Long> firstLosses =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_FIRST_LOSSES;
+        }
+      };
+
   private Runnable onSuspicion = () -> {};
   private Set<String> knownProcessIds = Set.of();
 
@@ -64,6 +76,7 @@
         .ifPresent(
             digest ->
                 suspects.recordConnectionLoss(digest, processId(upstream), timer.nowMillis()));
+    firstLosses.putIfAbsent(processId(upstream), timer.nowMillis());
   }
 
   /**
@@ -78,7 +91,7 @@
 
   /** Records that connecting to an upstream failed, which counts as a crash of its process. */
   public void connectFailed(Upstream upstream) {
-    processCrashed(processId(upstream));
+    processCrashed(processId(upstream), "connect_failed");
   }
 
   /** Records the current upstreams. A process that is no longer among them counts as crashed. */
@@ -87,11 +100,16 @@
     view.all().forEach(upstream -> now.add(processId(upstream)));
     knownProcessIds.stream()
         .filter(process -> !now.contains(process))
-        .forEach(this::processCrashed);
+        .forEach(process -> processCrashed(process, "row_removed"));
     knownProcessIds = Set.copyOf(now);
   }
 
-  private void processCrashed(String process) {
+  /**
+   * Records a crash.
+   *
+   * @param cause how this entry learned of it, for the log
+   */
+  private void processCrashed(String process, String cause) {
     long nowMillis = timer.nowMillis();
     Map<String, Set<String>> before = suspects.localCrashes(nowMillis);
     suspects.recordCrash(process, nowMillis);
@@ -104,11 +122,17 @@
                 "crash_suspect",
                 field("digest", digest),
                 field("process", process),
+                field("cause", cause),
+                field("lossAgeMillis", nowMillis - firstLossMillis(process)),
                 field("crashes", suspects.crashCount(digest, nowMillis)));
           }
         });
   }
 
+  private long firstLossMillis(String process) {
+    return firstLosses.getOrDefault(process, timer.nowMillis());
+  }
+
   @Override
   public Map<String, Set<String>> localCrashes() {
     return suspects.localCrashes(timer.nowMillis());
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
@@ -2,9 +2,12 @@
 
 import static org.limpetvale.forward.log.EventLog.field;
 
+import java.util.List;
 import java.util.Locale;
+import java.util.stream.Collectors;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.Choice;
+import org.limpetvale.core.placement.PromptShape;
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.retry.FleetRetryBudget;
 import org.limpetvale.forward.log.EventLog;
@@ -14,6 +17,9 @@
 
 /** Logs the decisions about one request, each with the inputs that it was based on. */
 final class ExchangeLog {
+  private static final int MAX_LOGGED_PARTS = 8;
+  private static final int MAX_LOGGED_ID_LENGTH = 40;
+
   private final EventLog log;
   private final RequestHead head;
   private String responseEnd = "";
@@ -45,13 +51,28 @@
         field("waitedMillis", waitedMillis),
         field("cachedTokens", choice.load().cachedTokens()),
         field("sharedTokens", head.shape().sharedTokens()),
-        field("prefix", head.shape().affinityKey().orElse("")),
+        field("parts", sharedParts()),
         field("attempt", attempt),
         field("limitPerSecond", limitUse.requestsPerSecond()),
         field("recentSends", limitUse.recentSends()),
         field("passedOver", choice.passedOver().map(ExchangeLog::summarize).orElse("")));
   }
 
+  /** Returns the ids of the prompt's shared parts, in order, shortened if there are many. */
+  private String sharedParts() {
+    List<PromptShape.Part> parts = head.shape().sharedParts();
+    String ids =
+        parts.stream()
+            .limit(MAX_LOGGED_PARTS)
+            .map(part -> shorten(part.id()))
+            .collect(Collectors.joining(","));
+    return parts.size() > MAX_LOGGED_PARTS ? ids + ",+" + (parts.size() - MAX_LOGGED_PARTS) : ids;
+  }
+
+  private static String shorten(String id) {
+    return id.length() > MAX_LOGGED_ID_LENGTH ? id.substring(0, MAX_LOGGED_ID_LENGTH) + "~" : id;
+  }
+
   /**
    * Summarizes an upstream that was not chosen: id, cost, cached and pending tokens, and streams
    * with a short gap target.
@@ -74,6 +95,7 @@
         "attempt_failed",
         head.requestId(),
         field("upstream", upstream.id()),
+        field("parts", sharedParts()),
         field("failure", failure),
         field("detail", detail),
         field("begun", begun));
