Crashes are counted against the parts of prompts, shared by all entries

What callers saw: requests that share one part of their prompts crashed one upstream after the other, 77 to 88 in a minute; sound runs died with them. Cause: an entry knew a crashing request again only by a digest of path, workspace and body, so requests that share only a part each began at zero. Change: PartSuspects holds, for each shared part, the upstream processes that crashed under it since it was last served; entries exchange that in reports and rows; PartBlocking looks for the fewest parts that explain the crashes. A lost connection is followed by a connect at once. The block is asked again before each send, also in the queue, a retry and a resume. An answer that ended by a close is no proof that its request is sound.

--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/crash/PartSuspects.java
@@ -0,0 +1,374 @@
+package org.limpetvale.core.crash;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Finds prompt parts that crash every upstream which begins to answer a request with them, whatever
+ * else the request contains, and tells them from parts of requests that ran on the same upstreams.
+ *
+ * <p>Evidence against a part is the set of upstream processes that crashed while they ran a request
+ * with it; a complete answer to a request with the part clears it. Entries share their evidence.
+ *
+ * <p>Times are in milliseconds on a monotonic clock.
+ */
+public final class PartSuspects {
+  /** Time after a lost connection within which the crash must be confirmed. */
+  private static final long CONFIRMATION_WINDOW_MILLIS = 8_000;
+
+  /** Retention of evidence that does not suffice to block a part. */
+  private static final long SUSPECT_RETENTION_MILLIS = 60_000;
+
+  /** Retention of a block after the last crash or refusal of a request with the part. */
+  private static final long BLOCK_RETENTION_MILLIS = 900_000;
+
+  /** Time after the first complete answer in which an entry cannot tell new parts from others. */
+  private static final long WARM_UP_MILLIS = 10_000;
+
+  /** Age of a block from which on no answer that would lift it is expected any more. */
+  private static final long SETTLE_MILLIS = 5_000;
+
+  /** Maximum age of a decision while there is evidence. */
+  private static final long MAX_DECISION_AGE_MILLIS = 100;
+
+  private static final int MAX_PENDING_PARTS = 8_192;
+  private static final int MAX_SUSPECTS = 2_048;
+  private static final int MAX_SERVED_PARTS = 8_192;
+  private static final int MAX_SERVED_SINCE = 256;
+  private static final int MAX_PEERS = 1_024;
+
+  // Every report repeats what is shared, so it has to fit beside the rest of a report.
+  private static final int MAX_REPORTED_SUSPECTS = 12;
+  private static final int MAX_REPORTED_CRASHES = 12;
+  private static final int MAX_REPORTED_SERVED = 12;
+
+  private final Deque<Loss> pending = new ArrayDeque<>();
+  private int pendingParts;
+  private final BoundedMap<LocalPartEvidence> local = BoundedMap.of(MAX_SUSPECTS);
+  private final BoundedMap<PeerPartEvidence> peers = BoundedMap.of(MAX_PEERS);
+
+  /** Parts of completely answered requests, with the time of the last answer. */
+  private final BoundedMap<Long> servedMillis = BoundedMap.of(MAX_SERVED_PARTS);
+
+  /** Parts that were served while they were suspected, with the number of that answer. */
+  private final BoundedMap<Long> servedSince = BoundedMap.of(MAX_SERVED_SINCE);
+
+  /** When the first loss of a request with a part became known. */
+  private final BoundedMap<Long> knownMillis = BoundedMap.of(MAX_SUSPECTS);
+
+  private final List<PartBlock> changes = new ArrayList<>();
+  private Map<String, PartCandidate> blocked = Map.of();
+  private final Map<String, Long> blockedSinceMillis = new HashMap<>();
+  private long servedCount;
+  private long firstServedMillis = Long.MAX_VALUE;
+  private long decidedMillis = Long.MIN_VALUE;
+
+  /** A lost request whose upstream is not yet known to have crashed. */
+  private record Loss(List<LostPart> parts, String process, String request, long atMillis) {}
+
+  private record LostPart(String part, int depth, boolean sentAfterLoss) {}
+
+  private PartSuspects() {}
+
+  /** Returns an instance without suspects. */
+  public static PartSuspects empty() {
+    return new PartSuspects();
+  }
+
+  /**
+   * Records that the connection of a running request was lost.
+   *
+   * @param parts parts of its prompt that other requests may contain, in order
+   * @param process short id of the upstream process
+   * @param request short digest of the request
+   * @param sentMillis when it was sent to the upstream
+   */
+  public void recordLoss(
+      List<String> parts, String process, String request, long sentMillis, long nowMillis) {
+    Objects.requireNonNull(process, "process is null");
+    Objects.requireNonNull(request, "request is null");
+    if (parts.isEmpty()) {
+      return;
+    }
+    List<LostPart> lost = new ArrayList<>();
+    for (int depth = 0; depth < parts.size(); depth++) {
+      Long known = knownMillis.putIfAbsent(parts.get(depth), nowMillis);
+      lost.add(new LostPart(parts.get(depth), depth, known != null && sentMillis > known));
+    }
+    pending.addLast(new Loss(lost, process, request, nowMillis));
+    pendingParts += lost.size();
+    while (pendingParts > MAX_PENDING_PARTS && pending.size() > 1) {
+      pendingParts -= pending.removeFirst().parts().size();
+    }
+  }
+
+  /** Returns whether a process is known to have lost a request that may have crashed it. */
+  public boolean awaitsConfirmation(String process) {
+    return pending.stream().anyMatch(loss -> loss.process().equals(process));
+  }
+
+  /**
+   * Records that an upstream process crashed, which confirms its lost requests.
+   *
+   * @return the number of crashes now known by part, of those parts that have one more
+   */
+  public Map<String, Integer> recordCrash(String process, long nowMillis) {
+    evictExpired(nowMillis);
+    Set<String> confirmed = new HashSet<>();
+    for (Loss loss : pending) {
+      if (loss.process().equals(process)) {
+        for (LostPart lost : loss.parts()) {
+          addCrash(lost, new PartCrash(process, loss.request(), lost.sentAfterLoss()), nowMillis);
+          confirmed.add(lost.part());
+        }
+        pendingParts -= loss.parts().size();
+      }
+    }
+    pending.removeIf(loss -> loss.process().equals(process));
+    Map<String, Integer> counts = new HashMap<>();
+    confirmed.forEach(part -> counts.put(part, candidate(part, nowMillis).crashes().size()));
+    expireDecision();
+    return counts;
+  }
+
+  private void addCrash(LostPart lost, PartCrash crash, long nowMillis) {
+    LocalPartEvidence before = local.getOrDefault(lost.part(), LocalPartEvidence.NONE);
+    local.putNewest(
+        lost.part(), before.with(crash, lost.depth(), nowMillis + SUSPECT_RETENTION_MILLIS));
+  }
+
+  /** Records that a request was answered completely, which shows that its parts are sound. */
+  public void recordServed(List<String> parts, long nowMillis) {
+    firstServedMillis = Math.min(firstServedMillis, nowMillis);
+    for (String part : parts) {
+      servedMillis.putNewest(part, nowMillis);
+      if (knownMillis.containsKey(part) || hasEvidence(part)) {
+        servedSince.putNewest(part, ++servedCount);
+        clear(part);
+      }
+    }
+  }
+
+  private void clear(String part) {
+    local.remove(part);
+    knownMillis.remove(part);
+    peers.replaceAll((peer, evidence) -> evidence.withoutCrashes(part));
+    expireDecision();
+  }
+
+  private boolean hasEvidence(String part) {
+    return local.containsKey(part) || isSuspectedByPeer(part);
+  }
+
+  private boolean isSuspectedByPeer(String part) {
+    return peers.values().stream()
+        .map(evidence -> evidence.reports().get(part))
+        .anyMatch(report -> report != null && !report.crashes().isEmpty());
+  }
+
+  /** Replaces what another entry last reported. */
+  public void updatePeer(String peer, Map<String, PartReport> reports, long nowMillis) {
+    PeerPartEvidence before = peers.getOrDefault(peer, PeerPartEvidence.NONE);
+    if (reports.isEmpty() && before == PeerPartEvidence.NONE) {
+      return;
+    }
+    before.newlyServed(reports).forEach(this::clear);
+    reports.forEach(
+        (part, report) -> {
+          if (report.served() >= PartReport.SERVED_BEFORE) {
+            servedMillis.putNewest(part, nowMillis);
+          }
+          if (!report.crashes().isEmpty()) {
+            knownMillis.putIfAbsent(part, nowMillis);
+          }
+        });
+    if (reports.isEmpty()) {
+      peers.remove(peer);
+    } else {
+      peers.putNewest(peer, before.replacedBy(reports, nowMillis));
+    }
+    expireDecision();
+  }
+
+  /** Merges what the stored row of another entry says; it may be older than its last report. */
+  public void mergeRow(String writer, Map<String, PartReport> row, long nowMillis) {
+    PeerPartEvidence known = peers.getOrDefault(writer, PeerPartEvidence.NONE);
+    updatePeer(writer, known.mergedWithRow(row), nowMillis);
+  }
+
+  /**
+   * Returns what this entry tells the others: its suspects with most crashes, and which parts that
+   * the others suspect it has served.
+   */
+  public Map<String, PartReport> reports(long nowMillis) {
+    evictExpired(nowMillis);
+    Map<String, PartReport> reports = new HashMap<>();
+    local.keySet().stream()
+        .map(part -> candidate(part, nowMillis))
+        .sorted(Comparator.comparing(candidate -> -candidate.crashes().size()))
+        .limit(MAX_REPORTED_SUSPECTS)
+        .map(PartCandidate::part)
+        .forEach(
+            part ->
+                reports.put(
+                    part, local.get(part).toReport(served(part, nowMillis), MAX_REPORTED_CRASHES)));
+    peers.values().stream()
+        .flatMap(evidence -> evidence.reports().entrySet().stream())
+        .filter(entry -> !entry.getValue().crashes().isEmpty())
+        .map(Map.Entry::getKey)
+        .distinct()
+        .filter(part -> !local.containsKey(part) && servedMillis.containsKey(part))
+        .limit(MAX_REPORTED_SERVED)
+        .forEach(part -> reports.put(part, new PartReport(0, served(part, nowMillis), List.of())));
+    return reports;
+  }
+
+  private long served(String part, long nowMillis) {
+    if (servedMillis.containsKey(part)) {
+      return servedSince.getOrDefault(part, PartReport.SERVED_BEFORE);
+    }
+    return isWarm(nowMillis) ? PartReport.NEVER_SERVED : PartReport.UNKNOWN;
+  }
+
+  /** Returns the first of some parts that is blocked. */
+  public Optional<String> blockedPart(List<String> parts, long nowMillis) {
+    if (local.isEmpty() && peers.isEmpty() && blocked.isEmpty()) {
+      return Optional.empty();
+    }
+    decide(nowMillis);
+    return parts.stream().filter(blocked::containsKey).findFirst();
+  }
+
+  /** Returns whether a part has been blocked for so long that the block will hardly be lifted. */
+  public boolean isSettled(String part, long nowMillis) {
+    return nowMillis - blockedSinceMillis.getOrDefault(part, nowMillis) >= SETTLE_MILLIS;
+  }
+
+  /** Returns the number of blocked parts. */
+  public int blockedParts(long nowMillis) {
+    decide(nowMillis);
+    return blocked.size();
+  }
+
+  /**
+   * Records that a request with a blocked part was refused, which prolongs the block. This entry
+   * then holds the evidence itself and no longer depends on those that reported it.
+   */
+  public void recordRefusal(String part, long nowMillis) {
+    PartCandidate candidate = blocked.get(part);
+    if (candidate == null) {
+      return;
+    }
+    LocalPartEvidence evidence = local.getOrDefault(part, LocalPartEvidence.NONE);
+    for (PartCrash crash : candidate.crashes().values()) {
+      evidence = evidence.with(crash, candidate.depth(), nowMillis + BLOCK_RETENTION_MILLIS);
+    }
+    local.putNewest(part, evidence);
+  }
+
+  /** Returns the blocks that started or ended since the last call. */
+  public List<PartBlock> takeChanges(long nowMillis) {
+    decide(nowMillis);
+    List<PartBlock> taken = List.copyOf(changes);
+    changes.clear();
+    return taken;
+  }
+
+  private void expireDecision() {
+    decidedMillis = Long.MIN_VALUE;
+  }
+
+  private void decide(long nowMillis) {
+    boolean current =
+        decidedMillis != Long.MIN_VALUE && nowMillis - decidedMillis < MAX_DECISION_AGE_MILLIS;
+    if (current) {
+      return;
+    }
+    evictExpired(nowMillis);
+    decidedMillis = nowMillis;
+    Map<String, PartCandidate> now = new HashMap<>();
+    PartBlocking.blocked(candidates(nowMillis), nowMillis)
+        .forEach(candidate -> now.put(candidate.part(), candidate));
+    noteChanges(now, nowMillis);
+    blocked = now;
+  }
+
+  private void noteChanges(Map<String, PartCandidate> now, long nowMillis) {
+    now.forEach(
+        (part, candidate) -> {
+          if (!blocked.containsKey(part)) {
+            changes.add(PartBlock.started(candidate));
+            blockedSinceMillis.put(part, nowMillis);
+            local.computeIfPresent(
+                part, (id, each) -> each.keptUntil(nowMillis + BLOCK_RETENTION_MILLIS));
+          }
+        });
+    blocked.forEach(
+        (part, candidate) -> {
+          if (!now.containsKey(part)) {
+            changes.add(PartBlock.ended(candidate));
+            blockedSinceMillis.remove(part);
+          }
+        });
+  }
+
+  private List<PartCandidate> candidates(long nowMillis) {
+    Set<String> parts = new HashSet<>(local.keySet());
+    peers.values().forEach(evidence -> parts.addAll(evidence.reports().keySet()));
+    return parts.stream().map(part -> candidate(part, nowMillis)).toList();
+  }
+
+  private PartCandidate candidate(String part, long nowMillis) {
+    LocalPartEvidence own = local.getOrDefault(part, LocalPartEvidence.NONE);
+    Map<String, PartCrash> crashes = new HashMap<>(own.crashes());
+    int depth = own.depth();
+    for (PeerPartEvidence evidence : peers.values()) {
+      PartReport report = evidence.reports().get(part);
+      if (report != null) {
+        depth = Math.max(depth, report.depth());
+        report.crashes().forEach(crash -> crashes.merge(crash.process(), crash, PartCrash::merge));
+      }
+    }
+    long known = knownMillis.getOrDefault(part, nowMillis);
+    return new PartCandidate(part, depth, isFamiliar(part, nowMillis), known, crashes);
+  }
+
+  private boolean isWarm(long nowMillis) {
+    return nowMillis - firstServedMillis >= WARM_UP_MILLIS;
+  }
+
+  /** Returns whether a part was served before; an entry that cannot tell asks the others. */
+  private boolean isFamiliar(String part, long nowMillis) {
+    if (servedMillis.containsKey(part)) {
+      return true;
+    }
+    return !isWarm(nowMillis)
+        && peers.values().stream()
+            .map(evidence -> evidence.reports().get(part))
+            .noneMatch(report -> report != null && report.served() == PartReport.NEVER_SERVED);
+  }
+
+  private void evictExpired(long nowMillis) {
+    while (!pending.isEmpty()
+        && nowMillis - pending.getFirst().atMillis() > CONFIRMATION_WINDOW_MILLIS) {
+      pendingParts -= pending.removeFirst().parts().size();
+    }
+    local.values().removeIf(evidence -> nowMillis > evidence.expiresMillis());
+    peers.values().removeIf(evidence -> nowMillis - evidence.atMillis() > BLOCK_RETENTION_MILLIS);
+    knownMillis
+        .entrySet()
+        .removeIf(
+            entry ->
+                nowMillis - entry.getValue() > CONFIRMATION_WINDOW_MILLIS
+                    && !hasEvidence(entry.getKey()));
+  }
+}
--- a/core/src/main/java/org/limpetvale/core/result/ResultCode.java
+++ b/core/src/main/java/org/limpetvale/core/result/ResultCode.java
@@ -80,6 +80,16 @@
       4010, 502, ExecutionStatus.MAY_HAVE_RUN, "The upstream's answer was broken or not its own."),
   UPSTREAM_LOST(
       4011, 502, ExecutionStatus.MAY_HAVE_RUN, "The connection to the upstream was lost."),
+  PROMPT_PART_CRASHES_UPSTREAMS(
+      4012,
+      422,
+      ExecutionStatus.NOT_RUN,
+      "Upstreams crash on a part of this request's prompt, and it was not run."),
+  PROMPT_PART_SUSPECTED(
+      4013,
+      503,
+      ExecutionStatus.NOT_RUN,
+      "Upstreams have just crashed on requests with a part of this request's prompt."),
   EPOCH_OLD(5001, 409, ExecutionStatus.NOT_RUN, "The order carries an old fencing number."),
   ORDER_BLOCKED(5002, 409, ExecutionStatus.NOT_RUN, "An earlier order of the zone is unresolved."),
   INTERNAL(9001, 500, ExecutionStatus.MAY_HAVE_RUN, "An unexpected fault inside limpetvale.");
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -160,7 +160,7 @@
     this.crashes = CrashGuard.of(timer, log);
     peerBook.onReport(
         report -> {
-          crashes.peerReported(report.writer(), report.crashes());
+          crashes.peerReported(report);
           placer.peerReported(report);
           notices.peerReported(report, upstreams.view());
         });
@@ -223,6 +223,7 @@
                       placer.recentPlacements(),
                       forwarder.waiting(),
                       crashes.localCrashes(),
+                      crashes.partReports(),
                       engines.ownModels(),
                       limits.recentNotices(),
                       notices.recentlyLeaving(),
@@ -255,7 +256,12 @@
             config.endWithholding();
           }
         });
-    crashes.onSuspicion(duties::runNow);
+    crashes.onSuspicion(
+        () -> {
+          duties.runNow();
+          peers.sendSoon();
+        });
+    metrics.registerGauge(ForwardMetrics.Gauge.BLOCKED_PARTS, crashes::blockedParts);
     metrics.registerGauge(ForwardMetrics.Gauge.OPEN_CONNECTIONS, callers::openConnections);
     logBindFailure("callers", callers.listen(settings.callers()));
     logBindFailure("ready", TextServer.listen(transport, settings.ready(), path -> readyPage()));
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -177,8 +177,7 @@
     release.ifPresent(each -> writes.addAll(each.writes()));
     writes.add(
         new RowTransaction.Write(
-            FleetRows.memberKey(self.writer()),
-            FleetRows.encodeDeparture(suspects.localCrashes())));
+            FleetRows.memberKey(self.writer()), FleetRows.encodeDeparture(suspects)));
     return store
         .commit(
             new RowTransaction(
@@ -338,7 +337,7 @@
     writes.add(
         new RowTransaction.Write(
             FleetRows.memberKey(self.writer()),
-            FleetRows.encodeMember(self.peerAddress(), ++heartbeat, suspects.localCrashes())));
+            FleetRows.encodeMember(self.peerAddress(), ++heartbeat, suspects)));
     return writes;
   }
 
@@ -412,6 +411,7 @@
   private void mergeCrashes(String writer, Members.Row row) {
     if (!writer.equals(self.writer()) && !peers.liveEntryIds().contains(writer)) {
       suspects.mergeCrashes(writer, row.crashes());
+      suspects.mergeParts(writer, row.parts());
     }
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -12,10 +12,12 @@
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.limpetvale.core.crash.PartReport;
 import org.limpetvale.core.lease.LeaseRow;
 import org.limpetvale.core.store.StoreVersion;
 import org.limpetvale.forward.json.JsonFields;
 import org.limpetvale.forward.json.NumericAddress;
+import org.limpetvale.forward.json.PartReportJson;
 import org.limpetvale.forward.json.UnusableJsonException;
 
 /** Encodes and parses the keys and values of the rows that entries share. */
@@ -112,13 +114,12 @@
     return JsonFields.number(node.path(name), name, -MAX_WINDOW, JsonFields.MAX_EXACT);
   }
 
-  static String encodeMember(
-      InetSocketAddress address, long heartbeat, Map<String, Set<String>> crashes) {
+  static String encodeMember(InetSocketAddress address, long heartbeat, SharedSuspects suspects) {
     ObjectNode node = JSON.createObjectNode();
     node.put("host", hostOf(address));
     node.put("port", address.getPort());
     node.put("beat", heartbeat);
-    putCrashes(node, crashes);
+    putSuspects(node, suspects);
     return node.toString();
   }
 
@@ -131,14 +132,16 @@
    * Returns the row of an entry that has stopped. It still counts as a sharer of the retry budget
    * for the retries that it has sent.
    */
-  static String encodeDeparture(Map<String, Set<String>> crashes) {
+  static String encodeDeparture(SharedSuspects suspects) {
     ObjectNode node = JSON.createObjectNode();
     node.put("left", true);
-    putCrashes(node, crashes);
+    putSuspects(node, suspects);
     return node.toString();
   }
 
-  private static void putCrashes(ObjectNode node, Map<String, Set<String>> crashes) {
+  private static void putSuspects(ObjectNode node, SharedSuspects suspects) {
+    Map<String, Set<String>> crashes = suspects.localCrashes();
+    PartReportJson.put(node, "parts", suspects.partReports());
     if (!crashes.isEmpty()) {
       ObjectNode inner = node.putObject("crashes");
       new TreeMap<>(crashes).forEach((digest, each) -> each.forEach(inner.putArray(digest)::add));
@@ -155,7 +158,8 @@
       }
       Optional<InetSocketAddress> address =
           JsonFields.flag(node, "left") ? Optional.empty() : Optional.of(address(node));
-      return Optional.of(new Members.Row(version, address, crashes));
+      Map<String, PartReport> parts = PartReportJson.read(node, "parts");
+      return Optional.of(new Members.Row(version, address, crashes, parts));
     } catch (UnusableJsonException e) {
       return Optional.empty();
     }
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.limpetvale.core.crash.PartReport;
 import org.limpetvale.core.retry.AllowanceEntitlement;
 import org.limpetvale.core.retry.AllowanceShare;
 import org.limpetvale.core.store.StoreVersion;
@@ -44,18 +45,23 @@
    * @param address address on which the entry receives peer reports; empty when it has left or the
    *     row is unreadable
    * @param crashes upstream processes that the entry saw crash, by request digest
+   * @param parts what the entry knows of suspected prompt parts
    */
   record Row(
-      StoreVersion version, Optional<InetSocketAddress> address, Map<String, Set<String>> crashes) {
+      StoreVersion version,
+      Optional<InetSocketAddress> address,
+      Map<String, Set<String>> crashes,
+      Map<String, PartReport> parts) {
     Row {
       Objects.requireNonNull(version, "version is null");
       Objects.requireNonNull(address, "address is null");
       crashes = Map.copyOf(crashes);
+      parts = Map.copyOf(parts);
     }
 
     /** Returns a row of which only the version is known. */
     static Row unreadable(StoreVersion version) {
-      return new Row(version, Optional.empty(), Map.of());
+      return new Row(version, Optional.empty(), Map.of(), Map.of());
     }
 
     boolean hasLeft() {
@@ -84,7 +90,7 @@
      * that has left stays so.
      */
     private Observation withCopied(Row copied) {
-      Row known = new Row(copied.version(), row.address(), row.crashes());
+      Row known = new Row(copied.version(), row.address(), row.crashes(), row.parts());
       return new Observation(row.hasLeft() ? known : copied, changedAtMillis, silentMillis);
     }
 
--- a/forward/src/main/java/org/limpetvale/forward/duty/SharedSuspects.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/SharedSuspects.java
@@ -2,10 +2,11 @@
 
 import java.util.Map;
 import java.util.Set;
+import org.limpetvale.core.crash.PartReport;
 
 /**
- * Requests suspected of crashing upstreams, as shared through the entries' rows. A row outlives the
- * process that wrote it.
+ * Requests and prompt parts suspected of crashing upstreams, as shared through the entries' rows. A
+ * row outlives the process that wrote it.
  */
 public interface SharedSuspects {
   /**
@@ -22,6 +23,16 @@
    */
   void mergeCrashes(String writer, Map<String, Set<String>> crashes);
 
+  /** Returns what this entry tells the others of suspected prompt parts. */
+  Map<String, PartReport> partReports();
+
+  /**
+   * Merges what the row of another entry or of an earlier process of this entry says of parts.
+   *
+   * @param writer id of the process that wrote the row
+   */
+  void mergeParts(String writer, Map<String, PartReport> parts);
+
   /** Returns an implementation that reports no crashes and ignores those of others. */
   static SharedSuspects none() {
     return new SharedSuspects() {
@@ -34,6 +45,16 @@
       public void mergeCrashes(String writer, Map<String, Set<String>> crashes) {
         // Crashes are ignored.
       }
+
+      @Override
+      public Map<String, PartReport> partReports() {
+        return Map.of();
+      }
+
+      @Override
+      public void mergeParts(String writer, Map<String, PartReport> parts) {
+        // Parts are ignored.
+      }
     };
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -27,7 +27,9 @@
     CONNECTS_FAILED,
     ANSWERS_SPOILED,
     /** Answers whose end was marked by nothing but the end of the upstream's connection. */
-    ANSWERS_ENDED_BY_CLOSE
+    ANSWERS_ENDED_BY_CLOSE,
+    /** Requests that were not sent, or not sent again, because upstreams crash on them. */
+    CRASHING_REQUESTS_STOPPED
   }
 
   /** The gauges; the metric names are derived from these names. */
@@ -35,6 +37,8 @@
     OPEN_CONNECTIONS,
     /** Number of upstreams that have named a limit on the requests of all entries. */
     LIMITED_UPSTREAMS,
+    /** Number of prompt parts that are blocked because upstreams crash on them. */
+    BLOCKED_PARTS,
     /** Number of entries that share the retry budget. */
     RETRY_SHARERS,
     /** This entry's share of the retry allowance, from 0 to 1. */
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerLink.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerLink.java
@@ -29,6 +29,7 @@
 public final class PeerLink {
   private static final long MIN_PERIOD_MILLIS = 150;
   private static final long MAX_PERIOD_MILLIS = 900;
+  private static final long SOON_MILLIS = 50;
 
   /** Number of other entries up to which reports are sent at the minimum period. */
   private static final int MAX_PEERS_AT_MIN_PERIOD = 14;
@@ -55,6 +56,7 @@
   private Channel channel;
   private long lastSequenceNumber;
   private boolean tooLargeLogged;
+  private boolean sendScheduled;
   private boolean unreadableLogged;
 
   /**
@@ -153,6 +155,19 @@
     return Math.clamp(period, MIN_PERIOD_MILLIS, MAX_PERIOD_MILLIS);
   }
 
+  /** Sends a report shortly, once for all calls until then. */
+  public void sendSoon() {
+    if (!sendScheduled) {
+      sendScheduled = true;
+      timer.after(SOON_MILLIS, this::sendScheduled);
+    }
+  }
+
+  private void sendScheduled() {
+    sendScheduled = false;
+    send(recipients(), false);
+  }
+
   /** Sends a report with usage immediately. */
   public void send() {
     send(recipients(), true);
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -11,9 +11,11 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.limpetvale.core.crash.PartReport;
 import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.placement.EngineModel;
 import org.limpetvale.forward.json.JsonFields;
+import org.limpetvale.forward.json.PartReportJson;
 import org.limpetvale.forward.json.UnusableJsonException;
 
 /**
@@ -31,6 +33,8 @@
  * @param waiting number of requests that wait at the entry, by service
  * @param crashes ids of the upstream processes that crashed on a request, by the request's digest;
  *     an empty set if the request was served since
+ * @param parts prompt parts that the entry suspects of crashing upstreams, or has served although
+ *     others suspect them
  * @param engines engine models measured by the entry, by service
  * @param limits limits recently heard from upstreams, by upstream
  * @param leaving start times of the upstream processes recently heard to be leaving, by upstream
@@ -49,6 +53,7 @@
     Map<String, Set<String>> placements,
     Map<String, Integer> waiting,
     Map<String, Set<String>> crashes,
+    Map<String, PartReport> parts,
     Map<String, EngineModel> engines,
     Map<String, Limit> limits,
     Map<String, Long> leaving,
@@ -76,6 +81,7 @@
   private static final String PLACEMENTS = "p";
   private static final String WAITING = "q";
   private static final String CRASHES = "x";
+  private static final String PARTS = "y";
   private static final String ENGINES = "e";
   private static final String LIMITS = "m";
   private static final String LEAVING = "v";
@@ -125,6 +131,7 @@
     placements = Map.copyOf(Objects.requireNonNull(placements, "placements is null"));
     waiting = Map.copyOf(Objects.requireNonNull(waiting, "waiting is null"));
     crashes = Map.copyOf(Objects.requireNonNull(crashes, "crashes is null"));
+    parts = Map.copyOf(Objects.requireNonNull(parts, "parts is null"));
     engines = Map.copyOf(Objects.requireNonNull(engines, "engines is null"));
     limits = Map.copyOf(Objects.requireNonNull(limits, "limits is null"));
     leaving = Map.copyOf(Objects.requireNonNull(leaving, "leaving is null"));
@@ -151,6 +158,7 @@
         placements,
         waiting,
         crashes,
+        parts,
         engines,
         limits,
         leaving,
@@ -189,6 +197,7 @@
     if (!crashes.isEmpty()) {
       putLists(node.putObject(CRASHES), crashes);
     }
+    PartReportJson.put(node, PARTS, parts);
     putEngines(node);
     putLimits(node);
     putLeaving(node);
@@ -220,6 +229,7 @@
         lists(JsonFields.object(node, PLACEMENTS)),
         counts(JsonFields.object(node, WAITING)),
         lists(JsonFields.object(node, CRASHES)),
+        PartReportJson.read(node, PARTS),
         engines(JsonFields.object(node, ENGINES)),
         limits(JsonFields.object(node, LIMITS)),
         startTimes(JsonFields.object(node, LEAVING)),
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -160,6 +160,11 @@
     return upstream;
   }
 
+  /** Returns when the request was sent, on the monotonic clock. */
+  long startedMillis() {
+    return startedMillis;
+  }
+
   /** Returns the id of the last completely forwarded event. */
   Optional<String> lastEventId() {
     return eventBuffer.flatMap(EventStreamBuffer::lastId);
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -99,11 +99,7 @@
       case Result.Err<RequestPlan>(Refusal refusal) -> refuse(refusal);
       case Result.Ok<RequestPlan>(RequestPlan found) -> {
         plan = found;
-        if (components.crashGuard().isBlocked(request, plan)) {
-          refuse(
-              Refusal.of(
-                  ResultCode.REQUEST_CRASHES_UPSTREAMS,
-                  "upstreams crashed each time that it was run"));
+        if (isStoppedAsCrashing()) {
           return;
         }
         long timeoutMillis = Math.min(plan.route().timeoutMillis(), requestedTimeoutMillis());
@@ -115,6 +111,28 @@
     }
   }
 
+  /**
+   * Ends the request if upstreams crash on it; returns whether it does. This may have become known
+   * since the request arrived.
+   */
+  private boolean isStoppedAsCrashing() {
+    Optional<Refusal> refusal = crashRefusal();
+    refusal.ifPresent(
+        each -> {
+          components.metrics().count(Counter.CRASHING_REQUESTS_STOPPED);
+          if (mayHaveRun || callerResponse.isStarted()) {
+            giveUp(each.code(), each.detail(), each.retryAfterMillis());
+          } else {
+            refuse(each);
+          }
+        });
+    return refusal.isPresent();
+  }
+
+  private Optional<Refusal> crashRefusal() {
+    return components.crashGuard().refusal(request, plan, head.shape());
+  }
+
   private long requestedTimeoutMillis() {
     OptionalLong requested = head.deadlineMillis();
     return requested.orElse(plan.route().timeoutMillis());
@@ -162,7 +180,7 @@
 
   @Override
   public boolean tryAgain() {
-    if (ended) {
+    if (ended || isStoppedAsCrashing()) {
       return true;
     }
     return switch (choose()) {
@@ -269,14 +287,8 @@
   private void onAcquired(Choice choice, UpstreamState state, UpstreamPool.AcquireResult lease) {
     Upstream upstream = choice.upstream();
     switch (lease) {
-      case UpstreamPool.AcquireResult.Unreachable(String detail) -> {
-        state.connectFailed(components.timer().nowMillis());
-        components.crashGuard().connectFailed(upstream);
-        components.metrics().count(Counter.CONNECTS_FAILED);
-        components
-            .log()
-            .stateChange(
-                "upstream_unreachable", field("upstream", upstream.id()), field("cause", detail));
+      case UpstreamPool.AcquireResult.Unreachable unreachable -> {
+        connectFailed(upstream, state, unreachable);
         if (!ended) {
           onConnectFailed();
         }
@@ -295,6 +307,19 @@
     }
   }
 
+  private void connectFailed(
+      Upstream upstream, UpstreamState state, UpstreamPool.AcquireResult.Unreachable result) {
+    state.connectFailed(components.timer().nowMillis());
+    components.crashGuard().connectFailed(upstream, result.refused());
+    components.metrics().count(Counter.CONNECTS_FAILED);
+    components
+        .log()
+        .stateChange(
+            "upstream_unreachable",
+            field("upstream", upstream.id()),
+            field("cause", result.detail()));
+  }
+
   private void onConnectFailed() {
     connectFailures++;
     if (connectFailures >= MAX_CONNECT_FAILURES || remainingMillis() < MIN_RETRY_MILLIS) {
@@ -323,6 +348,10 @@
       connection.close();
       return;
     }
+    if (isStoppedAsCrashing()) {
+      connection.close();
+      return;
+    }
     if (!request.body().canReplay()) {
       connection.close();
       giveUp(ResultCode.UPSTREAM_LOST, "the beginning of the body is not kept");
@@ -435,13 +464,45 @@
     }
     boolean served = StatusCodes.isSuccess(status);
     components.metrics().count(served ? Counter.SERVED : Counter.FAILED);
-    if (served || status == StatusCodes.INTERNAL_ERROR) {
-      components.crashGuard().answerReceived(request, plan);
-    }
+    recordAnswer(served, status, end);
     finish(served ? "served" : "passed_on", status);
     callerResponse.finish(end);
   }
 
+  /**
+   * Records what a whole answer says of the request. An answer that ended with its connection says
+   * nothing yet, as a crash may have closed it.
+   */
+  private void recordAnswer(boolean served, int status, ResponseEnd.Complete end) {
+    if (end == ResponseEnd.Complete.CLOSED_BY_UPSTREAM) {
+      recordLoss(attempt);
+    } else if (served) {
+      components.crashGuard().requestServed(request, plan, head.shape());
+    } else if (status == StatusCodes.INTERNAL_ERROR) {
+      components.crashGuard().answerReceived(request, plan);
+    }
+  }
+
+  private void recordLoss(Attempt lost) {
+    components
+        .crashGuard()
+        .connectionLost(request, plan, head, lost.upstream(), lost.startedMillis());
+  }
+
+  /** Connects to the upstream of a lost attempt, which tells soon whether its process crashed. */
+  private void probe(Upstream upstream) {
+    if (!components.crashGuard().awaitsConfirmation(upstream)) {
+      return;
+    }
+    components
+        .upstreamPool()
+        .probe(
+            upstream,
+            failure ->
+                connectFailed(
+                    upstream, components.placer().upstreamStates().state(upstream), failure));
+  }
+
   @Override
   public void onFailed(Attempt.Failure failure, String detail) {
     Attempt failedAttempt = attempt;
@@ -452,7 +513,10 @@
     }
     log.attemptFailed(failedAttempt.upstream(), failure, detail, callerResponse.isStarted());
     switch (failure) {
-      case LOST -> components.crashGuard().connectionLost(request, plan, failedAttempt.upstream());
+      case LOST -> {
+        recordLoss(failedAttempt);
+        probe(failedAttempt.upstream());
+      }
       case FAILED -> components.crashGuard().answerReceived(request, plan);
       case NOT_RUN, SPOILED -> {}
     }
@@ -497,7 +561,7 @@
     if (!callerResponse.mayUseAnotherUpstream()) {
       return false;
     }
-    if (ran && !route().isRetryable()) {
+    if (ran && !route().isRetryable() || crashRefusal().isPresent()) {
       return false;
     }
     return switch (choose()) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
@@ -3,16 +3,20 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
@@ -52,6 +56,7 @@
   private final HeaderCodec dialect;
   private final TimerService timer;
   private final Map<String, IdleConnections> idleByUpstreamId = new HashMap<>();
+  private final Set<String> probedUpstreamIds = new HashSet<>();
 
   UpstreamPool(Transport transport, HeaderCodec dialect, TimerService timer) {
     this.transport = Objects.requireNonNull(transport, "transport is null");
@@ -64,8 +69,18 @@
     /** An open connection that serves no request. */
     record Connected(UpstreamConnection connection) implements AcquireResult {}
 
-    /** No connection could be established. */
-    record Unreachable(String detail) implements AcquireResult {}
+    /**
+     * No connection could be established.
+     *
+     * @param refused whether the upstream's machine answered that nothing listens there
+     */
+    record Unreachable(String detail, boolean refused) implements AcquireResult {
+      static Unreachable of(Throwable cause) {
+        boolean refused =
+            cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        return new Unreachable(String.valueOf(cause), refused);
+      }
+    }
   }
 
   /**
@@ -95,6 +110,27 @@
     connect(connections, callback);
   }
 
+  /**
+   * Finds out whether an upstream still accepts connections. Does nothing while an earlier probe of
+   * it is under way.
+   *
+   * @param onFailure receives the failure if it does not
+   */
+  void probe(Upstream upstream, Consumer<AcquireResult.Unreachable> onFailure) {
+    if (!probedUpstreamIds.add(upstream.id())) {
+      return;
+    }
+    connect(
+        new IdleConnections(upstream),
+        result -> {
+          probedUpstreamIds.remove(upstream.id());
+          switch (result) {
+            case AcquireResult.Connected(UpstreamConnection connection) -> connection.close();
+            case AcquireResult.Unreachable failure -> onFailure.accept(failure);
+          }
+        });
+  }
+
   /** Closes the idle connections to upstreams that are not in a view. */
   void retainOnly(FleetView view) {
     idleByUpstreamId
@@ -138,7 +174,7 @@
                 done.isSuccess()
                     ? new AcquireResult.Connected(
                         connecting.channel().pipeline().get(UpstreamConnection.class))
-                    : new AcquireResult.Unreachable(String.valueOf(done.cause()))));
+                    : AcquireResult.Unreachable.of(done.cause())));
   }
 
   private static HttpDecoderConfig decoderConfig() {
--- a/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
@@ -20,7 +20,10 @@
 
   private static Members.Row row(long version, int port) {
     return new Members.Row(
-        StoreVersion.of(version), Optional.of(new InetSocketAddress("127.0.0.1", port)), Map.of());
+        StoreVersion.of(version),
+        Optional.of(new InetSocketAddress("127.0.0.1", port)),
+        Map.of(),
+        Map.of());
   }
 
   private void read(long version) {
@@ -76,7 +79,8 @@
   private void readOwnRowOfNewEra(long number) {
     StoreVersion version = new StoreVersion(1, number);
     Members.Row own =
-        new Members.Row(version, Optional.of(new InetSocketAddress("127.0.0.1", 1)), Map.of());
+        new Members.Row(
+            version, Optional.of(new InetSocketAddress("127.0.0.1", 1)), Map.of(), Map.of());
     members.recordRead(Map.of("a.1", own), version, Moment.now(timer));
   }
 
@@ -84,7 +88,7 @@
   void anEntryThatHasLeftIsNotLiveButStillCountsAsASharer() {
     renew(5);
     Members.Row left =
-        FleetRows.parseMember(StoreVersion.of(99), FleetRows.encodeDeparture(Map.of()))
+        FleetRows.parseMember(StoreVersion.of(99), FleetRows.encodeDeparture(SharedSuspects.none()))
             .orElseThrow();
     members.recordRead(
         Map.of("a.1", left, "b.1", row(99, 2)), StoreVersion.of(99), Moment.now(timer));
--- a/forward/src/test/java/org/limpetvale/forward/duty/OddSharedRowStopsDutiesTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/OddSharedRowStopsDutiesTest.java
@@ -155,7 +155,8 @@
 
   @Test
   void anEntryWhoseAddressIsGivenAsANameWritesItsNumbers() {
-    String text = FleetRows.encodeMember(new InetSocketAddress("localhost", 80), 1, Map.of());
+    String text =
+        FleetRows.encodeMember(new InetSocketAddress("localhost", 80), 1, SharedSuspects.none());
     assertThat(FleetRows.parseMember(VERSION, text).flatMap(Members.Row::address))
         .contains(new InetSocketAddress("localhost", 80));
   }
--- a/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
@@ -124,6 +124,7 @@
               Map.of(),
               Map.of(),
               Map.of(),
+              Map.of(),
               limits.recentNotices(),
               Map.of(),
               0,
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
@@ -2,9 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.crash.PartCrash;
+import org.limpetvale.core.crash.PartReport;
 import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.placement.EngineModel;
 import org.limpetvale.forward.testing.ManualTimer;
@@ -24,6 +27,14 @@
         Map.of("u", Set.of("part-1", "part-2")),
         Map.of("service", 2),
         Map.of("digest", Set.of("process"), "served", Set.of()),
+        Map.of(
+            "part",
+            new PartReport(
+                1,
+                PartReport.NEVER_SERVED,
+                List.of(new PartCrash("a1", "b2", true), new PartCrash("a2", "b3", false))),
+            "served part",
+            new PartReport(0, 7, List.of())),
         Map.of("service", new EngineModel(42.5, 20, 165.5)),
         Map.of(
             "u", new PeerReport.Limit(LimitNotice.of(2.1, 1_700_000_000_000L), 5),
@@ -66,6 +77,7 @@
             Map.of(),
             Map.of(),
             Map.of(),
+            Map.of(),
             0,
             0,
             0));
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamLimitsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamLimitsTest.java
@@ -52,6 +52,7 @@
         Map.of(),
         Map.of(),
         Map.of(),
+        Map.of(),
         Map.of("i-1", new PeerReport.Limit(notice, startedMillis)),
         Map.of(),
         0,
