A block falls on the part that explains the crashes by fewest requests, and one trial can lift it

Cause: in the state of entries that knew no older prompts blocked the part common to all requests (c0) for 3 to 4 s: of two parts in the same crashes the one in more of them came first, and with all upstreams down no answer could clear it. The same would follow a crash of all upstreams one after the other. Change: the number of requests lost with each process is shared, and candidates are ordered by crashes squared per lost request; a part that has been cleared is reported for 3 s; one request fleet-wide, chosen by rendezvous hashing, tries a blocked part 2 s (served before) or 10 s (new) later.

--- a/core/src/main/java/org/limpetvale/core/crash/LocalPartEvidence.java
+++ b/core/src/main/java/org/limpetvale/core/crash/LocalPartEvidence.java
@@ -20,7 +20,7 @@
   LocalPartEvidence with(PartCrash crash, int newDepth, long newExpiresMillis) {
     Map<String, PartCrash> merged = new LinkedHashMap<>(crashes);
     if (merged.size() < MAX_CRASHES || merged.containsKey(crash.process())) {
-      merged.merge(crash.process(), crash, PartCrash::merge);
+      merged.merge(crash.process(), crash, PartCrash::add);
     }
     return new LocalPartEvidence(merged, Math.max(depth, newDepth), expiresMillis)
         .keptUntil(newExpiresMillis);
--- a/core/src/main/java/org/limpetvale/core/crash/PartBlocking.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartBlocking.java
@@ -32,13 +32,10 @@
   /** For a part that was answered before; its next complete answer needs time to arrive. */
   private static final Threshold FAMILIAR_PART = new Threshold(5, 3, 3, 3, 1_500);
 
-  /**
-   * New parts first, then those in most crashes. Of parts in the same crashes, the deeper one is in
-   * fewer requests.
-   */
+  /** New parts first, then those that explain most crashes by fewest requests. */
   private static final Comparator<PartCandidate> STRONGEST_FIRST =
       Comparator.comparing(PartCandidate::familiar)
-          .thenComparing(candidate -> -candidate.crashes().size())
+          .thenComparing(candidate -> -candidate.score())
           .thenComparing(candidate -> -candidate.depth())
           .thenComparing(PartCandidate::part);
 
--- a/core/src/main/java/org/limpetvale/core/crash/PartCandidate.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartCandidate.java
@@ -27,6 +27,15 @@
     return requests.size();
   }
 
+  /**
+   * Returns how well the part explains its crashes: a sound part that many requests contain is in
+   * many crashes, but loses many requests in each.
+   */
+  double score() {
+    int lost = crashes.values().stream().mapToInt(crash -> Math.max(1, crash.lostRequests())).sum();
+    return (double) crashes.size() * crashes.size() / Math.max(1, lost);
+  }
+
   int crashesAfterLoss() {
     return (int) crashes.values().stream().filter(PartCrash::sentAfterLoss).count();
   }
--- a/core/src/main/java/org/limpetvale/core/crash/PartReport.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartReport.java
@@ -31,7 +31,7 @@
   static PartReport union(PartReport first, PartReport second) {
     Map<String, PartCrash> crashes = new LinkedHashMap<>();
     first.crashes.forEach(crash -> crashes.put(crash.process(), crash));
-    second.crashes.forEach(crash -> crashes.merge(crash.process(), crash, PartCrash::merge));
+    second.crashes.forEach(crash -> crashes.merge(crash.process(), crash, PartCrash::latest));
     return new PartReport(
         Math.max(first.depth, second.depth),
         Math.max(first.served, second.served),
--- a/core/src/main/java/org/limpetvale/core/crash/PartSuspects.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartSuspects.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Finds prompt parts that crash every upstream which begins to answer a request with them, whatever
@@ -34,8 +35,8 @@
   /** Time after the first complete answer in which an entry cannot tell new parts from others. */
   private static final long WARM_UP_MILLIS = 10_000;
 
-  /** Age of a block from which on no answer that would lift it is expected any more. */
-  private static final long SETTLE_MILLIS = 5_000;
+  /** Time for which an answer that cleared a part is reported; it spans several reports. */
+  private static final long CLEARANCE_REPORT_MILLIS = 3_000;
 
   /** Maximum age of a decision while there is evidence. */
   private static final long MAX_DECISION_AGE_MILLIS = 100;
@@ -43,7 +44,7 @@
   private static final int MAX_PENDING_PARTS = 8_192;
   private static final int MAX_SUSPECTS = 2_048;
   private static final int MAX_SERVED_PARTS = 8_192;
-  private static final int MAX_SERVED_SINCE = 256;
+  private static final int MAX_CLEARANCES = 256;
   private static final int MAX_PEERS = 1_024;
 
   // Every report repeats what is shared, so it has to fit beside the rest of a report.
@@ -59,22 +60,25 @@
   /** Parts of completely answered requests, with the time of the last answer. */
   private final BoundedMap<Long> servedMillis = BoundedMap.of(MAX_SERVED_PARTS);
 
-  /** Parts that were served while they were suspected, with the number of that answer. */
-  private final BoundedMap<Long> servedSince = BoundedMap.of(MAX_SERVED_SINCE);
+  /** The last answers to requests with parts that were suspected then. */
+  private final BoundedMap<Clearance> clearances = BoundedMap.of(MAX_CLEARANCES);
 
   /** When the first loss of a request with a part became known. */
   private final BoundedMap<Long> knownMillis = BoundedMap.of(MAX_SUSPECTS);
 
   private final List<PartBlock> changes = new ArrayList<>();
   private Map<String, PartCandidate> blocked = Map.of();
-  private final Map<String, Long> blockedSinceMillis = new HashMap<>();
-  private long servedCount;
+  private final Map<String, PartTrials> trials = new HashMap<>();
+  private long clearanceCount;
   private long firstServedMillis = Long.MAX_VALUE;
   private long decidedMillis = Long.MIN_VALUE;
 
   /** A lost request whose upstream is not yet known to have crashed. */
   private record Loss(List<LostPart> parts, String process, String request, long atMillis) {}
 
+  /** An answer that cleared a part, with a number that rises with each. */
+  private record Clearance(long number, long atMillis) {}
+
   private record LostPart(String part, int depth, boolean sentAfterLoss) {}
 
   private PartSuspects() {}
@@ -127,7 +131,8 @@
     for (Loss loss : pending) {
       if (loss.process().equals(process)) {
         for (LostPart lost : loss.parts()) {
-          addCrash(lost, new PartCrash(process, loss.request(), lost.sentAfterLoss()), nowMillis);
+          addCrash(
+              lost, new PartCrash(process, loss.request(), 1, lost.sentAfterLoss()), nowMillis);
           confirmed.add(lost.part());
         }
         pendingParts -= loss.parts().size();
@@ -152,7 +157,7 @@
     for (String part : parts) {
       servedMillis.putNewest(part, nowMillis);
       if (knownMillis.containsKey(part) || hasEvidence(part)) {
-        servedSince.putNewest(part, ++servedCount);
+        clearances.putNewest(part, new Clearance(++clearanceCount, nowMillis));
         clear(part);
       }
     }
@@ -221,10 +226,7 @@
             part ->
                 reports.put(
                     part, local.get(part).toReport(served(part, nowMillis), MAX_REPORTED_CRASHES)));
-    peers.values().stream()
-        .flatMap(evidence -> evidence.reports().entrySet().stream())
-        .filter(entry -> !entry.getValue().crashes().isEmpty())
-        .map(Map.Entry::getKey)
+    Stream.concat(recentClearances(nowMillis), partsSuspectedByPeers())
         .distinct()
         .filter(part -> !local.containsKey(part) && servedMillis.containsKey(part))
         .limit(MAX_REPORTED_SERVED)
@@ -232,25 +234,56 @@
     return reports;
   }
 
+  private Stream<String> recentClearances(long nowMillis) {
+    return clearances.entrySet().stream()
+        .filter(entry -> nowMillis - entry.getValue().atMillis() <= CLEARANCE_REPORT_MILLIS)
+        .map(Map.Entry::getKey);
+  }
+
+  private Stream<String> partsSuspectedByPeers() {
+    return peers.values().stream()
+        .flatMap(evidence -> evidence.reports().entrySet().stream())
+        .filter(entry -> !entry.getValue().crashes().isEmpty())
+        .map(Map.Entry::getKey);
+  }
+
   private long served(String part, long nowMillis) {
     if (servedMillis.containsKey(part)) {
-      return servedSince.getOrDefault(part, PartReport.SERVED_BEFORE);
+      Clearance clearance = clearances.get(part);
+      return clearance == null ? PartReport.SERVED_BEFORE : clearance.number();
     }
     return isWarm(nowMillis) ? PartReport.NEVER_SERVED : PartReport.UNKNOWN;
   }
 
-  /** Returns the first of some parts that is blocked. */
-  public Optional<String> blockedPart(List<String> parts, long nowMillis) {
+  /**
+   * Returns the first of some parts because of which a request must not be sent. One request may be
+   * sent with a blocked part as a trial, as its complete answer lifts a block of a sound part.
+   *
+   * @param holder identifies the request
+   * @param isOwnTurn whether a trial of a part is this entry's in a round
+   */
+  public Optional<String> blockedPart(
+      List<String> parts, Object holder, TrialTurn isOwnTurn, long nowMillis) {
     if (local.isEmpty() && peers.isEmpty() && blocked.isEmpty()) {
       return Optional.empty();
     }
     decide(nowMillis);
-    return parts.stream().filter(blocked::containsKey).findFirst();
+    return parts.stream()
+        .filter(blocked::containsKey)
+        .filter(part -> !trials.get(part).grant(holder, isOwnTurn, nowMillis))
+        .findFirst();
+  }
+
+  /** Decides which entry may try a blocked part. */
+  @FunctionalInterface
+  public interface TrialTurn {
+    /** Returns whether the trial of a part is this entry's in a round. */
+    boolean isOwn(String part, long round);
   }
 
-  /** Returns whether a part has been blocked for so long that the block will hardly be lifted. */
-  public boolean isSettled(String part, long nowMillis) {
-    return nowMillis - blockedSinceMillis.getOrDefault(part, nowMillis) >= SETTLE_MILLIS;
+  /** Returns whether the trial of a part has failed, so that its block will hardly be lifted. */
+  public boolean isSettled(String part) {
+    return trials.containsKey(part) && trials.get(part).hasFailed();
   }
 
   /** Returns the number of blocked parts. */
@@ -270,9 +303,11 @@
     }
     LocalPartEvidence evidence = local.getOrDefault(part, LocalPartEvidence.NONE);
     for (PartCrash crash : candidate.crashes().values()) {
-      evidence = evidence.with(crash, candidate.depth(), nowMillis + BLOCK_RETENTION_MILLIS);
+      if (!evidence.crashes().containsKey(crash.process())) {
+        evidence = evidence.with(crash.fromOthers(), candidate.depth(), 0);
+      }
     }
-    local.putNewest(part, evidence);
+    local.putNewest(part, evidence.keptUntil(nowMillis + BLOCK_RETENTION_MILLIS));
   }
 
   /** Returns the blocks that started or ended since the last call. */
@@ -300,6 +335,7 @@
         .forEach(candidate -> now.put(candidate.part(), candidate));
     noteChanges(now, nowMillis);
     blocked = now;
+    blocked.forEach((part, candidate) -> trials.get(part).noteCrashes(candidate, nowMillis));
   }
 
   private void noteChanges(Map<String, PartCandidate> now, long nowMillis) {
@@ -307,7 +343,7 @@
         (part, candidate) -> {
           if (!blocked.containsKey(part)) {
             changes.add(PartBlock.started(candidate));
-            blockedSinceMillis.put(part, nowMillis);
+            trials.put(part, new PartTrials(candidate, nowMillis));
             local.computeIfPresent(
                 part, (id, each) -> each.keptUntil(nowMillis + BLOCK_RETENTION_MILLIS));
           }
@@ -316,7 +352,7 @@
         (part, candidate) -> {
           if (!now.containsKey(part)) {
             changes.add(PartBlock.ended(candidate));
-            blockedSinceMillis.remove(part);
+            trials.remove(part);
           }
         });
   }
@@ -335,7 +371,7 @@
       PartReport report = evidence.reports().get(part);
       if (report != null) {
         depth = Math.max(depth, report.depth());
-        report.crashes().forEach(crash -> crashes.merge(crash.process(), crash, PartCrash::merge));
+        report.crashes().forEach(crash -> crashes.merge(crash.process(), crash, PartCrash::add));
       }
     }
     long known = knownMillis.getOrDefault(part, nowMillis);
--- /dev/null
+++ b/core/src/main/java/org/limpetvale/core/crash/PartTrials.java
@@ -0,0 +1,67 @@
+package org.limpetvale.core.crash;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * The trial of a blocked part: one request with it is sent some time after the block began. If all
+ * upstreams crash for another reason, no answer can clear a sound part before they are back.
+ */
+final class PartTrials {
+  /** Time until a part that was served before is tried; it is probably sound. */
+  private static final long FAMILIAR_DELAY_MILLIS = 2_000;
+
+  /** Time until a new part is tried; crashed upstreams are back by then. */
+  private static final long NEW_DELAY_MILLIS = 10_000;
+
+  /** Time for which the trial is one entry's. */
+  private static final long ROUND_MILLIS = 5_000;
+
+  /** Time after which a trial without a result is granted to another request. */
+  private static final long RESULT_MILLIS = 2_000;
+
+  /** Time after the block began in which requests that were sent before it may still crash. */
+  private static final long STRAGGLER_MILLIS = 1_500;
+
+  private final String part;
+  private final long sinceMillis;
+  private final long delayMillis;
+  private final Set<String> knownProcesses = new HashSet<>();
+  private boolean failed;
+  private Object holder;
+  private long grantedMillis;
+
+  PartTrials(PartCandidate candidate, long nowMillis) {
+    this.part = candidate.part();
+    this.sinceMillis = nowMillis;
+    this.delayMillis = candidate.familiar() ? FAMILIAR_DELAY_MILLIS : NEW_DELAY_MILLIS;
+  }
+
+  /** Returns whether a request may be sent as the trial. */
+  boolean grant(Object request, PartSuspects.TrialTurn isOwnTurn, long nowMillis) {
+    if (failed || nowMillis < sinceMillis + delayMillis) {
+      return false;
+    }
+    if (request.equals(holder)) {
+      return true;
+    }
+    long round = (nowMillis - sinceMillis - delayMillis) / ROUND_MILLIS;
+    boolean free = holder == null || nowMillis - grantedMillis > RESULT_MILLIS;
+    if (!free || !isOwnTurn.isOwn(part, round)) {
+      return false;
+    }
+    holder = request;
+    grantedMillis = nowMillis;
+    return true;
+  }
+
+  /** Notes the crashes known now; one that is new after the stragglers is a failed trial. */
+  void noteCrashes(PartCandidate candidate, long nowMillis) {
+    boolean grown = knownProcesses.addAll(candidate.crashes().keySet());
+    failed |= grown && nowMillis - sinceMillis > STRAGGLER_MILLIS;
+  }
+
+  boolean hasFailed() {
+    return failed;
+  }
+}
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -3,10 +3,14 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import io.netty.channel.ChannelFuture;
+import java.util.HashSet;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.limpetvale.core.placement.RendezvousHashing;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.CallerServer;
 import org.limpetvale.forward.account.RetryBudgets;
@@ -158,6 +162,7 @@
         Placer.of(settings.zone(), upstreams::view, peerBook, loads, notices, engines, timer);
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
     this.crashes = CrashGuard.of(timer, log);
+    crashes.setTrialTurns((part, round) -> isFirstOfRound(part, round, self, peerBook));
     peerBook.onReport(
         report -> {
           crashes.peerReported(report);
@@ -242,6 +247,14 @@
     return new ForwardDaemon(settings, transport, platform, log);
   }
 
+  /** Returns whether this entry is the first of all running ones in a round of a key. */
+  private static boolean isFirstOfRound(
+      String key, long round, DutyLoop.Identity self, PeerReports peers) {
+    Set<String> running = new HashSet<>(peers.liveEntryIds());
+    running.add(self.writer());
+    return RendezvousHashing.first(key, round, running).equals(Optional.of(self.writer()));
+  }
+
   /** Starts listening and following the store. */
   public void start() {
     upstreams.onChange(forwarder::fleetChanged);
--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -61,6 +61,7 @@
       };
 
   private Runnable onSuspicion = () -> {};
+  private PartSuspects.TrialTurn trialTurns = (part, round) -> true;
   private Set<String> knownProcessIds = Set.of();
 
   private CrashGuard(TimerService timer, EventLog log) {
@@ -73,6 +74,11 @@
     return new CrashGuard(timer, log);
   }
 
+  /** Sets which entry may try a blocked part; without it, this one always may. */
+  public void setTrialTurns(PartSuspects.TrialTurn turns) {
+    trialTurns = Objects.requireNonNull(turns, "turns is null");
+  }
+
   /** Sets the action that runs when a request becomes suspected of one more upstream crash. */
   public void onSuspicion(Runnable action) {
     onSuspicion = Objects.requireNonNull(action, "action is null");
@@ -84,7 +90,7 @@
    * @param shape parts of its prompt
    */
   public Optional<Refusal> refusal(IncomingRequest input, RequestPlan plan, PromptShape shape) {
-    return blockedRequest(input, plan).or(() -> blockedPart(shape));
+    return blockedRequest(input, plan).or(() -> blockedPart(input, shape));
   }
 
   private Optional<Refusal> blockedRequest(IncomingRequest input, RequestPlan plan) {
@@ -100,13 +106,13 @@
                     "upstreams crashed each time that it was run"));
   }
 
-  private Optional<Refusal> blockedPart(PromptShape shape) {
+  private Optional<Refusal> blockedPart(IncomingRequest input, PromptShape shape) {
     long nowMillis = timer.nowMillis();
-    Optional<String> blocked = parts.blockedPart(partIds(shape), nowMillis);
+    Optional<String> blocked = parts.blockedPart(partIds(shape), input, trialTurns, nowMillis);
     blocked.ifPresent(part -> parts.recordRefusal(part, nowMillis));
     return blocked.map(
         part ->
-            parts.isSettled(part, nowMillis)
+            parts.isSettled(part)
                 ? Refusal.of(
                     ResultCode.PROMPT_PART_CRASHES_UPSTREAMS,
                     "upstreams crashed on each request with part " + part)
--- a/forward/src/main/java/org/limpetvale/forward/json/PartReportJson.java
+++ b/forward/src/main/java/org/limpetvale/forward/json/PartReportJson.java
@@ -16,13 +16,14 @@
  * Writes and reads reports of suspected prompt parts.
  *
  * <p>A report is a list: the part's depth, the number of its last answer, and the crashes as texts
- * of the form {@code process.request}, with a plus sign behind if the request was sent after a
+ * of the form {@code process.request.lost}, with a plus sign behind if the request was sent after a
  * loss. The form is short because every peer report repeats it.
  */
 public final class PartReportJson {
   private static final int MAX_DEPTH = 100_000;
   private static final int CRASHES_FROM = 2;
-  private static final Pattern CRASH = Pattern.compile("(\\w{1,20})\\.(\\w{1,20})(\\+?)");
+  private static final Pattern CRASH =
+      Pattern.compile("(\\w{1,20})\\.(\\w{1,20})\\.(\\d{1,6})(\\+?)");
 
   private PartReportJson() {}
 
@@ -40,7 +41,12 @@
   }
 
   private static String text(PartCrash crash) {
-    return crash.process() + "." + crash.request() + (crash.sentAfterLoss() ? "+" : "");
+    return String.join(
+        ".", crash.process(), crash.request(), crash.lostRequests() + mark(crash.sentAfterLoss()));
+  }
+
+  private static String mark(boolean sentAfterLoss) {
+    return sentAfterLoss ? "+" : "";
   }
 
   /** Reads the reports that an object has under a name; none if it has no such field. */
@@ -67,8 +73,10 @@
   private static PartCrash crash(String text) throws UnusableJsonException {
     Matcher fields = CRASH.matcher(text);
     if (!fields.matches()) {
-      throw new UnusableJsonException("a crash is not of the form process.request");
+      throw new UnusableJsonException("a crash is not of the form process.request.lost");
     }
-    return new PartCrash(fields.group(1), fields.group(2), !fields.group(3).isEmpty());
+    int lostRequests = Integer.parseInt(fields.group(3));
+    boolean sentAfterLoss = !fields.group(4).isEmpty();
+    return new PartCrash(fields.group(1), fields.group(2), lostRequests, sentAfterLoss);
   }
 }
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
@@ -32,7 +32,7 @@
             new PartReport(
                 1,
                 PartReport.NEVER_SERVED,
-                List.of(new PartCrash("a1", "b2", true), new PartCrash("a2", "b3", false))),
+                List.of(new PartCrash("a1", "b2", 3, true), new PartCrash("a2", "b3", 0, false))),
             "served part",
             new PartReport(0, 7, List.of())),
         Map.of("service", new EngineModel(42.5, 20, 165.5)),
