Peer reports larger than 2 KB are read

What callers saw: nothing by itself. Cause: Netty reads a datagram into 2,048 bytes by default; a longer report was cut and dropped as unreadable. Reports grow under trouble (loads, suspects), so the entries lost sight of each other just then. Change: a datagram is read into a buffer for the largest one.

--- a/forward/src/main/java/org/limpetvale/forward/http/Transport.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/Transport.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
@@ -30,6 +31,8 @@
  * Otherwise, unresponsive peers are detected by keep-alive probes alone.
  */
 public final class Transport implements AutoCloseable {
+  private static final int MAX_DATAGRAM_BYTES = 65_535;
+
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
   private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
@@ -132,11 +135,12 @@
         .maxMessagesPerRead(MAX_READS_PER_PASS);
   }
 
-  /** Returns a datagram bootstrap on the event loop. */
+  /** Returns a datagram bootstrap on the event loop; datagrams of any size are read whole. */
   public Bootstrap datagramBootstrap() {
     return new Bootstrap()
         .group(group)
-        .channel(nativeTransport ? EpollDatagramChannel.class : NioDatagramChannel.class);
+        .channel(nativeTransport ? EpollDatagramChannel.class : NioDatagramChannel.class)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES));
   }
 
   /**
