A planned stop answers every request and sends none late

What callers saw: at the end of the grace of a planned stop, connections closed without an answer; requests that had only waited at the entry among them. Cause: an entry that stops went on dispatching waiting requests until it ended, and ended with whatever was still open. The class: an end that leaves it to the close of a connection to tell callers what became of their requests. Change: from half of the grace on nothing more is sent: requests that are not at an upstream are refused as not run with Retry-After, retries are not made. As the grace ends, requests whose answers have not begun get 502, may have run. RequestCutAtTheEndOfAStopTest: before, 30 of 30 calls ended without an answer; after, all are answered, none reaches the upstream later than half of the grace. GracefulStopTest passes. Open: streams whose answers have begun are still broken off at the end.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -357,6 +357,7 @@
     log.stateChange("stopping", field("running", forwarder.activeRequests()));
     callers.closeConnectionsAfterRequests();
     long lastMillis = timer.nowMillis() + settings.bounds().graceMillis() - FINAL_WRITES_MILLIS;
+    timer.after(settings.bounds().graceMillis() / 2, forwarder::stopSending);
     timer.after(DEREGISTRATION_MILLIS, () -> finishWhenIdle(lastMillis, onEnd));
   }
 
@@ -368,6 +369,7 @@
       return;
     }
     finished = true;
+    forwarder.answerAll();
     CompletableFuture<Boolean> left = duties.stop();
     peers.send();
     long leftMillis = lastMillis + FINAL_WRITES_MILLIS - EXIT_MILLIS - timer.nowMillis();
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.limpetvale.core.admission.BacklogLimit;
 import org.limpetvale.core.admission.DeferralLimit;
 import org.limpetvale.core.admission.DispatchOrder;
@@ -52,7 +53,7 @@
   private final Forwarder.Components components;
   private final IncomingRequest request;
   private final ResponseWriter responseWriter;
-  private final Runnable onEnd;
+  private final Consumer<Exchange> onEnd;
   private final RequestHead head;
   private final Set<String> triedUpstreamIds = new HashSet<>();
   private RequestPlan plan;
@@ -80,7 +81,7 @@
       Forwarder.Components components,
       IncomingRequest request,
       ResponseWriter responseWriter,
-      Runnable onEnd) {
+      Consumer<Exchange> onEnd) {
     this.components = components;
     this.request = request;
     this.responseWriter = responseWriter;
@@ -133,6 +134,35 @@
     return components.crashGuard().refusal(request, plan, head.shape());
   }
 
+  /** Ends the request if this entry sends nothing any more; returns whether it does. */
+  private boolean isRefusedByStop() {
+    boolean stopped = components.isSendingStopped().getAsBoolean();
+    if (stopped) {
+      giveUp(ResultCode.DRAINING, "this entry stops and has no time left for an answer");
+    }
+    return stopped;
+  }
+
+  /** Ends the request if it is not at an upstream, as this entry sends nothing any more. */
+  void onSendingStopped() {
+    if (!ended && plan != null && attempt == null) {
+      giveUp(ResultCode.DRAINING, "this entry stops and has no time left for an answer");
+    }
+  }
+
+  /**
+   * Answers the request, unless its answer has begun, as this entry is about to end. The answer of
+   * one that is at an upstream states that it may have run.
+   */
+  void onEntryEnding() {
+    if (ended || callerResponse.isStarted()) {
+      return;
+    }
+    mayHaveRun |= attempt != null;
+    cancelAttempt();
+    giveUp(ResultCode.DRAINING, "this entry ended before the answer");
+  }
+
   private long requestedTimeoutMillis() {
     OptionalLong requested = head.deadlineMillis();
     return requested.orElse(plan.route().timeoutMillis());
@@ -180,7 +210,7 @@
 
   @Override
   public boolean tryAgain() {
-    if (ended || isStoppedAsCrashing()) {
+    if (ended || isStoppedAsCrashing() || isRefusedByStop()) {
       return true;
     }
     return switch (choose()) {
@@ -348,7 +378,7 @@
       connection.close();
       return;
     }
-    if (isStoppedAsCrashing()) {
+    if (isStoppedAsCrashing() || isRefusedByStop()) {
       connection.close();
       return;
     }
@@ -561,7 +591,10 @@
     if (!callerResponse.mayUseAnotherUpstream()) {
       return false;
     }
-    if (ran && !route().isRetryable() || crashRefusal().isPresent()) {
+    if (ran && !route().isRetryable() || components.isSendingStopped().getAsBoolean()) {
+      return false;
+    }
+    if (crashRefusal().isPresent()) {
       return false;
     }
     return switch (choose()) {
@@ -666,6 +699,6 @@
     long durationMillis = components.timer().nowMillis() - request.arrivedMillis();
     components.metrics().recordWholeAnswer(durationMillis);
     log.ended(outcome, status, plan, sentAttempts, timing, durationMillis);
-    onEnd.run();
+    onEnd.accept(this);
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
@@ -1,7 +1,12 @@
 package org.limpetvale.forward.relay;
 
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.time.TimerService;
@@ -22,7 +27,11 @@
 /** Serves requests by forwarding them to upstreams. */
 public final class Forwarder implements RequestHandler {
 
-  /** The components that an exchange uses. */
+  /**
+   * The components that an exchange uses.
+   *
+   * @param isSendingStopped whether nothing is sent to upstreams any more
+   */
   record Components(
       Planner planner,
       CrashGuard crashGuard,
@@ -35,13 +44,16 @@
       UsageCounts usageCounts,
       ForwardMetrics metrics,
       EventLog log,
-      TimerService timer) {}
+      TimerService timer,
+      BooleanSupplier isSendingStopped) {}
 
   private final Components components;
-  private int activeRequests;
+  private final AtomicBoolean sendingStopped;
+  private final Set<Exchange> active = new LinkedHashSet<>();
 
-  private Forwarder(Components components) {
+  private Forwarder(Components components, AtomicBoolean sendingStopped) {
     this.components = components;
+    this.sendingStopped = sendingStopped;
   }
 
   /**
@@ -62,6 +74,7 @@
       EventLog log,
       TimerService timer) {
     UpstreamPool pool = new UpstreamPool(transport, headerCodec, timer);
+    AtomicBoolean sendingStopped = new AtomicBoolean();
     return new Forwarder(
         new Components(
             planner,
@@ -75,21 +88,35 @@
             usageCounts,
             metrics,
             log,
-            timer));
+            timer,
+            sendingStopped::get),
+        sendingStopped);
   }
 
   @Override
   public ActiveRequest handle(IncomingRequest request, ResponseWriter responseWriter) {
     Objects.requireNonNull(request, "request is null");
-    activeRequests++;
-    Exchange exchange = new Exchange(components, request, responseWriter, () -> activeRequests--);
+    Exchange exchange = new Exchange(components, request, responseWriter, active::remove);
+    active.add(exchange);
     exchange.start();
     return exchange;
   }
 
   /** Returns the number of requests being served. */
   public int activeRequests() {
-    return activeRequests;
+    return active.size();
+  }
+
+  /** From now on, sends nothing to upstreams; requests that are not at one are refused. */
+  public void stopSending() {
+    sendingStopped.set(true);
+    List.copyOf(active).forEach(Exchange::onSendingStopped);
+  }
+
+  /** Answers all requests whose answers have not begun, as this entry is about to end. */
+  public void answerAll() {
+    stopSending();
+    List.copyOf(active).forEach(Exchange::onEntryEnding);
   }
 
   /** Returns the number of requests that wait for upstream capacity, by service. */
