Older path: an answer cut off within its head is not taken for a whole empty one

Report of other operators: a 200 with an empty or short body, framed as whole. Cause: the HTTP library takes the end of the stream within a head for the end of the head; without the length that was cut off, an empty body counts as whole. Both clients of the older path had it: the sidecar passed on a 200 for an answer cut at byte 12, and a write to the object store or the usage sink was taken as done. Change: one connection factory whose parser fails on an end within the head.

--- a/ports/src/main/java/org/limpetvale/ports/http/JsonHttpClient.java
+++ b/ports/src/main/java/org/limpetvale/ports/http/JsonHttpClient.java
@@ -66,6 +66,7 @@
             .build();
     PoolingHttpClientConnectionManager connections =
         PoolingHttpClientConnectionManagerBuilder.create()
+            .setConnectionFactory(WholeHeadConnections.factory())
             .setDefaultConnectionConfig(connection)
             .setMaxConnPerRoute(MAX_CONNECTIONS)
             .setMaxConnTotal(MAX_CONNECTIONS)
--- a/ports/src/test/java/org/limpetvale/ports/http/CutAnswerTest.java
+++ b/ports/src/test/java/org/limpetvale/ports/http/CutAnswerTest.java
@@ -22,6 +22,7 @@
 
   private ServerSocket listener;
   private JsonHttpClient http;
+  private volatile String head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
   private volatile String body = "";
 
   @BeforeEach
@@ -49,7 +50,7 @@
               parts[0].equalsIgnoreCase("Content-Length") ? Integer.parseInt(parts[1]) : length;
         }
         in.skip(length);
-        String answer = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body;
+        String answer = head + body;
         socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
       } catch (IOException e) {
         // The client has closed the connection, or the test has ended.
@@ -94,4 +95,17 @@
     body = "";
     assertThat(HttpVmList.of(http).list()).isInstanceOf(ReadResult.Unavailable.class);
   }
+
+  @Test
+  void anAnswerThatWasCutWithinItsHeadIsNoSuccess() {
+    String whole = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (int length = 0; length < whole.length(); length++) {
+      head = whole.substring(0, length);
+      assertThat(http.call("PUT", "/a", null))
+          .as("cut after " + length)
+          .isInstanceOf(JsonHttpClient.Response.Lost.class);
+    }
+    head = whole;
+    assertThat(http.call("PUT", "/a", null)).isInstanceOf(JsonHttpClient.Response.Replied.class);
+  }
 }
--- a/sidecar/src/main/java/org/limpetvale/sidecar/UpstreamHttpClient.java
+++ b/sidecar/src/main/java/org/limpetvale/sidecar/UpstreamHttpClient.java
@@ -10,6 +10,7 @@
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.util.Timeout;
+import org.limpetvale.ports.http.WholeHeadConnections;
 
 /**
  * HTTP client for the upstream of this sidecar. It opens a connection for each call: a connection
@@ -81,6 +82,7 @@
         .setConnectionReuseStrategy((request, response, context) -> false)
         .setConnectionManager(
             PoolingHttpClientConnectionManagerBuilder.create()
+                .setConnectionFactory(WholeHeadConnections.factory())
                 .setDefaultConnectionConfig(connection)
                 .setMaxConnPerRoute(MAX_CONNECTIONS)
                 .setMaxConnTotal(MAX_CONNECTIONS)
--- a/sidecar/src/test/java/org/limpetvale/sidecar/CutServiceAnswerTest.java
+++ b/sidecar/src/test/java/org/limpetvale/sidecar/CutServiceAnswerTest.java
@@ -28,6 +28,7 @@
 
   private final AtomicBoolean healthy = new AtomicBoolean(true);
   private final List<RunEvent> events = new ArrayList<>();
+  private volatile String answer = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"booking\":1";
   private ServerSocket listener;
   private ThreadTimerService timer;
   private ServiceRunner runner;
@@ -57,7 +58,6 @@
             new BufferedReader(
                 new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
         for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {}
-        String answer = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"booking\":1";
         socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
       } catch (IOException e) {
         // The client has closed the connection, or the test has ended.
@@ -102,4 +102,15 @@
     assertThat(run().hasFinished()).isTrue();
     assertThat(events).anyMatch(RunEvent::hasServiceAnswer);
   }
+
+  @Test
+  void aSizedAnswerThatIsCutOffAnywhereIsNotPassedOn() {
+    String whole = "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"booking\":1}";
+    for (int length = 0; length < whole.length(); length++) {
+      events.clear();
+      answer = whole.substring(0, length);
+      assertThat(run().hasFinished()).as("cut at %s", length).isFalse();
+      assertThat(events).as("cut at %s", length).noneMatch(RunEvent::hasServiceAnswer);
+    }
+  }
 }
