A whole answer without a type that is no event stream is passed on from a streaming route

Cause: an answer without a type is taken for an event stream, and any text that no blank line ends is then an event that was broken off, also with a whole frame. Change: if no type is stated, the frame is whole and the first line begins with no field of an event stream, the answer is whole; what was held back is sent. Streams that state their type are judged as before.

--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -25,6 +25,7 @@
   /** Responses to idempotent requests are buffered up to this size until they are complete. */
   private static final int MAX_BUFFERED_BYTES = 65_536;
 
+  private static final byte[] NOTHING = {};
   private static final long MIN_SILENCE_MILLIS = 1_000;
   private static final int SILENCE_TARGET_MULTIPLE = 3;
 
@@ -332,6 +333,10 @@
     if (bufferedHead != null) {
       forwardBuffered();
     }
+    byte[] remainder = eventBuffer.map(EventStreamBuffer::remainder).orElse(NOTHING);
+    if (remainder.length > 0) {
+      listener.forwardContent(remainder);
+    }
     listener.onCompleted(status, end);
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/EventStreamBuffer.java
@@ -16,7 +16,7 @@
   private static final char COMMENT = ':';
   private static final String BYTE_ORDER_MARK = "\uFEFF";
 
-  private final EventStreamScanner scanner = new EventStreamScanner();
+  private final EventStreamScanner scanner = EventStreamScanner.ofDeclared();
   private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
   private final Optional<String> resumedAfter;
   private Optional<String> lastId;
@@ -75,6 +75,11 @@
     return complete;
   }
 
+  /** Returns the bytes that are held back; none if the response ended between two events. */
+  byte[] remainder() {
+    return partial.toByteArray();
+  }
+
   /**
    * Returns the id of the last complete event, or of the one that the stream is to go on behind.
    */
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseEnd.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseEnd.java
@@ -36,6 +36,9 @@
    * @param mayBeEmpty whether a stream without any event may be whole
    */
   static ResponseEnd of(Signal signal, Optional<EventStreamScanner> events, boolean mayBeEmpty) {
+    if (signal == Signal.FRAMING && events.isPresent() && events.get().isPlain()) {
+      return Complete.FRAMED;
+    }
     if (events.isPresent() && !events.get().isBetweenEvents()) {
       return new BrokenOff(reasonOf(signal), "the stream ended within an event: " + signal);
     }
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseLimits.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseLimits.java
@@ -1,6 +1,7 @@
 package org.limpetvale.forward.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
@@ -36,7 +37,13 @@
   static ResponseLimits of(HttpResponse response, boolean eventStream) {
     return new ResponseLimits(
         !HttpUtil.isContentLengthSet(response),
-        eventStream ? Optional.of(new EventStreamScanner()) : Optional.empty());
+        eventStream ? Optional.of(scanner(response)) : Optional.empty());
+  }
+
+  private static EventStreamScanner scanner(HttpResponse response) {
+    return response.headers().contains(HttpHeaderNames.CONTENT_TYPE)
+        ? EventStreamScanner.ofDeclared()
+        : EventStreamScanner.ofUndeclared();
   }
 
   /**
--- a/forward/src/test/java/org/limpetvale/forward/relay/EventStreamScannerTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/EventStreamScannerTest.java
@@ -11,7 +11,7 @@
   private static final String BYTE_ORDER_MARK = "\uFEFF";
 
   private static EventStreamScanner scan(String text) {
-    EventStreamScanner scanner = new EventStreamScanner();
+    EventStreamScanner scanner = EventStreamScanner.ofDeclared();
     for (byte each : text.getBytes(StandardCharsets.UTF_8)) {
       scanner.accept(each);
     }
--- a/forward/src/test/java/org/limpetvale/forward/relay/ResponseEndTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/ResponseEndTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.forward.relay.ResponseEnd.BrokenOff;
@@ -11,7 +12,7 @@
 
 final class ResponseEndTest {
   private static Optional<EventStreamScanner> stream(String text) {
-    EventStreamScanner scanner = new EventStreamScanner();
+    EventStreamScanner scanner = EventStreamScanner.ofDeclared();
     text.chars().forEach(each -> scanner.accept((byte) each));
     return Optional.of(scanner);
   }
@@ -53,4 +54,28 @@
         .isEqualTo(Complete.CLOSED_BY_UPSTREAM);
     assertThat(ResponseEnd.of(Signal.FRAMING, stream(""), false)).isEqualTo(Complete.FRAMED);
   }
+
+  private static Optional<EventStreamScanner> undeclared(String text) {
+    EventStreamScanner scanner = EventStreamScanner.ofUndeclared();
+    for (byte each : text.getBytes(StandardCharsets.UTF_8)) {
+      scanner.accept(each);
+    }
+    return Optional.of(scanner);
+  }
+
+  @Test
+  void aFramedBodyOfNoTypeThatHasNoFieldOfEventsIsWhole() {
+    assertThat(ResponseEnd.of(Signal.FRAMING, undeclared("{\"a\":1}"), false))
+        .isEqualTo(Complete.FRAMED);
+    assertThat(ResponseEnd.of(Signal.FRAMING, stream("{\"a\":1}"), false))
+        .isInstanceOf(ResponseEnd.BrokenOff.class);
+    assertThat(ResponseEnd.of(Signal.UPSTREAM_CLOSE, undeclared("{\"a\":1}"), false))
+        .isInstanceOf(ResponseEnd.BrokenOff.class);
+    for (String cut :
+        new String[] {"d", "dat", "data: a", "id: 1\nda", ": comment", "retry: 5", "\ndata"}) {
+      assertThat(ResponseEnd.of(Signal.FRAMING, undeclared(cut), false))
+          .as(cut)
+          .isInstanceOf(ResponseEnd.BrokenOff.class);
+    }
+  }
 }
--- a/forward/src/test/java/org/limpetvale/forward/relay/ResumeExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/ResumeExplorationTest.java
@@ -161,7 +161,7 @@
    * two events is a reset, as nothing but that tells it from the end.
    */
   private static boolean isTakenForTheEnd(byte[] stream, int end, Random random, Mutant mutant) {
-    EventStreamScanner scanner = new EventStreamScanner();
+    EventStreamScanner scanner = EventStreamScanner.ofDeclared();
     for (int i = 0; i < end; i++) {
       scanner.accept(stream[i]);
     }
