Reports of entries that have just started are read by the others

Cause: a report of a suspected part may state that its entry cannot tell yet (UNKNOWN, -2), and the reader accepted -1 and more.

--- a/forward/src/main/java/org/limpetvale/forward/json/PartReportJson.java
+++ b/forward/src/main/java/org/limpetvale/forward/json/PartReportJson.java
@@ -61,8 +61,7 @@
 
   private static PartReport report(JsonNode values, String name) throws UnusableJsonException {
     long depth = JsonFields.number(values.path(0), name, 0, MAX_DEPTH);
-    long served =
-        JsonFields.number(values.path(1), name, PartReport.NEVER_SERVED, JsonFields.MAX_EXACT);
+    long served = JsonFields.number(values.path(1), name, PartReport.UNKNOWN, JsonFields.MAX_EXACT);
     List<PartCrash> crashes = new ArrayList<>();
     for (int i = CRASHES_FROM; i < values.size(); i++) {
       crashes.add(crash(JsonFields.element(values.path(i), name)));
