The trial of a blocked part costs one upstream at most

Cause: a trial whose upstream crashed was still granted to its own request until the crash was confirmed, so a retry took a second upstream; and another trial was granted after 2 s without a result, or by the entry of the next round. Change: a lost request with the part ends the trial's grant at once; a trial without a result is granted again after 10 s, rounds last 15 s. PartSuspectsTest: aTrialThatLostItsUpstreamIsNotSentOnToAnother (new; the state before grants it by reading, it was not run there).

--- a/core/src/main/java/org/limpetvale/core/crash/PartSuspects.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartSuspects.java
@@ -107,6 +107,8 @@
     for (int depth = 0; depth < parts.size(); depth++) {
       Long known = knownMillis.putIfAbsent(parts.get(depth), nowMillis);
       lost.add(new LostPart(parts.get(depth), depth, known != null && sentMillis > known));
+      Optional.ofNullable(trials.get(parts.get(depth)))
+          .ifPresent(trial -> trial.requestLost(nowMillis));
     }
     pending.addLast(new Loss(lost, process, request, nowMillis));
     pendingParts += lost.size();
--- a/core/src/main/java/org/limpetvale/core/crash/PartTrials.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartTrials.java
@@ -14,11 +14,14 @@
   /** Time until a new part is tried; crashed upstreams are back by then. */
   private static final long NEW_DELAY_MILLIS = 10_000;
 
-  /** Time for which the trial is one entry's. */
-  private static final long ROUND_MILLIS = 5_000;
-
   /** Time after which a trial without a result is granted to another request. */
-  private static final long RESULT_MILLIS = 2_000;
+  private static final long RESULT_MILLIS = 10_000;
+
+  /** Time for which the trial is one entry's; the others do not know when it was granted. */
+  private static final long ROUND_MILLIS = 15_000;
+
+  /** Holds a trial whose request was lost and whose upstream may have crashed. */
+  private static final Object LOST_REQUEST = new Object();
 
   /** Time after the block began in which requests that were sent before it may still crash. */
   private static final long STRAGGLER_MILLIS = 1_500;
@@ -55,6 +58,14 @@
     return true;
   }
 
+  /** Records that a request with the part was lost; if it was the trial, it is not sent again. */
+  void requestLost(long nowMillis) {
+    if (holder != null) {
+      holder = LOST_REQUEST;
+      grantedMillis = nowMillis;
+    }
+  }
+
   /** Notes the crashes known now; one that is new after the stragglers is a failed trial. */
   void noteCrashes(PartCandidate candidate, long nowMillis) {
     boolean grown = knownProcesses.addAll(candidate.crashes().keySet());
--- a/core/src/test/java/org/limpetvale/core/crash/PartSuspectsTest.java
+++ b/core/src/test/java/org/limpetvale/core/crash/PartSuspectsTest.java
@@ -230,6 +230,22 @@
     assertThat(suspects.isSettled(BAD)).isTrue();
   }
 
+  @Test
+  void aTrialThatLostItsUpstreamIsNotSentOnToAnother() {
+    warmUp();
+    crash(suspects, BAD);
+    crash(suspects, BAD);
+    crash(suspects, BAD);
+    assertThat(isBlocked(suspects, BAD)).isTrue();
+    nowMillis += 10_100;
+    Object trial = new Object();
+    assertThat(suspects.blockedPart(List.of(BAD), trial, (part, round) -> true, nowMillis))
+        .isEmpty();
+    lose(suspects, "p-trial", nowMillis, BAD);
+    assertThat(suspects.blockedPart(List.of(BAD), trial, (part, round) -> true, nowMillis))
+        .contains(BAD);
+  }
+
   @Test
   void theAnswerOfATrialLiftsTheBlock() {
     warmUp();
