Runs cut by an upstream that leaves are no evidence against prompt parts

Cause: an upstream that was draining or had left the table and ended with runs under way counted as crashed, so a release of all upstreams one after another gathered evidence against sound parts. Change: a loss counts against parts only if the upstream was known, not draining and not leaving. The digest of a whole request counts as before. upstreamsThatLeaveWithRunsUnfinishedAreNoEvidence failed before, passes after.

--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -74,6 +74,19 @@
     return new CrashGuard(timer, log);
   }
 
+  /**
+   * A run whose connection was lost.
+   *
+   * @param sentMillis when the request was sent to the upstream
+   * @param upstreamLeft whether the upstream was known to be leaving or gone before; its end is
+   *     then no evidence against the parts of the request's prompt
+   */
+  public record LostRun(Upstream upstream, long sentMillis, boolean upstreamLeft) {
+    public LostRun {
+      Objects.requireNonNull(upstream, "upstream is null");
+    }
+  }
+
   /** Sets which entry may try a blocked part; without it, this one always may. */
   public void setTrialTurns(PartSuspects.TrialTurn turns) {
     trialTurns = Objects.requireNonNull(turns, "turns is null");
@@ -125,25 +138,25 @@
   /**
    * Records that the connection was lost while the upstream ran the request.
    *
-   * @param sentMillis when the request was sent to the upstream
+   * @param lost where and when it ran
    */
   public void connectionLost(
-      IncomingRequest input,
-      RequestPlan plan,
-      RequestHead head,
-      Upstream upstream,
-      long sentMillis) {
+      IncomingRequest input, RequestPlan plan, RequestHead head, LostRun lost) {
+    Upstream upstream = lost.upstream();
     long nowMillis = timer.nowMillis();
     Optional<String> digest = digest(input, plan);
     digest.ifPresent(each -> suspects.recordConnectionLoss(each, processId(upstream), nowMillis));
+    firstLosses.putIfAbsent(processId(upstream), nowMillis);
+    if (lost.upstreamLeft()) {
+      return;
+    }
     String request = digest.orElseGet(() -> Integer.toHexString(head.requestId().hashCode()));
     parts.recordLoss(
         partIds(head.shape()),
         processId(upstream),
         request.substring(0, Math.min(request.length(), REQUEST_ID_LENGTH)),
-        sentMillis,
+        lost.sentMillis(),
         nowMillis);
-    firstLosses.putIfAbsent(processId(upstream), nowMillis);
   }
 
   /**
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -29,6 +29,7 @@
 import org.limpetvale.forward.accept.ProblemResponses;
 import org.limpetvale.forward.accept.RequestHandler;
 import org.limpetvale.forward.accept.ResponseWriter;
+import org.limpetvale.forward.admit.CrashGuard;
 import org.limpetvale.forward.admit.WaitingRequests;
 import org.limpetvale.forward.metrics.ForwardMetrics.Counter;
 import org.limpetvale.forward.place.Placement;
@@ -363,6 +364,11 @@
     if (state.isLeaving() || state.isAskedToPause(components.timer().nowMillis())) {
       return false;
     }
+    return isRunning(upstream);
+  }
+
+  /** Returns whether the process of an upstream is still known and not draining. */
+  private boolean isRunning(Upstream upstream) {
     return components
         .fleet()
         .get()
@@ -514,9 +520,13 @@
   }
 
   private void recordLoss(Attempt lost) {
+    Upstream upstream = lost.upstream();
+    boolean left =
+        !isRunning(upstream) || components.placer().upstreamStates().state(upstream).isLeaving();
     components
         .crashGuard()
-        .connectionLost(request, plan, head, lost.upstream(), lost.startedMillis());
+        .connectionLost(
+            request, plan, head, new CrashGuard.LostRun(upstream, lost.startedMillis(), left));
   }
 
   /** Connects to the upstream of a lost attempt, which tells soon whether its process crashed. */
