Without suspects a request's parts are not collected

Found on reading the change again: the block is asked up to four times a request, and each time the ids of its parts were collected before the evidence was found to be empty. Now the evidence is asked first. Behaviour stays as it is.

--- a/core/src/main/java/org/limpetvale/core/crash/PartSuspects.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartSuspects.java
@@ -257,6 +257,11 @@
     return isWarm(nowMillis) ? PartReport.NEVER_SERVED : PartReport.UNKNOWN;
   }
 
+  /** Returns whether there is any evidence; if not, callers need not ask about parts. */
+  public boolean hasSuspects() {
+    return !local.isEmpty() || !peers.isEmpty() || !blocked.isEmpty();
+  }
+
   /**
    * Returns the first of some parts because of which a request must not be sent. One request may be
    * sent with a blocked part as a trial, as its complete answer lifts a block of a sound part.
@@ -266,7 +271,7 @@
    */
   public Optional<String> blockedPart(
       List<String> parts, Object holder, TrialTurn isOwnTurn, long nowMillis) {
-    if (local.isEmpty() && peers.isEmpty() && blocked.isEmpty()) {
+    if (!hasSuspects()) {
       return Optional.empty();
     }
     decide(nowMillis);
--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -120,6 +120,9 @@
   }
 
   private Optional<Refusal> blockedPart(IncomingRequest input, PromptShape shape) {
+    if (!parts.hasSuspects()) {
+      return Optional.empty();
+    }
     long nowMillis = timer.nowMillis();
     Optional<String> blocked = parts.blockedPart(partIds(shape), input, trialTurns, nowMillis);
     blocked.ifPresent(part -> parts.recordRefusal(part, nowMillis));
