An answer that ended with its connection is no known loss of its parts

Found on reading the change again: where answers come without framing, each one marked its parts as lost until a crash was ruled out. All later losses then counted as sent after a loss, which is what keeps crashes of many upstreams at one moment from counting, and every next framed answer went into the reports as a clearance. Change: such an answer waits for a crash of its upstream and says nothing before. anAnswerThatEndedWithItsConnectionIsNoKnownLossUntilItsUpstreamCrashes fails when the answer is recorded as before (recordLoss), and passes now. PartSuspectsTest and PromptPartCrashesEveryUpstreamTest (7 cases) pass.

--- a/core/src/main/java/org/limpetvale/core/crash/PartSuspects.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartSuspects.java
@@ -100,18 +100,41 @@
       List<String> parts, String process, String request, long sentMillis, long nowMillis) {
     Objects.requireNonNull(process, "process is null");
     Objects.requireNonNull(request, "request is null");
-    if (parts.isEmpty()) {
-      return;
-    }
     List<LostPart> lost = new ArrayList<>();
     for (int depth = 0; depth < parts.size(); depth++) {
-      Long known = knownMillis.putIfAbsent(parts.get(depth), nowMillis);
-      lost.add(new LostPart(parts.get(depth), depth, known != null && sentMillis > known));
+      lost.add(
+          new LostPart(parts.get(depth), depth, isSentAfterLoss(parts.get(depth), sentMillis)));
+      knownMillis.putIfAbsent(parts.get(depth), nowMillis);
       Optional.ofNullable(trials.get(parts.get(depth)))
           .ifPresent(trial -> trial.requestLost(nowMillis));
     }
-    pending.addLast(new Loss(lost, process, request, nowMillis));
-    pendingParts += lost.size();
+    addPending(new Loss(lost, process, request, nowMillis));
+  }
+
+  /**
+   * Records a whole answer that ended with its connection, as a crash may have closed it. Until the
+   * crash is confirmed it says nothing about the parts of the prompt.
+   */
+  public void recordUnprovenAnswer(
+      List<String> parts, String process, String request, long sentMillis, long nowMillis) {
+    List<LostPart> answered = new ArrayList<>();
+    for (int depth = 0; depth < parts.size(); depth++) {
+      answered.add(
+          new LostPart(parts.get(depth), depth, isSentAfterLoss(parts.get(depth), sentMillis)));
+    }
+    addPending(new Loss(answered, process, request, nowMillis));
+  }
+
+  private boolean isSentAfterLoss(String part, long sentMillis) {
+    return knownMillis.containsKey(part) && sentMillis > knownMillis.get(part);
+  }
+
+  private void addPending(Loss loss) {
+    if (loss.parts().isEmpty()) {
+      return;
+    }
+    pending.addLast(loss);
+    pendingParts += loss.parts().size();
     while (pendingParts > MAX_PENDING_PARTS && pending.size() > 1) {
       pendingParts -= pending.removeFirst().parts().size();
     }
@@ -148,6 +171,7 @@
   }
 
   private void addCrash(LostPart lost, PartCrash crash, long nowMillis) {
+    knownMillis.putIfAbsent(lost.part(), nowMillis);
     LocalPartEvidence before = local.getOrDefault(lost.part(), LocalPartEvidence.NONE);
     local.putNewest(
         lost.part(), before.with(crash, lost.depth(), nowMillis + SUSPECT_RETENTION_MILLIS));
--- a/core/src/test/java/org/limpetvale/core/crash/PartSuspectsTest.java
+++ b/core/src/test/java/org/limpetvale/core/crash/PartSuspectsTest.java
@@ -89,6 +89,21 @@
     assertThat(isBlocked(suspects, BAD)).isFalse();
   }
 
+  @Test
+  void anAnswerThatEndedWithItsConnectionIsNoKnownLossUntilItsUpstreamCrashes() {
+    warmUp();
+    suspects.recordUnprovenAnswer(List.of("new"), "p0", "r0", nowMillis - 50, nowMillis);
+    nowMillis += 100;
+    for (int i = 1; i <= 3; i++) {
+      lose(suspects, "p" + i, nowMillis - 50, "new");
+    }
+    for (int i = 1; i <= 3; i++) {
+      suspects.recordCrash("p" + i, nowMillis);
+    }
+    assertThat(isBlocked(suspects, "new")).isFalse();
+    assertThat(suspects.recordCrash("p0", nowMillis)).containsEntry("new", 4);
+  }
+
   @Test
   void aPartThatIsServedInBetweenIsCleared() {
     warmUp();
--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -78,10 +78,13 @@
    * A run whose connection was lost.
    *
    * @param sentMillis when the request was sent to the upstream
+   * @param answered whether its answer is whole as far as can be told, and ended with the
+   *     connection
    * @param upstreamLeft whether the upstream was known to be leaving or gone before; its end is
    *     then no evidence against the parts of the request's prompt
    */
-  public record LostRun(Upstream upstream, long sentMillis, boolean upstreamLeft) {
+  public record LostRun(
+      Upstream upstream, long sentMillis, boolean answered, boolean upstreamLeft) {
     public LostRun {
       Objects.requireNonNull(upstream, "upstream is null");
     }
@@ -154,12 +157,14 @@
       return;
     }
     String request = digest.orElseGet(() -> Integer.toHexString(head.requestId().hashCode()));
-    parts.recordLoss(
-        partIds(head.shape()),
-        processId(upstream),
-        request.substring(0, Math.min(request.length(), REQUEST_ID_LENGTH)),
-        lost.sentMillis(),
-        nowMillis);
+    String shortId = request.substring(0, Math.min(request.length(), REQUEST_ID_LENGTH));
+    List<String> partIds = partIds(head.shape());
+    if (lost.answered()) {
+      parts.recordUnprovenAnswer(
+          partIds, processId(upstream), shortId, lost.sentMillis(), nowMillis);
+    } else {
+      parts.recordLoss(partIds, processId(upstream), shortId, lost.sentMillis(), nowMillis);
+    }
   }
 
   /**
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -511,7 +511,7 @@
    */
   private void recordAnswer(boolean served, int status, ResponseEnd.Complete end) {
     if (end == ResponseEnd.Complete.CLOSED_BY_UPSTREAM) {
-      recordLoss(attempt);
+      recordLoss(attempt, true);
     } else if (served) {
       components.crashGuard().requestServed(request, plan, head.shape());
     } else if (status == StatusCodes.INTERNAL_ERROR) {
@@ -519,14 +519,17 @@
     }
   }
 
-  private void recordLoss(Attempt lost) {
+  private void recordLoss(Attempt lost, boolean answered) {
     Upstream upstream = lost.upstream();
     boolean left =
         !isRunning(upstream) || components.placer().upstreamStates().state(upstream).isLeaving();
     components
         .crashGuard()
         .connectionLost(
-            request, plan, head, new CrashGuard.LostRun(upstream, lost.startedMillis(), left));
+            request,
+            plan,
+            head,
+            new CrashGuard.LostRun(upstream, lost.startedMillis(), answered, left));
   }
 
   /** Connects to the upstream of a lost attempt, which tells soon whether its process crashed. */
@@ -554,7 +557,7 @@
     log.attemptFailed(failedAttempt.upstream(), failure, detail, callerResponse.isStarted());
     switch (failure) {
       case LOST -> {
-        recordLoss(failedAttempt);
+        recordLoss(failedAttempt, false);
         probe(failedAttempt.upstream());
       }
       case FAILED -> components.crashGuard().answerReceived(request, plan);
