--- a/core/src/main/java/org/limpetvale/core/crash/BoundedMap.java
+++ b/core/src/main/java/org/limpetvale/core/crash/BoundedMap.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** A map that evicts its oldest entry beyond its capacity. */
-final class BoundedMap<V> extends LinkedHashMap<String, V> {
+public final class BoundedMap<V> extends LinkedHashMap<String, V> {
   private static final long serialVersionUID = 1L;
 
   private final int capacity;
@@ -14,7 +14,7 @@
   }
 
   /** Returns an empty map. */
-  static <V> BoundedMap<V> of(int capacity) {
+  public static <V> BoundedMap<V> of(int capacity) {
     return new BoundedMap<>(capacity);
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -7,13 +7,13 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HashSet;
 import java.util.HexFormat;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.limpetvale.core.crash.BoundedMap;
 import org.limpetvale.core.crash.CrashSuspects;
 import org.limpetvale.core.crash.PartBlock;
 import org.limpetvale.core.crash.PartReport;
@@ -52,13 +52,7 @@
   private final EventLog log;
 
   /** When a request's connection to a process was first lost, for the log. */
-  private final Map<String, Long> firstLosses =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > MAX_FIRST_LOSSES;
-        }
-      };
+  private final BoundedMap<Long> firstLosses = BoundedMap.of(MAX_FIRST_LOSSES);
 
   private Runnable onSuspicion = () -> {};
   private PartSuspects.TrialTurn trialTurns = (part, round) -> true;
