Tests: one way to run a recorded attempt, and one to make a peer report

Three sidecar tests ran an attempt with the same observer, four tests of the forward module spelled out the fields of a report that they do not use, and two cases of callers that left were alike but for the size of a body. Assertions, cases and bounds are as before; the changed tests pass.

--- a/forward/src/test/java/org/limpetvale/forward/accept/CallerLeftBeforeItsRequestWasReadTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/accept/CallerLeftBeforeItsRequestWasReadTest.java
@@ -108,9 +108,8 @@
     void run() throws IOException;
   }
 
-  @ParameterizedTest
-  @ValueSource(booleans = {true, false})
-  void onAKeptConnectionItIsNotStarted(boolean preferNative)
+  /** Callers on kept connections send requests and leave before the entry reads any of them. */
+  private void assertNoneIsStarted(boolean preferNative, int bodyBytes)
       throws IOException, InterruptedException {
     try (Transport transport = Transport.of(preferNative)) {
       Channel listener = listen(transport);
@@ -119,12 +118,19 @@
         callers.add(connect(listener));
       }
       awaitReads(transport);
-      whileTheLoopStandsStill(transport, () -> sendAndLeave(callers, 0));
+      whileTheLoopStandsStill(transport, () -> sendAndLeave(callers, bodyBytes));
       awaitReads(transport);
       assertThat(started).hasValue(0);
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void onAKeptConnectionItIsNotStarted(boolean preferNative)
+      throws IOException, InterruptedException {
+    assertNoneIsStarted(preferNative, 0);
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void onANewConnectionItIsNotStarted(boolean preferNative)
@@ -141,17 +147,7 @@
   @ValueSource(booleans = {true, false})
   void withABodyOfSeveralReadsItIsNotStarted(boolean preferNative)
       throws IOException, InterruptedException {
-    try (Transport transport = Transport.of(preferNative)) {
-      Channel listener = listen(transport);
-      List<Socket> callers = new ArrayList<>();
-      for (int i = 0; i < CALLERS; i++) {
-        callers.add(connect(listener));
-      }
-      awaitReads(transport);
-      whileTheLoopStandsStill(transport, () -> sendAndLeave(callers, 30_000));
-      awaitReads(transport);
-      assertThat(started).hasValue(0);
-    }
+    assertNoneIsStarted(preferNative, 30_000);
   }
 
   @ParameterizedTest
--- a/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/UpstreamLimitSimulation.java
@@ -16,6 +16,7 @@
 import org.limpetvale.forward.testing.InMemoryStore;
 import org.limpetvale.forward.testing.ManualTimer;
 import org.limpetvale.forward.testing.ProcessLifecycle;
+import org.limpetvale.forward.testing.TestReports;
 
 /**
  * Simulates, in virtual time, entries that all prefer one upstream, which names a limit, and send
@@ -112,24 +113,7 @@
     }
 
     private void report() {
-      PeerReport report =
-          new PeerReport(
-              writer,
-              ++reportNumber,
-              0,
-              PeerReport.USAGE_OMITTED,
-              Map.of(),
-              Map.of(),
-              Map.of(),
-              Map.of(),
-              Map.of(),
-              Map.of(),
-              Map.of(),
-              limits.recentNotices(),
-              Map.of(),
-              0,
-              0,
-              0);
+      PeerReport report = TestReports.of(writer, ++reportNumber, Map.of(), limits.recentNotices());
       for (Entry other : entries) {
         boolean lost = peersCut || other.peersCut || random.nextDouble() < reportLossShare;
         if (other != this && !lost && other.isRunning()) {
--- a/forward/src/test/java/org/limpetvale/forward/peer/LargePeerReportNotReadTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/LargePeerReportNotReadTest.java
@@ -17,6 +17,7 @@
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.http.Transport;
 import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.testing.TestReports;
 import org.limpetvale.forward.time.EventLoopTimer;
 
 /** Guards against reports of several kilobytes, as sent under trouble, that no entry can read. */
@@ -30,23 +31,7 @@
     for (int i = 0; i < upstreams; i++) {
       loads.put("i-upstream-" + i, new PeerReport.Load(12, 3_456, 7, 8, 100));
     }
-    return new PeerReport(
-        "edge-1.boot",
-        number,
-        0,
-        PeerReport.USAGE_OMITTED,
-        Map.of(),
-        loads,
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        0,
-        0,
-        0);
+    return TestReports.of("edge-1.boot", number, loads, Map.of());
   }
 
   private static InetSocketAddress freeAddress() throws IOException {
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
@@ -11,6 +11,7 @@
 import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.placement.EngineModel;
 import org.limpetvale.forward.testing.ManualTimer;
+import org.limpetvale.forward.testing.TestReports;
 
 final class PeerReportsTest {
   private final ManualTimer timer = new ManualTimer();
@@ -63,24 +64,7 @@
   @Test
   void aReportWithoutUsageKeepsTheUsageReportedBefore() {
     peerReports.accept(report("a.1", 1, 9, 1));
-    peerReports.accept(
-        new PeerReport(
-            "a.1",
-            2,
-            0,
-            PeerReport.USAGE_OMITTED,
-            Map.of(),
-            Map.of(),
-            Map.of(),
-            Map.of(),
-            Map.of(),
-            Map.of(),
-            Map.of(),
-            Map.of(),
-            Map.of(),
-            0,
-            0,
-            0));
+    peerReports.accept(TestReports.empty("a.1", 2));
     assertThat(peerReports.usageByEntry(7)).containsEntry("a.1", Map.of("w", 9L));
     assertThat(peerReports.peerLoad("u").requests()).isZero();
   }
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamLimitsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamLimitsTest.java
@@ -12,6 +12,7 @@
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.peer.PeerReport;
 import org.limpetvale.forward.testing.ManualTimer;
+import org.limpetvale.forward.testing.TestReports;
 
 final class UpstreamLimitsTest {
   private static final StatedLimit TWO_PER_SECOND = new StatedLimit.PerSecond(2);
@@ -41,23 +42,8 @@
   }
 
   private static PeerReport report(LimitNotice notice, long startedMillis) {
-    return new PeerReport(
-        "edge-1.boot",
-        1,
-        0,
-        PeerReport.USAGE_OMITTED,
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        Map.of(),
-        Map.of("i-1", new PeerReport.Limit(notice, startedMillis)),
-        Map.of(),
-        0,
-        0,
-        0);
+    return TestReports.of(
+        "edge-1.boot", 1, Map.of(), Map.of("i-1", new PeerReport.Limit(notice, startedMillis)));
   }
 
   @Test
--- a/sidecar/src/test/java/org/limpetvale/sidecar/CutServiceAnswerTest.java
+++ b/sidecar/src/test/java/org/limpetvale/sidecar/CutServiceAnswerTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.grpc.stub.StreamObserver;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -20,7 +19,6 @@
 import org.limpetvale.wire.Open;
 import org.limpetvale.wire.RunEvent;
 import org.limpetvale.wire.ServiceCall;
-import org.limpetvale.wire.SidecarLoad;
 
 /** Guards against answers of a service that crashed while it sent them, passed on as whole. */
 final class CutServiceAnswerTest {
@@ -70,22 +68,7 @@
         Open.newBuilder()
             .setServiceCall(ServiceCall.newBuilder().setMethod("GET").setPath("/a"))
             .build();
-    Attempt attempt = new Attempt(open, 1, timer, SidecarLoad::getDefaultInstance);
-    attempt.attach(
-        new StreamObserver<>() {
-          @Override
-          public void onNext(RunEvent event) {
-            events.add(event);
-          }
-
-          @Override
-          public void onError(Throwable failure) {}
-
-          @Override
-          public void onCompleted() {}
-        },
-        0);
-    runner.run(attempt);
+    events.addAll(RecordedRun.events(runner, open, timer));
     return events.getLast();
   }
 
--- a/sidecar/src/test/java/org/limpetvale/sidecar/EngineErrorEndsStreamAsCompleteTest.java
+++ b/sidecar/src/test/java/org/limpetvale/sidecar/EngineErrorEndsStreamAsCompleteTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
-import io.grpc.stub.StreamObserver;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -27,7 +26,6 @@
 import org.limpetvale.wire.ModelCall;
 import org.limpetvale.wire.Open;
 import org.limpetvale.wire.RunEvent;
-import org.limpetvale.wire.SidecarLoad;
 
 /** Guards against an engine's error within its stream that is taken for the end of the answer. */
 final class EngineErrorEndsStreamAsCompleteTest {
@@ -97,22 +95,7 @@
                     .setContinuedText(" x y")
                     .setContinuedTokens(2))
             .build();
-    Attempt attempt = new Attempt(open, 1, timer, SidecarLoad::getDefaultInstance);
-    attempt.attach(
-        new StreamObserver<>() {
-          @Override
-          public void onNext(RunEvent event) {
-            events.add(event);
-          }
-
-          @Override
-          public void onError(Throwable failure) {}
-
-          @Override
-          public void onCompleted() {}
-        },
-        0);
-    runner.run(attempt);
+    events.addAll(RecordedRun.events(runner, open, timer));
     return events.getLast();
   }
 
--- a/sidecar/src/test/java/org/limpetvale/sidecar/ExtraServiceAnswerTest.java
+++ b/sidecar/src/test/java/org/limpetvale/sidecar/ExtraServiceAnswerTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.grpc.stub.StreamObserver;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -10,7 +9,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -20,7 +18,6 @@
 import org.limpetvale.wire.Open;
 import org.limpetvale.wire.RunEvent;
 import org.limpetvale.wire.ServiceCall;
-import org.limpetvale.wire.SidecarLoad;
 
 /** Guards against an answer written twice by a service that is taken for the next call's. */
 final class ExtraServiceAnswerTest {
@@ -86,24 +83,7 @@
             .setRepeatable(true)
             .setServiceCall(ServiceCall.newBuilder().setMethod("GET").setPath(path))
             .build();
-    List<RunEvent> events = new ArrayList<>();
-    Attempt attempt = new Attempt(open, 1, timer, SidecarLoad::getDefaultInstance);
-    attempt.attach(
-        new StreamObserver<>() {
-          @Override
-          public void onNext(RunEvent event) {
-            events.add(event);
-          }
-
-          @Override
-          public void onError(Throwable failure) {}
-
-          @Override
-          public void onCompleted() {}
-        },
-        0);
-    runner.run(attempt);
-    return events.stream()
+    return RecordedRun.events(runner, open, timer).stream()
         .filter(RunEvent::hasServiceAnswer)
         .map(each -> each.getServiceAnswer().getBody().toStringUtf8())
         .findFirst()
