--- a/review/build.sh
+++ b/review/build.sh
@@ -13,5 +13,5 @@
 done
 own=platform/src/test/java/org/limpetvale/platform/standin
 target/jdk/bin/javac -nowarn -proc:none -d "$out/classes" -cp "$(ls target/lib/*.jar | paste -sd:)" \
-  "$own"/{ConnectionAcceptor,FaultProxy,PortAllocator,StandInDutyService,StandInStore}.java \
+  "$own"/{ConnectionAcceptor,FaultProxy,PortAllocator,RawHttpClient,StandInDutyService,StandInStore}.java \
   "$out"/src/*.java
