--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -356,7 +356,9 @@
     stopping = true;
     log.stateChange("stopping", field("running", forwarder.activeRequests()));
     callers.closeConnectionsAfterRequests();
-    long lastMillis = timer.nowMillis() + settings.bounds().graceMillis() - FINAL_WRITES_MILLIS;
+    long nowMillis = timer.nowMillis();
+    long lastMillis = nowMillis + settings.bounds().graceMillis() - FINAL_WRITES_MILLIS;
+    forwarder.beginStop(nowMillis + DEREGISTRATION_MILLIS, lastMillis);
     timer.after(settings.bounds().graceMillis() / 2, forwarder::stopSending);
     timer.after(DEREGISTRATION_MILLIS, () -> finishWhenIdle(lastMillis, onEnd));
   }
--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -330,7 +330,7 @@
       discardInputThenClose();
       return;
     }
-    if (!keepAlive) {
+    if (!keepAlive || isUnusedInStop()) {
       closing = true;
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       return;
@@ -339,6 +339,11 @@
     processQueued();
   }
 
+  /** Returns whether the connection would only wait to be closed, as this entry stops. */
+  private boolean isUnusedInStop() {
+    return server.keepsNoIdleConnections() && queuedObjects.isEmpty();
+  }
+
   /**
    * Closes the connection in order once the caller can read the whole response. Until then, a close
    * resets it, so that the end of this process is not taken for the end of the response.
--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerServer.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerServer.java
@@ -26,6 +26,7 @@
   private final Set<CallerConnection> connections = new HashSet<>();
   private Channel listener;
   private boolean isStopping;
+  private boolean keepsNoIdleConnections;
 
   private CallerServer(
       Transport transport,
@@ -83,8 +84,12 @@
     isStopping = true;
   }
 
-  /** Stops listening and closes the connections that serve no request. */
+  /**
+   * Stops listening and closes the connections that serve no request. From now on, the others are
+   * closed as soon as their response is written.
+   */
   public void closeIdle() {
+    keepsNoIdleConnections = true;
     if (listener != null) {
       listener.close();
     }
@@ -100,6 +105,10 @@
     return isStopping;
   }
 
+  boolean keepsNoIdleConnections() {
+    return keepsNoIdleConnections;
+  }
+
   TimerService timer() {
     return timer;
   }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -106,6 +106,9 @@
         }
         long timeoutMillis = Math.min(plan.route().timeoutMillis(), requestedTimeoutMillis());
         deadlineMillis = request.arrivedMillis() + timeoutMillis;
+        if (isTooLateInStop()) {
+          return;
+        }
         timeout = components.timer().after(Math.max(0, remainingMillis()), this::onTimeout);
         components.retryBudgets().requestSent(plan.service());
         placeOrWait();
@@ -135,19 +138,33 @@
     return components.crashGuard().refusal(request, plan, head.shape());
   }
 
+  /** Refuses a new request if this entry may end before it; returns whether it did. */
+  private boolean isTooLateInStop() {
+    boolean admitted =
+        components.plannedStop().admits(components.timer().nowMillis(), deadlineMillis);
+    if (!admitted) {
+      refuseForStop();
+    }
+    return !admitted;
+  }
+
   /** Ends the request if this entry sends nothing any more; returns whether it does. */
   private boolean isRefusedByStop() {
-    boolean stopped = components.isSendingStopped().getAsBoolean();
+    boolean stopped = components.plannedStop().isSendingStopped();
     if (stopped) {
-      giveUp(ResultCode.DRAINING, "this entry stops and has no time left for an answer");
+      refuseForStop();
     }
     return stopped;
   }
 
+  private void refuseForStop() {
+    giveUp(ResultCode.DRAINING, "this entry stops and has no time left for an answer");
+  }
+
   /** Ends the request if it is not at an upstream, as this entry sends nothing any more. */
   void onSendingStopped() {
     if (!ended && plan != null && attempt == null) {
-      giveUp(ResultCode.DRAINING, "this entry stops and has no time left for an answer");
+      refuseForStop();
     }
   }
 
@@ -604,7 +621,7 @@
     if (!callerResponse.mayUseAnotherUpstream()) {
       return false;
     }
-    if (ran && !route().isRetryable() || components.isSendingStopped().getAsBoolean()) {
+    if (ran && !route().isRetryable() || components.plannedStop().isSendingStopped()) {
       return false;
     }
     if (crashRefusal().isPresent()) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
@@ -5,8 +5,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.time.TimerService;
@@ -27,11 +25,7 @@
 /** Serves requests by forwarding them to upstreams. */
 public final class Forwarder implements RequestHandler {
 
-  /**
-   * The components that an exchange uses.
-   *
-   * @param isSendingStopped whether nothing is sent to upstreams any more
-   */
+  /** The components that an exchange uses. */
   record Components(
       Planner planner,
       CrashGuard crashGuard,
@@ -45,15 +39,13 @@
       ForwardMetrics metrics,
       EventLog log,
       TimerService timer,
-      BooleanSupplier isSendingStopped) {}
+      PlannedStop plannedStop) {}
 
   private final Components components;
-  private final AtomicBoolean sendingStopped;
   private final Set<Exchange> active = new LinkedHashSet<>();
 
-  private Forwarder(Components components, AtomicBoolean sendingStopped) {
+  private Forwarder(Components components) {
     this.components = components;
-    this.sendingStopped = sendingStopped;
   }
 
   /**
@@ -74,7 +66,6 @@
       EventLog log,
       TimerService timer) {
     UpstreamPool pool = new UpstreamPool(transport, headerCodec, timer);
-    AtomicBoolean sendingStopped = new AtomicBoolean();
     return new Forwarder(
         new Components(
             planner,
@@ -89,8 +80,7 @@
             metrics,
             log,
             timer,
-            sendingStopped::get),
-        sendingStopped);
+            new PlannedStop()));
   }
 
   @Override
@@ -107,9 +97,19 @@
     return active.size();
   }
 
+  /**
+   * Begins a planned stop.
+   *
+   * @param deregisteredMillis when the load balancer sends no more callers, on the monotonic clock
+   * @param endMillis when this entry ends what is still running, on the monotonic clock
+   */
+  public void beginStop(long deregisteredMillis, long endMillis) {
+    components.plannedStop().begin(deregisteredMillis, endMillis);
+  }
+
   /** From now on, sends nothing to upstreams; requests that are not at one are refused. */
   public void stopSending() {
-    sendingStopped.set(true);
+    components.plannedStop().stopSending();
     List.copyOf(active).forEach(Exchange::onSendingStopped);
   }
 
