--- a/core/src/main/java/org/limpetvale/core/crash/LocalPartEvidence.java
+++ b/core/src/main/java/org/limpetvale/core/crash/LocalPartEvidence.java
@@ -26,6 +26,16 @@
         .keptUntil(newExpiresMillis);
   }
 
+  /** Returns the evidence without the crash of a process, which did not happen. */
+  LocalPartEvidence without(String process) {
+    if (!crashes.containsKey(process)) {
+      return this;
+    }
+    Map<String, PartCrash> others = new LinkedHashMap<>(crashes);
+    others.remove(process);
+    return new LocalPartEvidence(others, depth, expiresMillis);
+  }
+
   /** Returns the evidence, kept until a time at least. */
   LocalPartEvidence keptUntil(long millis) {
     return new LocalPartEvidence(crashes, depth, Math.max(expiresMillis, millis));
--- a/core/src/main/java/org/limpetvale/core/crash/PartBlocking.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartBlocking.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 
 /**
- * Decides which prompt parts crash upstreams.
+ * Decides which prompt parts, and which whole requests, crash upstreams.
  *
  * <p>A crash takes down all requests that run on the upstream, so most parts that stand in crashes
  * are sound. The decision looks for the fewest parts that explain all crashes: it takes the part
@@ -32,6 +32,12 @@
   /** For a part that was answered before; its next complete answer needs time to arrive. */
   private static final Threshold FAMILIAR_PART = new Threshold(5, 3, 3, 3, 1_500);
 
+  /**
+   * For a whole request. All its crashes are under the same request, so two of them must follow a
+   * known loss, and nothing else may explain them.
+   */
+  private static final Threshold REQUEST = new Threshold(3, 1, 2, 3, 0);
+
   /** New parts first, then those that explain most crashes by fewest requests. */
   private static final Comparator<PartCandidate> STRONGEST_FIRST =
       Comparator.comparing(PartCandidate::familiar)
@@ -60,6 +66,9 @@
   }
 
   private static Threshold threshold(PartCandidate candidate) {
+    if (RequestKey.isRequest(candidate.part())) {
+      return REQUEST;
+    }
     return candidate.familiar() ? FAMILIAR_PART : NEW_PART;
   }
 }
--- a/core/src/main/java/org/limpetvale/core/crash/PartReport.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartReport.java
@@ -4,9 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Predicate;
 
 /**
- * What one entry knows of a prompt part that is suspected of crashing upstreams.
+ * What one entry knows of a prompt part, or a whole request, that is suspected of crashing
+ * upstreams.
  *
  * @param depth position of the part in its prompts, counted from 0; the deepest one seen
  * @param served {@link #UNKNOWN}, {@link #NEVER_SERVED}, {@link #SERVED_BEFORE}, or a number that
@@ -41,4 +43,9 @@
   PartReport withoutCrashes() {
     return new PartReport(depth, served, List.of());
   }
+
+  /** Returns the report without some of its crashes. */
+  PartReport withoutCrashes(Predicate<PartCrash> obsolete) {
+    return new PartReport(depth, served, crashes.stream().filter(obsolete.negate()).toList());
+  }
 }
--- a/core/src/main/java/org/limpetvale/core/crash/PartTrials.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartTrials.java
@@ -37,7 +37,7 @@
   }
 
   /** Returns whether a request may be sent as the trial. */
-  boolean grant(Object request, PartSuspects.TrialTurn isOwnTurn, long nowMillis) {
+  boolean grant(Object request, CrashSuspects.TrialTurn isOwnTurn, long nowMillis) {
     if (failed || nowMillis < firstTrialMillis) {
       return false;
     }
@@ -54,6 +54,13 @@
     return true;
   }
 
+  /** Frees the trial if it is held by a request, which was not sent. */
+  void release(Object request) {
+    if (request.equals(holder)) {
+      holder = null;
+    }
+  }
+
   /** Records that a request with the part was lost; if it was the trial, it is not sent again. */
   void requestLost(long nowMillis) {
     if (holder != null) {
--- a/core/src/main/java/org/limpetvale/core/crash/PeerPartEvidence.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PeerPartEvidence.java
@@ -60,6 +60,14 @@
     return merged;
   }
 
+  /** Returns the evidence without the crashes of a process, which did not happen. */
+  PeerPartEvidence withoutProcess(String process) {
+    Map<String, PartReport> others = new HashMap<>(reports);
+    others.replaceAll(
+        (part, report) -> report.withoutCrashes(crash -> crash.process().equals(process)));
+    return new PeerPartEvidence(others, servedSeen, atMillis);
+  }
+
   /** Returns the evidence without the crashes of a part that was served since. */
   PeerPartEvidence withoutCrashes(String part) {
     if (!reports.containsKey(part)) {
--- a/core/src/main/java/org/limpetvale/core/result/ResultCode.java
+++ b/core/src/main/java/org/limpetvale/core/result/ResultCode.java
@@ -90,6 +90,11 @@
       503,
       ExecutionStatus.NOT_RUN,
       "Upstreams have just crashed on requests with a part of this request's prompt."),
+  REQUEST_SUSPECTED(
+      4014,
+      503,
+      ExecutionStatus.NOT_RUN,
+      "Upstreams were lost while they ran this request, and it is not known yet whether they crashed."),
   EPOCH_OLD(5001, 409, ExecutionStatus.NOT_RUN, "The order carries an old fencing number."),
   ORDER_BLOCKED(5002, 409, ExecutionStatus.NOT_RUN, "An earlier order of the zone is unresolved."),
   INTERNAL(9001, 500, ExecutionStatus.MAY_HAVE_RUN, "An unexpected fault inside limpetvale.");
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -227,8 +227,7 @@
                       loads.ownLoads(timer.nowMillis()),
                       placer.recentPlacements(),
                       forwarder.waiting(),
-                      crashes.localCrashes(),
-                      crashes.partReports(),
+                      crashes.suspectReports(),
                       engines.ownModels(),
                       limits.recentNotices(),
                       notices.recentlyLeaving(),
@@ -258,6 +257,7 @@
   /** Starts listening and following the store. */
   public void start() {
     upstreams.onChange(forwarder::fleetChanged);
+    upstreams.onRead(crashes::upstreamsRead);
     config.setClockDriftHandler(configFollower::restart);
     config.setStoreRecoveryHandler(duties::runNow);
     store.onReturn(this::scheduleFullReads);
--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -13,11 +12,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.limpetvale.core.crash.BoundedMap;
 import org.limpetvale.core.crash.CrashSuspects;
 import org.limpetvale.core.crash.PartBlock;
 import org.limpetvale.core.crash.PartReport;
-import org.limpetvale.core.crash.PartSuspects;
+import org.limpetvale.core.crash.RequestKey;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.PromptShape;
@@ -33,7 +33,8 @@
 
 /**
  * Keeps requests from upstreams that crash on them: those that crashed their upstreams before, and
- * those with a prompt part on which upstreams crash. Must only be used on the event loop.
+ * those with a prompt part on which upstreams crash. Translates requests and upstreams to the keys
+ * by which {@link CrashSuspects} knows them. Must only be used on the event loop.
  */
 public final class CrashGuard implements SharedSuspects {
   private static final int DIGEST_BYTES = 8;
@@ -47,7 +48,6 @@
   private static final long SUSPECTED_RETRY_MILLIS = 2_000;
 
   private final CrashSuspects suspects = CrashSuspects.empty();
-  private final PartSuspects parts = PartSuspects.empty();
   private final TimerService timer;
   private final EventLog log;
 
@@ -55,8 +55,7 @@
   private final BoundedMap<Long> firstLosses = BoundedMap.of(MAX_FIRST_LOSSES);
 
   private Runnable onSuspicion = () -> {};
-  private PartSuspects.TrialTurn trialTurns = (part, round) -> true;
-  private Set<String> knownProcessIds = Set.of();
+  private CrashSuspects.TrialTurn trialTurns = (part, round) -> true;
 
   private CrashGuard(TimerService timer, EventLog log) {
     this.timer = Objects.requireNonNull(timer, "timer is null");
@@ -75,7 +74,7 @@
    * @param answered whether its answer is whole as far as can be told, and ended with the
    *     connection
    * @param upstreamLeft whether the upstream was known to be leaving or gone before; its end is
-   *     then no evidence against the parts of the request's prompt
+   *     then no evidence
    */
   public record LostRun(
       Upstream upstream, long sentMillis, boolean answered, boolean upstreamLeft) {
@@ -85,7 +84,7 @@
   }
 
   /** Sets which entry may try a blocked part; without it, this one always may. */
-  public void setTrialTurns(PartSuspects.TrialTurn turns) {
+  public void setTrialTurns(CrashSuspects.TrialTurn turns) {
     trialTurns = Objects.requireNonNull(turns, "turns is null");
   }
 
@@ -100,39 +99,39 @@
    * @param shape parts of its prompt
    */
   public Optional<Refusal> refusal(IncomingRequest input, RequestPlan plan, PromptShape shape) {
-    return blockedRequest(input, plan).or(() -> blockedPart(input, shape));
-  }
-
-  private Optional<Refusal> blockedRequest(IncomingRequest input, RequestPlan plan) {
-    if (!suspects.hasSuspects(timer.nowMillis())) {
+    if (!suspects.hasSuspects()) {
       return Optional.empty();
     }
-    return digest(input, plan)
-        .filter(digest -> suspects.isBlocked(digest, timer.nowMillis()))
-        .map(
-            digest ->
-                Refusal.of(
-                    ResultCode.REQUEST_CRASHES_UPSTREAMS,
-                    "upstreams crashed each time that it was run"));
+    long nowMillis = timer.nowMillis();
+    Optional<String> blocked =
+        suspects.blockedPart(keys(requestKey(input, plan), shape), input, trialTurns, nowMillis);
+    blocked.ifPresent(each -> suspects.recordRefusal(each, nowMillis));
+    return blocked.map(this::refusal);
   }
 
-  private Optional<Refusal> blockedPart(IncomingRequest input, PromptShape shape) {
-    if (!parts.hasSuspects()) {
-      return Optional.empty();
-    }
-    long nowMillis = timer.nowMillis();
-    Optional<String> blocked = parts.blockedPart(partIds(shape), input, trialTurns, nowMillis);
-    blocked.ifPresent(part -> parts.recordRefusal(part, nowMillis));
-    return blocked.map(
-        part ->
-            parts.isSettled(part)
-                ? Refusal.of(
-                    ResultCode.PROMPT_PART_CRASHES_UPSTREAMS,
-                    "upstreams crashed on each request with part " + part)
-                : Refusal.of(
-                    ResultCode.PROMPT_PART_SUSPECTED,
-                    "upstreams crashed on requests with part " + part,
-                    SUSPECTED_RETRY_MILLIS));
+  private Refusal refusal(String blocked) {
+    return RequestKey.isRequest(blocked) ? requestRefusal(blocked) : partRefusal(blocked);
+  }
+
+  private Refusal requestRefusal(String blocked) {
+    return suspects.isSettled(blocked)
+        ? Refusal.of(
+            ResultCode.REQUEST_CRASHES_UPSTREAMS, "upstreams crashed each time that it was run")
+        : Refusal.of(
+            ResultCode.REQUEST_SUSPECTED,
+            "upstreams were lost each time that it was run",
+            SUSPECTED_RETRY_MILLIS);
+  }
+
+  private Refusal partRefusal(String part) {
+    return suspects.isSettled(part)
+        ? Refusal.of(
+            ResultCode.PROMPT_PART_CRASHES_UPSTREAMS,
+            "upstreams crashed on each request with part " + part)
+        : Refusal.of(
+            ResultCode.PROMPT_PART_SUSPECTED,
+            "upstreams crashed on requests with part " + part,
+            SUSPECTED_RETRY_MILLIS);
   }
 
   /**
@@ -142,22 +141,20 @@
    */
   public void connectionLost(
       IncomingRequest input, RequestPlan plan, RequestHead head, LostRun lost) {
-    Upstream upstream = lost.upstream();
-    long nowMillis = timer.nowMillis();
-    Optional<String> digest = digest(input, plan);
-    digest.ifPresent(each -> suspects.recordConnectionLoss(each, processId(upstream), nowMillis));
-    firstLosses.putIfAbsent(processId(upstream), nowMillis);
     if (lost.upstreamLeft()) {
       return;
     }
+    long nowMillis = timer.nowMillis();
+    String process = processId(lost.upstream());
+    firstLosses.putIfAbsent(process, nowMillis);
+    Optional<String> digest = digest(input, plan);
     String request = digest.orElseGet(() -> Integer.toHexString(head.requestId().hashCode()));
     String shortId = request.substring(0, Math.min(request.length(), REQUEST_ID_LENGTH));
-    List<String> partIds = partIds(head.shape());
+    List<String> keys = keys(digest.map(RequestKey::of), head.shape());
     if (lost.answered()) {
-      parts.recordUnprovenAnswer(
-          partIds, processId(upstream), shortId, lost.sentMillis(), nowMillis);
+      suspects.recordUnprovenAnswer(keys, process, shortId, lost.sentMillis(), nowMillis);
     } else {
-      parts.recordLoss(partIds, processId(upstream), shortId, lost.sentMillis(), nowMillis);
+      suspects.recordLoss(keys, process, shortId, lost.sentMillis(), nowMillis);
     }
   }
 
@@ -166,57 +163,70 @@
    * shows that the request did not crash the upstream.
    */
   public void answerReceived(IncomingRequest input, RequestPlan plan) {
-    if (suspects.hasSuspects(timer.nowMillis())) {
-      digest(input, plan).ifPresent(digest -> suspects.recordSuccess(digest, timer.nowMillis()));
+    long nowMillis = timer.nowMillis();
+    if (suspects.awaitsAnswers(nowMillis)) {
+      requestKey(input, plan).ifPresent(key -> suspects.recordAnswered(key, nowMillis));
+      logBlocks();
     }
   }
 
   /** Records that a request was answered completely and with success. */
   public void requestServed(IncomingRequest input, RequestPlan plan, PromptShape shape) {
     answerReceived(input, plan);
-    parts.recordServed(partIds(shape), timer.nowMillis());
+    suspects.recordServed(partIds(shape), timer.nowMillis());
+  }
+
+  /** Records that a request ended without being sent to an upstream. */
+  public void requestEndedUnsent(IncomingRequest input) {
+    suspects.requestEndedUnsent(input);
   }
 
-  /** Returns whether a crash of an upstream would confirm that requests were lost with it. */
+  /** Returns whether a crash of an upstream would count against requests that were lost there. */
   public boolean awaitsConfirmation(Upstream upstream) {
-    return parts.awaitsConfirmation(processId(upstream));
+    return suspects.awaitsConfirmation(processId(upstream));
   }
 
   /**
-   * Records that connecting to an upstream failed, which counts as a crash of its process. Against
-   * prompt parts it counts only if the connection was refused: an entry that is cut off reaches
-   * none of the upstreams, and a part stands in many requests.
+   * Records that an upstream refused a connection, as after a crash of its process. A partition of
+   * the network may refuse connections too, so this counts only until the process is found alive. A
+   * connection that timed out shows nothing.
    */
   public void connectFailed(Upstream upstream, boolean refused) {
-    String process = processId(upstream);
-    confirmRequests(process, "connect_failed", timer.nowMillis());
     if (refused) {
-      confirmParts(process, "connect_refused");
+      recordCrash(processId(upstream), "connect_refused");
     }
   }
 
-  /** Records the current upstreams. A process that is no longer among them counts as crashed. */
+  /** Records the current upstreams. A process that is no longer among them has ended. */
   public void fleetChanged(FleetView view) {
-    Set<String> now = new HashSet<>();
-    view.all().forEach(upstream -> now.add(processId(upstream)));
-    knownProcessIds.stream()
-        .filter(process -> !now.contains(process))
-        .forEach(
-            process -> {
-              confirmRequests(process, "row_removed", timer.nowMillis());
-              confirmParts(process, "row_removed");
-            });
-    knownProcessIds = Set.copyOf(now);
+    Set<String> running =
+        view.all().stream().map(CrashGuard::processId).collect(Collectors.toSet());
+    suspects.updateRunning(running).forEach(process -> recordCrash(process, "row_removed"));
   }
 
   /**
-   * Records a crash against the parts of the requests that were lost with it.
+   * Records a read of the upstreams' descriptions.
+   *
+   * @param sentMillis when the reading call was sent, on the monotonic clock
+   * @param heartbeats upstreams that have written their description since the read before
+   */
+  public void upstreamsRead(long sentMillis, List<Upstream> heartbeats) {
+    List<String> processes = heartbeats.stream().map(CrashGuard::processId).toList();
+    Set<String> alive = suspects.recordHeartbeats(sentMillis, processes);
+    alive.forEach(process -> log.stateChange("crash_disproved", field("process", process)));
+    if (!alive.isEmpty()) {
+      logBlocks();
+    }
+  }
+
+  /**
+   * Records a crash against the requests that were lost with it, and their parts.
    *
    * @param cause how this entry learned of it, for the log
    */
-  private void confirmParts(String process, String cause) {
+  private void recordCrash(String process, String cause) {
     long nowMillis = timer.nowMillis();
-    Map<String, Integer> crashesByPart = parts.recordCrash(process, nowMillis);
+    Map<String, Integer> crashesByPart = suspects.recordCrash(process, nowMillis);
     if (!crashesByPart.isEmpty()) {
       log.stateChange(
           "crash_evidence",
@@ -229,25 +239,6 @@
     logBlocks();
   }
 
-  private void confirmRequests(String process, String cause, long nowMillis) {
-    Map<String, Set<String>> before = suspects.localCrashes(nowMillis);
-    suspects.recordCrash(process, nowMillis);
-    Map<String, Set<String>> after = suspects.localCrashes(nowMillis);
-    after.forEach(
-        (digest, crashes) -> {
-          if (crashes.size() > before.getOrDefault(digest, Set.of()).size()) {
-            onSuspicion.run();
-            log.stateChange(
-                "crash_suspect",
-                field("digest", digest),
-                field("process", process),
-                field("cause", cause),
-                field("lossAgeMillis", nowMillis - firstLossMillis(process)),
-                field("crashes", suspects.crashCount(digest, nowMillis)));
-          }
-        });
-  }
-
   /** Returns the parts in most crashes, each with the number of crashes. */
   private static String summary(Map<String, Integer> crashesByPart) {
     return crashesByPart.entrySet().stream()
@@ -258,7 +249,7 @@
   }
 
   private void logBlocks() {
-    for (PartBlock change : parts.takeChanges(timer.nowMillis())) {
+    for (PartBlock change : suspects.takeChanges(timer.nowMillis())) {
       log.stateChange(
           change.blocked() ? "part_blocked" : "part_released",
           field("part", change.part()),
@@ -270,7 +261,7 @@
 
   /** Returns the number of prompt parts that are blocked. */
   public int blockedParts() {
-    return parts.blockedParts(timer.nowMillis());
+    return suspects.blockedParts(timer.nowMillis());
   }
 
   private long firstLossMillis(String process) {
@@ -278,38 +269,38 @@
   }
 
   @Override
-  public Map<String, Set<String>> localCrashes() {
-    return suspects.localCrashes(timer.nowMillis());
+  public Map<String, PartReport> suspectReports() {
+    logBlocks();
+    return suspects.reports(timer.nowMillis());
   }
 
   @Override
-  public void mergeCrashes(String writer, Map<String, Set<String>> crashes) {
-    suspects.mergeCrashes(writer, crashes, timer.nowMillis());
+  public void mergeSuspects(String writer, Map<String, PartReport> reports) {
+    suspects.mergeRow(writer, reports, timer.nowMillis());
   }
 
-  @Override
-  public Map<String, PartReport> partReports() {
-    logBlocks();
-    return parts.reports(timer.nowMillis());
+  /** Records the suspects that another entry reported. */
+  public void peerReported(PeerReport report) {
+    suspects.updatePeer(report.writer(), report.suspects(), timer.nowMillis());
   }
 
-  @Override
-  public void mergeParts(String writer, Map<String, PartReport> reports) {
-    parts.mergeRow(writer, reports, timer.nowMillis());
+  /** Returns the keys of what may crash upstreams: the parts of a request, then the request. */
+  private static List<String> keys(Optional<String> requestKey, PromptShape shape) {
+    return Stream.concat(partIds(shape).stream(), requestKey.stream()).toList();
   }
 
-  /** Records the suspects that another entry reported. */
-  public void peerReported(PeerReport report) {
-    suspects.updatePeerCrashes(report.writer(), report.crashes(), timer.nowMillis());
-    parts.updatePeer(report.writer(), report.parts(), timer.nowMillis());
+  private static Optional<String> requestKey(IncomingRequest input, RequestPlan plan) {
+    return digest(input, plan).map(RequestKey::of);
   }
 
-  /** Returns the ids of the parts that other requests may contain; long ids are digested. */
+  /** Returns the ids of the parts that other requests may contain. */
   private static List<String> partIds(PromptShape shape) {
-    return shape.sharedParts().stream()
-        .map(part -> part.id().length() <= MAX_PART_ID_LENGTH ? part.id() : digest(part.id()))
-        .distinct()
-        .toList();
+    return shape.sharedParts().stream().map(part -> partKey(part.id())).distinct().toList();
+  }
+
+  /** Returns a part's id; a digest of it if it is long or may be mistaken for a request. */
+  private static String partKey(String id) {
+    return id.length() > MAX_PART_ID_LENGTH || RequestKey.isRequest(id) ? digest(id) : id;
   }
 
   private static String digest(String text) {
--- a/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/DutyLoop.java
@@ -388,7 +388,7 @@
         rows.put(writer, parseMember(row));
       }
     }
-    members.recordRead(rows, page.version(), sentAt).forEach(this::mergeCrashes);
+    members.recordRead(rows, page.version(), sentAt).forEach(this::mergeSuspects);
     logSharers();
     lease.applyPage(page, readFailed);
     if (!hasRead) {
@@ -407,11 +407,12 @@
     return member.orElseGet(() -> Members.Row.unreadable(row.version()));
   }
 
-  /** Merges the crashes from the row of an entry that does not report them to this one directly. */
-  private void mergeCrashes(String writer, Members.Row row) {
+  /**
+   * Merges the suspects from the row of an entry that does not report them to this one directly.
+   */
+  private void mergeSuspects(String writer, Members.Row row) {
     if (!writer.equals(self.writer()) && !peers.liveEntryIds().contains(writer)) {
-      suspects.mergeCrashes(writer, row.crashes());
-      suspects.mergeParts(writer, row.parts());
+      suspects.mergeSuspects(writer, row.suspects());
     }
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/FleetRows.java
@@ -5,10 +5,8 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -140,39 +138,22 @@
   }
 
   private static void putSuspects(ObjectNode node, SharedSuspects suspects) {
-    Map<String, Set<String>> crashes = suspects.localCrashes();
-    PartReportJson.put(node, "parts", suspects.partReports());
-    if (!crashes.isEmpty()) {
-      ObjectNode inner = node.putObject("crashes");
-      new TreeMap<>(crashes).forEach((digest, each) -> each.forEach(inner.putArray(digest)::add));
-    }
+    PartReportJson.put(node, "parts", suspects.suspectReports());
   }
 
   /** Parses the row of an entry; empty if it is unreadable. */
   static Optional<Members.Row> parseMember(StoreVersion version, String text) {
     try {
       JsonNode node = JsonFields.parseObject(text);
-      Map<String, Set<String>> crashes = new TreeMap<>();
-      for (Map.Entry<String, JsonNode> each : JsonFields.object(node, "crashes").properties()) {
-        crashes.put(each.getKey(), texts(each.getValue()));
-      }
       Optional<InetSocketAddress> address =
           JsonFields.flag(node, "left") ? Optional.empty() : Optional.of(address(node));
-      Map<String, PartReport> parts = PartReportJson.read(node, "parts");
-      return Optional.of(new Members.Row(version, address, crashes, parts));
+      Map<String, PartReport> suspects = PartReportJson.read(node, "parts");
+      return Optional.of(new Members.Row(version, address, suspects));
     } catch (UnusableJsonException e) {
       return Optional.empty();
     }
   }
 
-  private static Set<String> texts(JsonNode array) throws UnusableJsonException {
-    Set<String> texts = new HashSet<>();
-    for (JsonNode each : array) {
-      texts.add(JsonFields.element(each, "crashes"));
-    }
-    return texts;
-  }
-
   private static InetSocketAddress address(JsonNode node) throws UnusableJsonException {
     String host = JsonFields.text(node, "host");
     long port = JsonFields.number(node.path("port"), "port", 1, NumericAddress.MAX_PORT);
--- a/forward/src/main/java/org/limpetvale/forward/duty/Members.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/Members.java
@@ -44,24 +44,19 @@
    * @param version version of the row
    * @param address address on which the entry receives peer reports; empty when it has left or the
    *     row is unreadable
-   * @param crashes upstream processes that the entry saw crash, by request digest
-   * @param parts what the entry knows of suspected prompt parts
+   * @param suspects what the entry knows of requests and prompt parts that may crash upstreams
    */
   record Row(
-      StoreVersion version,
-      Optional<InetSocketAddress> address,
-      Map<String, Set<String>> crashes,
-      Map<String, PartReport> parts) {
+      StoreVersion version, Optional<InetSocketAddress> address, Map<String, PartReport> suspects) {
     Row {
       Objects.requireNonNull(version, "version is null");
       Objects.requireNonNull(address, "address is null");
-      crashes = Map.copyOf(crashes);
-      parts = Map.copyOf(parts);
+      suspects = Map.copyOf(suspects);
     }
 
     /** Returns a row of which only the version is known. */
     static Row unreadable(StoreVersion version) {
-      return new Row(version, Optional.empty(), Map.of(), Map.of());
+      return new Row(version, Optional.empty(), Map.of());
     }
 
     boolean hasLeft() {
@@ -90,7 +85,7 @@
      * that has left stays so.
      */
     private Observation withCopied(Row copied) {
-      Row known = new Row(copied.version(), row.address(), row.crashes(), row.parts());
+      Row known = new Row(copied.version(), row.address(), row.suspects());
       return new Observation(row.hasLeft() ? known : copied, changedAtMillis, silentMillis);
     }
 
--- a/forward/src/main/java/org/limpetvale/forward/duty/SharedSuspects.java
+++ b/forward/src/main/java/org/limpetvale/forward/duty/SharedSuspects.java
@@ -1,7 +1,6 @@
 package org.limpetvale.forward.duty;
 
 import java.util.Map;
-import java.util.Set;
 import org.limpetvale.core.crash.PartReport;
 
 /**
@@ -9,51 +8,27 @@
  * row outlives the process that wrote it.
  */
 public interface SharedSuspects {
-  /**
-   * Returns the upstream processes that this entry has seen crash, by request digest. Requests that
-   * have been served since are left out.
-   */
-  Map<String, Set<String>> localCrashes();
-
-  /**
-   * Merges the crashes from the row of another entry or of an earlier process of this entry.
-   *
-   * @param writer id of the process that wrote the row
-   * @param crashes upstream processes that it saw crash, by request digest
-   */
-  void mergeCrashes(String writer, Map<String, Set<String>> crashes);
-
-  /** Returns what this entry tells the others of suspected prompt parts. */
-  Map<String, PartReport> partReports();
+  /** Returns what this entry tells the others of its suspects. */
+  Map<String, PartReport> suspectReports();
 
   /**
-   * Merges what the row of another entry or of an earlier process of this entry says of parts.
+   * Merges what the row of another entry or of an earlier process of this entry says.
    *
    * @param writer id of the process that wrote the row
    */
-  void mergeParts(String writer, Map<String, PartReport> parts);
+  void mergeSuspects(String writer, Map<String, PartReport> reports);
 
-  /** Returns an implementation that reports no crashes and ignores those of others. */
+  /** Returns an implementation that has no suspects and ignores those of others. */
   static SharedSuspects none() {
     return new SharedSuspects() {
       @Override
-      public Map<String, Set<String>> localCrashes() {
-        return Map.of();
-      }
-
-      @Override
-      public void mergeCrashes(String writer, Map<String, Set<String>> crashes) {
-        // Crashes are ignored.
-      }
-
-      @Override
-      public Map<String, PartReport> partReports() {
+      public Map<String, PartReport> suspectReports() {
         return Map.of();
       }
 
       @Override
-      public void mergeParts(String writer, Map<String, PartReport> parts) {
-        // Parts are ignored.
+      public void mergeSuspects(String writer, Map<String, PartReport> reports) {
+        // Suspects are ignored.
       }
     };
   }
--- a/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
@@ -2,6 +2,7 @@
 
 import static org.limpetvale.forward.log.EventLog.field;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -50,12 +51,27 @@
   private final Map<String, StoreVersion> unusableVersions = new HashMap<>();
   private final Set<String> missing = new HashSet<>();
   private final Map<String, Ended> ended = new HashMap<>();
+  private final Map<String, RowDecoder.Registration> lastHeartbeats = new HashMap<>();
+  private final List<Upstream> newHeartbeats = new ArrayList<>();
   private Consumer<FleetView> onChange = changed -> {};
+  private ReadListener onRead = (sentMillis, heartbeats) -> {};
   private boolean loaded;
   private long recoveredAtMillis = Long.MIN_VALUE / 2;
   private long returnedAtMillis = Long.MIN_VALUE / 2;
   private StoreVersion newestCopiedVersion = StoreVersion.NONE;
 
+  /** Learns of each read of the descriptions. */
+  @FunctionalInterface
+  public interface ReadListener {
+    /**
+     * Called after a read.
+     *
+     * @param sentMillis when the reading call was sent, on the monotonic clock
+     * @param heartbeats upstreams that have written their description since the read before
+     */
+    void onRead(long sentMillis, List<Upstream> heartbeats);
+  }
+
   /** An upstream whose description has gone, and when that was seen. */
   private record Ended(Upstream upstream, long atMillis) {}
 
@@ -75,6 +91,11 @@
     onChange = Objects.requireNonNull(action, "action is null");
   }
 
+  /** Sets the action that learns of each read. */
+  public void onRead(ReadListener action) {
+    onRead = Objects.requireNonNull(action, "action is null");
+  }
+
   /** Returns the current view of the upstreams. */
   public FleetView view() {
     return view.get();
@@ -112,7 +133,11 @@
   }
 
   @Override
-  public void onConfirmed(Moment asOf) {}
+  public void onConfirmed(Moment asOf) {
+    List<Upstream> heartbeats = List.copyOf(newHeartbeats);
+    newHeartbeats.clear();
+    onRead.onRead(asOf.monotonicMillis(), heartbeats);
+  }
 
   @Override
   public void onStoreRecovered() {
@@ -150,7 +175,7 @@
   }
 
   /** Decodes a row; an exception of the decoder concerns this row only. */
-  private RowDecoder.Decoded<Upstream> decode(StoredRow row) {
+  private RowDecoder.Decoded<RowDecoder.Registration> decode(StoredRow row) {
     try {
       return decoder.decodeUpstream(row);
     } catch (RuntimeException | StackOverflowError e) {
@@ -160,13 +185,16 @@
 
   private FleetView withRow(FleetView base, StoredRow row) {
     return switch (decode(row)) {
-      case RowDecoder.Decoded.Value<Upstream>(Upstream upstream) -> {
+      case RowDecoder.Decoded.Value<RowDecoder.Registration>(
+              RowDecoder.Registration registration) -> {
+        Upstream upstream = registration.upstream();
         missing.remove(upstream.id());
         if (isOutdated(base, row, upstream)) {
           logOutdated(upstream);
           yield base;
         }
         ended.remove(upstream.id());
+        noteHeartbeat(registration);
         Optional<Upstream> known = base.find(upstream.id());
         if (known.filter(upstream::equals).isPresent()) {
           yield base;
@@ -174,13 +202,23 @@
         logUpstream(upstream, known.isPresent());
         yield base.with(upstream);
       }
-      case RowDecoder.Decoded.Unusable<Upstream>(String reason) -> {
+      case RowDecoder.Decoded.Unusable<RowDecoder.Registration>(String reason) -> {
         logUnusable(row, reason);
+        lastHeartbeats.remove(row.key());
         yield base.without(row.key());
       }
     };
   }
 
+  private void noteHeartbeat(RowDecoder.Registration latest) {
+    RowDecoder.Registration last = lastHeartbeats.put(latest.upstream().id(), latest);
+    if (last != null
+        && last.upstream().isSameProcess(latest.upstream())
+        && latest.heartbeats() > last.heartbeats()) {
+      newHeartbeats.add(latest.upstream());
+    }
+  }
+
   private FleetView withoutOrPending(FleetView base, String id) {
     if (base.find(id).isEmpty()) {
       return base;
@@ -207,6 +245,7 @@
     long nowMillis = timer.nowMillis();
     ended.values().removeIf(each -> nowMillis - each.atMillis() > ENDED_RETENTION_MILLIS);
     base.find(id).ifPresent(each -> ended.put(id, new Ended(each, nowMillis)));
+    lastHeartbeats.remove(id);
     return base.without(id);
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -31,10 +31,8 @@
  * @param loads load that the entry has on upstreams, by upstream
  * @param placements ids of the shared prompt parts recently sent to upstreams, by upstream
  * @param waiting number of requests that wait at the entry, by service
- * @param crashes ids of the upstream processes that crashed on a request, by the request's digest;
- *     an empty set if the request was served since
- * @param parts prompt parts that the entry suspects of crashing upstreams, or has served although
- *     others suspect them
+ * @param suspects requests and prompt parts that the entry suspects of crashing upstreams, or has
+ *     served although others suspect them
  * @param engines engine models measured by the entry, by service
  * @param limits limits recently heard from upstreams, by upstream
  * @param leaving start times of the upstream processes recently heard to be leaving, by upstream
@@ -52,8 +50,7 @@
     Map<String, Load> loads,
     Map<String, Set<String>> placements,
     Map<String, Integer> waiting,
-    Map<String, Set<String>> crashes,
-    Map<String, PartReport> parts,
+    Map<String, PartReport> suspects,
     Map<String, EngineModel> engines,
     Map<String, Limit> limits,
     Map<String, Long> leaving,
@@ -80,8 +77,7 @@
   private static final String LOADS = "l";
   private static final String PLACEMENTS = "p";
   private static final String WAITING = "q";
-  private static final String CRASHES = "x";
-  private static final String PARTS = "y";
+  private static final String SUSPECTS = "y";
   private static final String ENGINES = "e";
   private static final String LIMITS = "m";
   private static final String LEAVING = "v";
@@ -130,8 +126,7 @@
     loads = Map.copyOf(Objects.requireNonNull(loads, "loads is null"));
     placements = Map.copyOf(Objects.requireNonNull(placements, "placements is null"));
     waiting = Map.copyOf(Objects.requireNonNull(waiting, "waiting is null"));
-    crashes = Map.copyOf(Objects.requireNonNull(crashes, "crashes is null"));
-    parts = Map.copyOf(Objects.requireNonNull(parts, "parts is null"));
+    suspects = Map.copyOf(Objects.requireNonNull(suspects, "suspects is null"));
     engines = Map.copyOf(Objects.requireNonNull(engines, "engines is null"));
     limits = Map.copyOf(Objects.requireNonNull(limits, "limits is null"));
     leaving = Map.copyOf(Objects.requireNonNull(leaving, "leaving is null"));
@@ -157,8 +152,7 @@
         loads,
         placements,
         waiting,
-        crashes,
-        parts,
+        suspects,
         engines,
         limits,
         leaving,
@@ -194,10 +188,7 @@
       putLists(node.putObject(PLACEMENTS), placements);
     }
     putCounts(node, WAITING, waiting);
-    if (!crashes.isEmpty()) {
-      putLists(node.putObject(CRASHES), crashes);
-    }
-    PartReportJson.put(node, PARTS, parts);
+    PartReportJson.put(node, SUSPECTS, suspects);
     putEngines(node);
     putLimits(node);
     putLeaving(node);
@@ -228,8 +219,7 @@
         loads(JsonFields.object(node, LOADS)),
         lists(JsonFields.object(node, PLACEMENTS)),
         counts(JsonFields.object(node, WAITING)),
-        lists(JsonFields.object(node, CRASHES)),
-        PartReportJson.read(node, PARTS),
+        PartReportJson.read(node, SUSPECTS),
         engines(JsonFields.object(node, ENGINES)),
         limits(JsonFields.object(node, LIMITS)),
         startTimes(JsonFields.object(node, LEAVING)),
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -724,6 +724,9 @@
     if (plan != null) {
       retryPermit.release(plan.service());
     }
+    if (sentAttempts == 0) {
+      components.crashGuard().requestEndedUnsent(request);
+    }
     timeout.cancel();
     components.waitingRequests().remove(this);
     long durationMillis = components.timer().nowMillis() - request.arrivedMillis();
--- a/forward/src/main/java/org/limpetvale/forward/spi/RowDecoder.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/RowDecoder.java
@@ -1,5 +1,6 @@
 package org.limpetvale.forward.spi;
 
+import java.util.Objects;
 import org.limpetvale.core.fleet.FleetConfig;
 import org.limpetvale.core.fleet.Upstream;
 
@@ -21,6 +22,17 @@
   /** Decodes the configuration. */
   Decoded<FleetConfig> decodeConfig(StoredRow row);
 
+  /**
+   * An upstream's description, as it last wrote it.
+   *
+   * @param heartbeats how often its process has written it; rises with each heartbeat
+   */
+  record Registration(Upstream upstream, long heartbeats) {
+    public Registration {
+      Objects.requireNonNull(upstream, "upstream is null");
+    }
+  }
+
   /** Decodes an upstream's description. */
-  Decoded<Upstream> decodeUpstream(StoredRow row);
+  Decoded<Registration> decodeUpstream(StoredRow row);
 }
--- a/forward/src/test/java/org/limpetvale/forward/duty/EntryRosterTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/EntryRosterTest.java
@@ -22,7 +22,7 @@
   private final EntryRoster roster = EntryRoster.of("a.1", members, peers, timer);
 
   private static Members.Row row(long version) {
-    return new Members.Row(StoreVersion.of(version), ADDRESS, Map.of(), Map.of());
+    return new Members.Row(StoreVersion.of(version), ADDRESS, Map.of());
   }
 
   private void read(Map<String, Members.Row> rows) {
@@ -76,10 +76,7 @@
   void anEntryThatHasLeftDoesNotCount() {
     read(
         Map.of(
-            "a.1",
-            row(1),
-            "b.1",
-            new Members.Row(StoreVersion.of(2), Optional.empty(), Map.of(), Map.of())));
+            "a.1", row(1), "b.1", new Members.Row(StoreVersion.of(2), Optional.empty(), Map.of())));
     timer.advance(2_000);
     assertThat(roster.entries()).containsExactly("a.1");
   }
--- a/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/MembersTest.java
@@ -20,10 +20,7 @@
 
   private static Members.Row row(long version, int port) {
     return new Members.Row(
-        StoreVersion.of(version),
-        Optional.of(new InetSocketAddress("127.0.0.1", port)),
-        Map.of(),
-        Map.of());
+        StoreVersion.of(version), Optional.of(new InetSocketAddress("127.0.0.1", port)), Map.of());
   }
 
   private void read(long version) {
@@ -79,8 +76,7 @@
   private void readOwnRowOfNewEra(long number) {
     StoreVersion version = new StoreVersion(1, number);
     Members.Row own =
-        new Members.Row(
-            version, Optional.of(new InetSocketAddress("127.0.0.1", 1)), Map.of(), Map.of());
+        new Members.Row(version, Optional.of(new InetSocketAddress("127.0.0.1", 1)), Map.of());
     members.recordRead(Map.of("a.1", own), version, Moment.now(timer));
   }
 
--- a/forward/src/test/java/org/limpetvale/forward/duty/OddSharedRowStopsDutiesTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/duty/OddSharedRowStopsDutiesTest.java
@@ -81,6 +81,7 @@
                 "{\"host\":\"127.0.0.1\",\"port\":1e400}",
                 "{\"host\":\"unknown.example\",\"port\":80}",
                 "{\"left\":true,\"crashes\":[7]}",
+                "{\"left\":true,\"parts\":[7]}",
                 "null",
                 nested)
             .map(text -> new OddRow("member/odd", text));
--- a/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
@@ -2,11 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.FleetConfig;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.store.StoreVersion;
+import org.limpetvale.core.time.Moment;
 import org.limpetvale.forward.log.EventLog;
 import org.limpetvale.forward.spi.RowDecoder;
 import org.limpetvale.forward.spi.StoredRow;
@@ -30,15 +32,22 @@
     }
 
     @Override
-    public Decoded<Upstream> decodeUpstream(StoredRow row) {
+    public Decoded<Registration> decodeUpstream(StoredRow row) {
       if (row.text().equals("faulty")) {
         throw new IllegalStateException("odd row");
       }
       return row.text().equals("odd")
           ? new Decoded.Unusable<>("odd")
           : new Decoded.Value<>(
-              new Upstream(
-                  row.key(), "s", "10.0.0.1", 80, "z", 6, row.text().equals("draining"), 1));
+              new Registration(
+                  new Upstream(
+                      row.key(), "s", "10.0.0.1", 80, "z", 6, row.text().equals("draining"), 1),
+                  heartbeats(row.text())));
+    }
+
+    /** Returns the number behind "beat" of a text. */
+    private static long heartbeats(String text) {
+      return text.startsWith("beat") ? Long.parseLong(text.substring(4)) : 0;
     }
   }
 
@@ -132,4 +141,23 @@
     registry.onUpdate(List.of(row("f", "faulty"), row("c", "ready")));
     assertThat(ready()).containsExactly("a", "b", "c");
   }
+
+  @Test
+  void eachReadTellsWhichProcessesHaveWrittenTheirDescriptionsAgain() {
+    List<String> told = new ArrayList<>();
+    registry.onRead(
+        (sentMillis, heartbeats) ->
+            told.add(sentMillis + " " + heartbeats.stream().map(Upstream::id).toList()));
+    registry.onSnapshot(List.of(row("a", "beat1"), row("b", "beat7")));
+    registry.onConfirmed(Moment.now(timer));
+    timer.advance(500);
+    registry.onUpdate(List.of(row("a", "beat2")));
+    registry.onConfirmed(Moment.now(timer));
+    registry.onSnapshot(List.of(row("a", "beat2"), row("b", "beat7")));
+    registry.onConfirmed(Moment.now(timer));
+    long startMillis = timer.nowMillis() - 500;
+    assertThat(told)
+        .containsExactly(
+            startMillis + " []", startMillis + 500 + " [a]", startMillis + 500 + " []");
+  }
 }
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
@@ -27,13 +27,14 @@
         Map.of("u", new PeerReport.Load(requests, 100 * requests, 1, 10 * requests, 20 * requests)),
         Map.of("u", Set.of("part-1", "part-2")),
         Map.of("service", 2),
-        Map.of("digest", Set.of("process"), "served", Set.of()),
         Map.of(
             "part",
             new PartReport(
                 1,
                 PartReport.NEVER_SERVED,
                 List.of(new PartCrash("a1", "b2", 3, true), new PartCrash("a2", "b3", 0, false))),
+            "=digest",
+            new PartReport(2, PartReport.NEVER_SERVED, List.of(new PartCrash("a3", "b4", 1, true))),
             "served part",
             new PartReport(0, 7, List.of())),
         Map.of("service", new EngineModel(42.5, 20, 165.5)),
--- a/forward/src/test/java/org/limpetvale/forward/testing/TestReports.java
+++ b/forward/src/test/java/org/limpetvale/forward/testing/TestReports.java
@@ -29,7 +29,6 @@
         Map.of(),
         Map.of(),
         Map.of(),
-        Map.of(),
         limits,
         Map.of(),
         0,
--- a/forward/src/test/java/org/limpetvale/forward/testing/VersionDecoder.java
+++ b/forward/src/test/java/org/limpetvale/forward/testing/VersionDecoder.java
@@ -6,7 +6,6 @@
 import org.limpetvale.core.fleet.FleetConfig;
 import org.limpetvale.core.fleet.RouteTable;
 import org.limpetvale.core.fleet.ServicePolicy;
-import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.forward.spi.RowDecoder;
 import org.limpetvale.forward.spi.StoredRow;
 
@@ -42,7 +41,7 @@
   }
 
   @Override
-  public Decoded<Upstream> decodeUpstream(StoredRow row) {
+  public Decoded<Registration> decodeUpstream(StoredRow row) {
     return new Decoded.Unusable<>("none");
   }
 }
