--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -31,8 +31,10 @@
  * One connection to an upstream, with at most one request in progress.
  *
  * <p>Responses to other requests are discarded: those with another id and, except on a new
- * connection, those without one. After a response, the connection is released only once everything
- * read together with it is known to belong to it. Bytes that arrive while it is idle close it.
+ * connection, those without one that may repeat the response before. Any other response without an
+ * id on a connection that has carried requests ends it, as nobody can tell whose it is. After a
+ * response, the connection is released only once everything read together with it is known to
+ * belong to it. Bytes that arrive while it is idle close it.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
@@ -87,9 +89,16 @@
   private BodyUpload upload;
 
   private boolean responseStarted;
+
+  /** What was last answered on the connection, which a faulty upstream may write once more. */
+  private Optional<Outcome> lastOutcome = Optional.empty();
+
   private long idleSinceMillis;
   private long safeIdleMillis = DEFAULT_SAFE_IDLE_MILLIS;
 
+  /** What identifies a repetition of a response that bears no id. */
+  private record Outcome(int status, boolean notExecuted) {}
+
   /** Manages the connection between requests. */
   interface Owner {
     /** Called when the connection may serve another request. */
@@ -240,13 +249,20 @@
       return;
     }
     ResponseHead head = dialect.decodeResponse(response.status().code(), response.headers());
+    Outcome outcome = new Outcome(response.status().code(), head.notExecuted());
     skipping =
-        response.status().codeClass() == HttpStatusClass.INFORMATIONAL || isToAnotherRequest(head);
+        response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+            || isToAnotherRequest(head, outcome);
     if (skipping) {
       skip(response);
       return;
     }
     identified = !head.requestId().isEmpty();
+    if (!identified && sentRequests > 1) {
+      fail(ResponseListener.FailureReason.SPOILED, "an answer without the request's id");
+      return;
+    }
+    lastOutcome = Optional.of(outcome);
     if (!identified && isUnprovenRefusal(response, head)) {
       fail(ResponseListener.FailureReason.SPOILED, "a refusal without the request's id");
       return;
@@ -262,12 +278,12 @@
   }
 
   /**
-   * Returns whether a response is not to the request in progress. Without an id it is taken for
-   * that only if there was no earlier request that it could belong to.
+   * Returns whether a response is not to the request in progress: it has another id, or none and
+   * may be a repetition of the response before.
    */
-  private boolean isToAnotherRequest(ResponseHead head) {
+  private boolean isToAnotherRequest(ResponseHead head, Outcome outcome) {
     return head.requestId().isEmpty()
-        ? sentRequests > 1
+        ? lastOutcome.equals(Optional.of(outcome))
         : !head.requestId().equals(expectation.requestId());
   }
 
