Decide on suspects only from parts with enough crashes

With whole requests among the suspects, a cut leaves hundreds of keys with one crash each, and each answer that clears one made the next request weigh all of them against the reports of all entries. Now only keys with three reported crashes are weighed, and only an answer that removes evidence has the decision made anew. An answer also marks the crashes that still wait for confirmation as cleared, so that another entry's report of the same process does not bring them back. Not measured: the cost in a cut.

--- a/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/limpetvale/core/crash/CrashSuspects.java
@@ -91,6 +91,10 @@
 
   /** A lost request whose upstream is not yet known to have crashed. */
   private record Loss(List<LostPart> parts, String process, String request, long atMillis) {
+    boolean contains(String part) {
+      return parts.stream().anyMatch(each -> each.part().equals(part));
+    }
+
     /** Returns the loss without a part that was answered since. */
     Loss without(String part) {
       List<LostPart> others = parts.stream().filter(each -> !each.part().equals(part)).toList();
@@ -268,27 +272,30 @@
   }
 
   private boolean isPending(String part) {
-    return pending.stream()
-        .flatMap(loss -> loss.parts().stream())
-        .anyMatch(lost -> lost.part().equals(part));
+    return pending.stream().anyMatch(loss -> loss.contains(part));
   }
 
   /** Drops all that is held against a part, also what is not confirmed or may be reported again. */
   private void clear(String part) {
     rememberCleared(part);
-    local.remove(part);
     knownMillis.remove(part);
-    peers.replaceAll((peer, evidence) -> evidence.withoutCrashes(part));
-    List<Loss> losses = pending.stream().map(loss -> loss.without(part)).toList();
-    pending.clear();
-    pending.addAll(losses);
-    removePending(loss -> loss.parts().isEmpty());
-    expireDecision();
+    if (isPending(part)) {
+      List<Loss> losses = pending.stream().map(loss -> loss.without(part)).toList();
+      pending.clear();
+      pending.addAll(losses);
+      removePending(loss -> loss.parts().isEmpty());
+    }
+    if (hasEvidence(part)) {
+      local.remove(part);
+      peers.replaceAll((peer, evidence) -> evidence.withoutCrashes(part));
+      expireDecision();
+    }
   }
 
   private void rememberCleared(String part) {
     Set<String> cleared = new LinkedHashSet<>(clearedProcesses.getOrDefault(part, Set.of()));
     cleared.addAll(candidate(part, 0).crashes().keySet());
+    pending.stream().filter(loss -> loss.contains(part)).map(Loss::process).forEach(cleared::add);
     if (!cleared.isEmpty()) {
       int excess = Math.max(0, cleared.size() - MAX_CLEARED_PROCESSES);
       List.copyOf(cleared).subList(0, excess).forEach(cleared::remove);
@@ -409,8 +416,7 @@
   }
 
   /** Returns whether an answer could clear a request; if not, callers need not tell of answers. */
-  public boolean awaitsAnswers(long nowMillis) {
-    evictExpired(nowMillis);
+  public boolean awaitsAnswers() {
     return !pending.isEmpty() || hasSuspects();
   }
 
@@ -531,10 +537,23 @@
         });
   }
 
+  /** Returns the parts with enough crashes to be blocked, which are few of those in a crash. */
   private List<PartCandidate> candidates(long nowMillis) {
-    Set<String> parts = new HashSet<>(local.keySet());
-    peers.values().forEach(evidence -> parts.addAll(evidence.reports().keySet()));
-    return parts.stream().map(part -> candidate(part, nowMillis)).toList();
+    Map<String, Integer> reported = new HashMap<>();
+    local.forEach((part, evidence) -> reported.put(part, evidence.crashes().size()));
+    peers
+        .values()
+        .forEach(
+            evidence ->
+                evidence
+                    .reports()
+                    .forEach(
+                        (part, report) ->
+                            reported.merge(part, report.crashes().size(), Integer::sum)));
+    return reported.entrySet().stream()
+        .filter(each -> each.getValue() >= PartBlocking.MIN_CRASHES)
+        .map(each -> candidate(each.getKey(), nowMillis))
+        .toList();
   }
 
   private PartCandidate candidate(String part, long nowMillis) {
--- a/core/src/main/java/org/limpetvale/core/crash/PartBlocking.java
+++ b/core/src/main/java/org/limpetvale/core/crash/PartBlocking.java
@@ -15,6 +15,9 @@
  * with the strongest evidence first, and what that part explains no longer speaks against others.
  */
 final class PartBlocking {
+  /** Number of crashes below which nothing is blocked. */
+  static final int MIN_CRASHES = 3;
+
   /** What speaks against a part before it is blocked. */
   private record Threshold(
       int crashes, int requests, int afterLoss, int unexplained, long sinceKnownMillis) {
@@ -27,7 +30,7 @@
   }
 
   /** For a part that no upstream has ever answered. */
-  private static final Threshold NEW_PART = new Threshold(3, 2, 1, 1, 0);
+  private static final Threshold NEW_PART = new Threshold(MIN_CRASHES, 2, 1, 1, 0);
 
   /** For a part that was answered before; its next complete answer needs time to arrive. */
   private static final Threshold FAMILIAR_PART = new Threshold(5, 3, 3, 3, 1_500);
@@ -36,7 +39,7 @@
    * For a whole request. All its crashes are under the same request, so two of them must follow a
    * known loss, and nothing else may explain them.
    */
-  private static final Threshold REQUEST = new Threshold(3, 1, 2, 3, 0);
+  private static final Threshold REQUEST = new Threshold(MIN_CRASHES, 1, 2, MIN_CRASHES, 0);
 
   /** New parts first, then those that explain most crashes by fewest requests. */
   private static final Comparator<PartCandidate> STRONGEST_FIRST =
--- a/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
+++ b/forward/src/main/java/org/limpetvale/forward/admit/CrashGuard.java
@@ -163,10 +163,8 @@
    * shows that the request did not crash the upstream.
    */
   public void answerReceived(IncomingRequest input, RequestPlan plan) {
-    long nowMillis = timer.nowMillis();
-    if (suspects.awaitsAnswers(nowMillis)) {
-      requestKey(input, plan).ifPresent(key -> suspects.recordAnswered(key, nowMillis));
-      logBlocks();
+    if (suspects.awaitsAnswers()) {
+      requestKey(input, plan).ifPresent(key -> suspects.recordAnswered(key, timer.nowMillis()));
     }
   }
 
