Open connections to upstreams after the events that are ready

Cause: a failed write closes the connection within the handling of the ready events, and a connection opened there (a retry, or the probe) may get the descriptor of the closed one; an event of the old one that is still to be handled then ends the new one. Shown by the log of BrokenOffAnswerFramedAsCompleteTest: each upstream_unreachable follows 1 to 3 ms after an attempt_failed "not written", none follows the other losses.

Change: UpstreamPool connects in a task of its own, after the ready events.

After: 35 of 35 pass. Seven other classes of the forwarding path: 428 tests pass.

--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
@@ -145,7 +145,15 @@
             });
   }
 
+  /**
+   * Connects after the events that are ready now. A connection that has just failed may have an
+   * event left among them, which would end a new one that the system gives the same descriptor.
+   */
   private void connect(IdleConnections connections, Consumer<AcquireResult> callback) {
+    transport.loop().execute(() -> connectNow(connections, callback));
+  }
+
+  private void connectNow(IdleConnections connections, Consumer<AcquireResult> callback) {
     InetSocketAddress address =
         new InetSocketAddress(connections.upstream.host(), connections.upstream.port());
     ChannelFuture connecting =
