Logs tell for each request why it got no whole answer around a stop

No change of what callers get.

Each line about a request carries the time since the signal during a stop. break_off gives code and detail of a response that had begun, cut_by_stop the upstream at work when the entry ends, drop the requests that were read and never served. The phases of a stop have lines of their own.

--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -354,13 +354,34 @@
       return;
     }
     stopping = true;
-    log.stateChange("stopping", field("running", forwarder.activeRequests()));
+    log.stateChange(
+        "stopping",
+        field("running", forwarder.activeRequests()),
+        field("connections", callers.openConnections()),
+        field("graceMillis", settings.bounds().graceMillis()));
     callers.closeConnectionsAfterRequests();
     long nowMillis = timer.nowMillis();
     long lastMillis = nowMillis + settings.bounds().graceMillis() - FINAL_WRITES_MILLIS;
-    forwarder.beginStop(nowMillis + DEREGISTRATION_MILLIS, lastMillis);
-    timer.after(settings.bounds().graceMillis() / 2, forwarder::stopSending);
-    timer.after(DEREGISTRATION_MILLIS, () -> finishWhenIdle(lastMillis, onEnd));
+    forwarder.beginStop(nowMillis, nowMillis + DEREGISTRATION_MILLIS, lastMillis);
+    timer.after(settings.bounds().graceMillis() / 2, this::stopSending);
+    timer.after(DEREGISTRATION_MILLIS, () -> endAfterDeregistration(lastMillis, onEnd));
+  }
+
+  private void stopSending() {
+    logStopPhase("sending_stopped");
+    forwarder.stopSending();
+  }
+
+  private void endAfterDeregistration(long lastMillis, Runnable onEnd) {
+    logStopPhase("deregistered");
+    finishWhenIdle(lastMillis, onEnd);
+  }
+
+  private void logStopPhase(String phase) {
+    log.stateChange(
+        phase,
+        field("running", forwarder.activeRequests()),
+        field("connections", callers.openConnections()));
   }
 
   private void finishWhenIdle(long lastMillis, Runnable onEnd) {
@@ -371,6 +392,7 @@
       return;
     }
     finished = true;
+    logStopPhase(idle ? "stop_idle" : "stop_time_over");
     forwarder.answerAll();
     CompletableFuture<Boolean> left = duties.stop();
     peers.send();
--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -95,8 +95,7 @@
     headerTimeout.cancel();
     assembler.discard();
     releaseBody();
-    queuedObjects.forEach(ReferenceCountUtil::release);
-    queuedObjects.clear();
+    dropQueued(closing ? "the connection was closed before its turn" : "the caller disconnected");
     closing = true;
     if (activeRequest != null) {
       RequestHandler.ActiveRequest disconnected = activeRequest;
@@ -172,6 +171,16 @@
     updateAutoRead();
   }
 
+  private void dropQueued(String cause) {
+    for (HttpObject object : queuedObjects) {
+      if (object instanceof HttpRequest head && object.decoderResult().isSuccess()) {
+        server.requestHandler().requestDropped(head, cause);
+      }
+      ReferenceCountUtil.release(object);
+    }
+    queuedObjects.clear();
+  }
+
   /** Reads from the caller only while the queue and the body have capacity. */
   private void updateAutoRead() {
     boolean bodyFull = assembler.isBodyArriving() && body.isFull();
--- a/forward/src/main/java/org/limpetvale/forward/accept/RequestHandler.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/RequestHandler.java
@@ -1,5 +1,6 @@
 package org.limpetvale.forward.accept;
 
+import io.netty.handler.codec.http.HttpRequest;
 import org.limpetvale.core.result.Refusal;
 
 /** Serves the requests read from callers' connections. */
@@ -28,4 +29,13 @@
    * @param responseWriter writes the response to its caller
    */
   ActiveRequest handle(IncomingRequest request, ResponseWriter responseWriter);
+
+  /**
+   * Records that a request whose header was read will get no response, as its connection ends
+   * before its turn.
+   *
+   * @param head the request line and headers
+   * @param cause why the connection ends
+   */
+  default void requestDropped(HttpRequest head, String cause) {}
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -90,7 +90,7 @@
     this.head = components.headerCodec().decodeRequest(request.head().headers());
     this.callerResponse = new CallerResponse(responseWriter, request);
     this.timing = new ResponseTiming(request.arrivedMillis());
-    this.log = new ExchangeLog(components.log(), head);
+    this.log = ExchangeLog.of(components, head);
     this.retryPermit = new RetryPermit(components.retryBudgets(), components.metrics(), log);
   }
 
@@ -173,7 +173,11 @@
    * one that is at an upstream states that it may have run.
    */
   void onEntryEnding() {
-    if (ended || callerResponse.isStarted()) {
+    if (ended) {
+      return;
+    }
+    if (callerResponse.isStarted()) {
+      log.cutByStop(attempt == null ? "" : attempt.upstream().id(), waitedMillis());
       return;
     }
     mayHaveRun |= attempt != null;
@@ -669,9 +673,7 @@
     cancelAttempt();
     boolean mayRetry = refusal.code().invitesRetry();
     if (callerResponse.isStarted() || mayHaveStarted && mayRetry) {
-      components.metrics().count(Counter.FAILED);
-      finish("broken_off", 0);
-      responseWriter.abort();
+      breakOff(refusal.code(), refusal.detail());
       return;
     }
     refuse(
@@ -693,9 +695,7 @@
 
   private void giveUp(ResultCode code, String detail, long retryAfterMillis) {
     if (callerResponse.isStarted()) {
-      components.metrics().count(Counter.FAILED);
-      finish("broken_off", 0);
-      responseWriter.abort();
+      breakOff(code, detail);
       return;
     }
     if (!mayHaveRun) {
@@ -707,6 +707,14 @@
     refuse(new Refusal(reportedCode, detail, ExecutionStatus.MAY_HAVE_RUN, 0));
   }
 
+  /** Ends a response that cannot be completed. */
+  private void breakOff(ResultCode code, String detail) {
+    components.metrics().count(Counter.FAILED);
+    log.brokenOff(code, detail);
+    finish("broken_off", 0);
+    responseWriter.abort();
+  }
+
   private static long retryAfterMillis() {
     return MIN_RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_AFTER_JITTER_MILLIS);
   }
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
@@ -2,15 +2,20 @@
 
 import static org.limpetvale.forward.log.EventLog.field;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.Choice;
 import org.limpetvale.core.placement.PromptShape;
 import org.limpetvale.core.result.Refusal;
+import org.limpetvale.core.result.ResultCode;
 import org.limpetvale.core.retry.FleetRetryBudget;
 import org.limpetvale.forward.log.EventLog;
+import org.limpetvale.forward.log.EventLog.Field;
 import org.limpetvale.forward.place.UpstreamState;
 import org.limpetvale.forward.route.RequestPlan;
 import org.limpetvale.forward.spi.RequestHead;
@@ -22,11 +27,33 @@
 
   private final EventLog log;
   private final RequestHead head;
+  private final Supplier<OptionalLong> sinceSignalMillis;
   private String responseEnd = "";
 
-  ExchangeLog(EventLog log, RequestHead head) {
+  private ExchangeLog(EventLog log, RequestHead head, Supplier<OptionalLong> sinceSignalMillis) {
     this.log = log;
     this.head = head;
+    this.sinceSignalMillis = sinceSignalMillis;
+  }
+
+  /** Returns a log of the decisions about the request with a header. */
+  static ExchangeLog of(Forwarder.Components components, RequestHead head) {
+    return new ExchangeLog(
+        components.log(),
+        head,
+        () -> components.plannedStop().sinceSignalMillis(components.timer().nowMillis()));
+  }
+
+  /** Logs a decision; during a stop, with the time since the signal. */
+  private void log(String event, Field... fields) {
+    OptionalLong sinceSignal = sinceSignalMillis.get();
+    if (sinceSignal.isEmpty()) {
+      log.decision(event, head.requestId(), fields);
+      return;
+    }
+    Field[] withAge = Arrays.copyOf(fields, fields.length + 1);
+    withAge[fields.length] = field("sinceSignalMillis", sinceSignal.getAsLong());
+    log.decision(event, head.requestId(), withAge);
   }
 
   /** Logs the placement of the request at an upstream. */
@@ -36,9 +63,8 @@
       UpstreamState.LimitUse limitUse,
       long waitedMillis,
       int attempt) {
-    log.decision(
+    log(
         "place",
-        head.requestId(),
         field("route", plan.route().name()),
         field("service", plan.service()),
         field("config", plan.configVersion()),
@@ -91,9 +117,8 @@
 
   /** Logs an attempt that ended without a completely forwarded response. */
   void attemptFailed(Upstream upstream, Attempt.Failure failure, String detail, boolean begun) {
-    log.decision(
+    log(
         "attempt_failed",
-        head.requestId(),
         field("upstream", upstream.id()),
         field("parts", sharedParts()),
         field("failure", failure),
@@ -103,9 +128,8 @@
 
   /** Logs whether the retry budget granted another attempt. */
   void retryDecided(String service, FleetRetryBudget.Decision decision) {
-    log.decision(
+    log(
         "repeat",
-        head.requestId(),
         field("service", service),
         field("paidBy", decision.source()),
         field("earned", decision.earned()),
@@ -122,15 +146,34 @@
 
   /** Logs the refusal of the request. */
   void refused(Refusal refusal) {
-    log.decision(
+    log(
         "refuse",
-        head.requestId(),
         field("code", refusal.code().label()),
         field("detail", refusal.detail()),
         field("ran", refusal.executionStatus().text()),
         field("retryAfterMillis", refusal.retryAfterMillis()));
   }
 
+  /** Logs why a response that had begun is not completed. */
+  void brokenOff(ResultCode code, String detail) {
+    log("break_off", field("code", code.label()), field("detail", detail));
+  }
+
+  /**
+   * Logs that the entry ends within the response.
+   *
+   * @param upstream the id of the upstream at work; empty if there is none
+   * @param millis time since the request arrived
+   */
+  void cutByStop(String upstream, long millis) {
+    log("cut_by_stop", field("upstream", upstream), field("millis", millis));
+  }
+
+  /** Logs that the request was read but is not served. */
+  void dropped(String cause) {
+    log("drop", field("cause", cause));
+  }
+
   /**
    * Logs the end of the request.
    *
@@ -143,9 +186,8 @@
       int attempts,
       ResponseTiming pace,
       long millis) {
-    log.decision(
+    log(
         "end",
-        head.requestId(),
         field("outcome", outcome),
         field("status", status),
         field("route", plan == null ? "" : plan.route().name()),
--- a/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
@@ -1,5 +1,6 @@
 package org.limpetvale.forward.relay;
 
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -92,6 +93,12 @@
     return exchange;
   }
 
+  @Override
+  public void requestDropped(HttpRequest head, String cause) {
+    ExchangeLog.of(components, components.headerCodec().decodeRequest(head.headers()))
+        .dropped(cause);
+  }
+
   /** Returns the number of requests being served. */
   public int activeRequests() {
     return active.size();
@@ -100,11 +107,12 @@
   /**
    * Begins a planned stop.
    *
+   * @param signalMillis when this entry was told to stop, on the monotonic clock
    * @param deregisteredMillis when the load balancer sends no more callers, on the monotonic clock
    * @param endMillis when this entry ends what is still running, on the monotonic clock
    */
-  public void beginStop(long deregisteredMillis, long endMillis) {
-    components.plannedStop().begin(deregisteredMillis, endMillis);
+  public void beginStop(long signalMillis, long deregisteredMillis, long endMillis) {
+    components.plannedStop().begin(signalMillis, deregisteredMillis, endMillis);
   }
 
   /** From now on, sends nothing to upstreams; requests that are not at one are refused. */
--- a/forward/src/main/java/org/limpetvale/forward/relay/PlannedStop.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/PlannedStop.java
@@ -1,5 +1,7 @@
 package org.limpetvale.forward.relay;
 
+import java.util.OptionalLong;
+
 /**
  * Decides which requests are still sent to upstreams while this entry stops.
  *
@@ -11,6 +13,7 @@
  * <p>Times are in milliseconds on a monotonic clock.
  */
 final class PlannedStop {
+  private OptionalLong signalMillis = OptionalLong.empty();
   private long deregisteredMillis = Long.MAX_VALUE;
   private long endMillis = Long.MAX_VALUE;
   private boolean sendingStopped;
@@ -18,14 +21,21 @@
   /**
    * Begins the stop.
    *
+   * @param signal when this entry was told to stop
    * @param deregistered when the load balancer sends no more callers
    * @param end when the entry ends what is still running
    */
-  void begin(long deregistered, long end) {
+  void begin(long signal, long deregistered, long end) {
+    signalMillis = OptionalLong.of(signal);
     deregisteredMillis = deregistered;
     endMillis = end;
   }
 
+  /** Returns the time since this entry was told to stop; empty if it was not. */
+  OptionalLong sinceSignalMillis(long nowMillis) {
+    return signalMillis.stream().map(signal -> nowMillis - signal).findFirst();
+  }
+
   /** From now on, no request is sent. */
   void stopSending() {
     sendingStopped = true;
--- a/forward/src/test/java/org/limpetvale/forward/relay/PlannedStopTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/PlannedStopTest.java
@@ -18,20 +18,20 @@
 
   @Test
   void whileTheLoadBalancerStillSendsCallersEveryRequestIsTaken() {
-    stop.begin(DEREGISTERED_MILLIS, END_MILLIS);
+    stop.begin(0, DEREGISTERED_MILLIS, END_MILLIS);
     assertThat(stop.admits(DEREGISTERED_MILLIS - 1, END_MILLIS + 15_000)).isTrue();
   }
 
   @Test
   void afterThatOnlyRequestsAreTakenThatEndBeforeTheEntryDoes() {
-    stop.begin(DEREGISTERED_MILLIS, END_MILLIS);
+    stop.begin(0, DEREGISTERED_MILLIS, END_MILLIS);
     assertThat(stop.admits(DEREGISTERED_MILLIS, END_MILLIS)).isTrue();
     assertThat(stop.admits(DEREGISTERED_MILLIS, END_MILLIS + 1)).isFalse();
   }
 
   @Test
   void lateInTheStopNothingIsTaken() {
-    stop.begin(DEREGISTERED_MILLIS, END_MILLIS);
+    stop.begin(0, DEREGISTERED_MILLIS, END_MILLIS);
     stop.stopSending();
     assertThat(stop.isSendingStopped()).isTrue();
     assertThat(stop.admits(DEREGISTERED_MILLIS + 1_400, END_MILLIS - 2_000)).isFalse();
