--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -67,6 +67,10 @@
   private static final long EXIT_MILLIS = 300;
 
   private static final long STOP_CHECK_MILLIS = 50;
+
+  /** Time in which the requests sent ahead on open connections are refused before the end. */
+  private static final long LAST_REFUSALS_MILLIS = 100;
+
   private static final int BOOT_ID_LENGTH = 8;
 
   /** Number of usage windows in a peer report, counted back from the current one. */
@@ -398,8 +402,11 @@
     peers.send();
     long leftMillis = lastMillis + FINAL_WRITES_MILLIS - EXIT_MILLIS - timer.nowMillis();
     timer.after(leftMillis, () -> left.complete(false));
-    left.thenAccept(
-        written -> {
+    CompletableFuture<Void> refused = new CompletableFuture<>();
+    timer.after(idle ? 0 : LAST_REFUSALS_MILLIS, () -> refused.complete(null));
+    left.thenAcceptBoth(
+        refused,
+        (written, nothing) -> {
           peers.send();
           log.stateChange(
               "stopped",
--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -72,6 +72,12 @@
 
   private boolean keepAlive = true;
 
+  /**
+   * Whether this entry has announced that it closes the connection. A caller need not read what
+   * comes after that, so later requests must not run.
+   */
+  private boolean closeAnnounced;
+
   /** Whether the connection is about to close, so that further input is discarded. */
   private boolean closing;
 
@@ -223,7 +229,8 @@
     body.onDrain(this::updateAutoRead);
     long serial = ++requestSequence;
     Moment readAt = Moment.now(server.timer());
-    channel.eventLoop().execute(() -> startOrDefer(request, serial, readAt));
+    IncomingRequest next = closeAnnounced ? request.behindAnnouncedClose() : request;
+    channel.eventLoop().execute(() -> startOrDefer(next, serial, readAt));
   }
 
   /**
@@ -317,7 +324,9 @@
   }
 
   private void setCloseHeader(HttpResponse response) {
-    if (server.isStopping() || assembler.isBodyArriving() || !keepAlive) {
+    boolean lastInStop = server.isStopping() && queuedObjects.isEmpty();
+    closeAnnounced |= lastInStop || assembler.isBodyArriving();
+    if (closeAnnounced || !keepAlive) {
       keepAlive = false;
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
@@ -339,18 +348,31 @@
       discardInputThenClose();
       return;
     }
-    if (!keepAlive || isUnusedInStop()) {
-      closing = true;
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    if (isLastResponse()) {
+      closeAfterOutput();
       return;
     }
     channel.flush();
     processQueued();
+    if (closeAnnounced && !responsePending) {
+      closeAfterOutput();
+    }
+  }
+
+  /**
+   * Returns whether no response follows the one that has just been written. In a stop, each request
+   * that the caller has sent ahead still gets one.
+   */
+  private boolean isLastResponse() {
+    if (queuedObjects.isEmpty()) {
+      return !keepAlive || server.keepsNoIdleConnections();
+    }
+    return !keepAlive && !(closeAnnounced && server.isStopping());
   }
 
-  /** Returns whether the connection would only wait to be closed, as this entry stops. */
-  private boolean isUnusedInStop() {
-    return server.keepsNoIdleConnections() && queuedObjects.isEmpty();
+  private void closeAfterOutput() {
+    closing = true;
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
   }
 
   /**
--- a/forward/src/main/java/org/limpetvale/forward/accept/RequestAssembler.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/RequestAssembler.java
@@ -122,7 +122,7 @@
       finishRequest();
     } else if (!started && bodyBytes > STREAMING_THRESHOLD_BYTES) {
       started = true;
-      listener.onRequestReady(new IncomingRequest(head, body, arrivedMillis));
+      listener.onRequestReady(IncomingRequest.of(head, body, arrivedMillis));
     }
   }
 
@@ -152,7 +152,7 @@
   }
 
   private void finishRequest() {
-    IncomingRequest request = new IncomingRequest(head, body, arrivedMillis);
+    IncomingRequest request = IncomingRequest.of(head, body, arrivedMillis);
     boolean first = !started;
     head = null;
     started = false;
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -96,6 +96,10 @@
 
   void start() {
     components.metrics().count(Counter.REQUESTS);
+    if (request.mayOnlyBeRefused()) {
+      giveUp(ResultCode.DRAINING, "this entry stops and has announced the end of the connection");
+      return;
+    }
     String host = request.head().headers().get(HttpHeaderNames.HOST, "");
     switch (components.planner().plan(head, host, request.path())) {
       case Result.Err<RequestPlan>(Refusal refusal) -> refuse(refusal);
