--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -122,9 +122,10 @@
     }
   }
 
+  /** Closes the connection, once all output is written, if no request is served or being read. */
   void closeIfIdle() {
     if (!responsePending && !closing && !assembler.isReading()) {
-      channel.close();
+      closeAfterOutput();
     }
   }
 
