--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -67,10 +67,6 @@
   private static final long EXIT_MILLIS = 300;
 
   private static final long STOP_CHECK_MILLIS = 50;
-
-  /** Time in which the requests sent ahead on open connections are refused before the end. */
-  private static final long LAST_REFUSALS_MILLIS = 100;
-
   private static final int BOOT_ID_LENGTH = 8;
 
   /** Number of usage windows in a peer report, counted back from the current one. */
@@ -390,29 +386,37 @@
 
   private void finishWhenIdle(long lastMillis, Runnable onEnd) {
     callers.closeIdle();
-    boolean idle = forwarder.activeRequests() == 0 && callers.openConnections() == 0;
-    if (!idle && timer.nowMillis() < lastMillis) {
+    if (!isIdle() && timer.nowMillis() < lastMillis) {
       timer.after(STOP_CHECK_MILLIS, () -> finishWhenIdle(lastMillis, onEnd));
       return;
     }
     finished = true;
-    logStopPhase(idle ? "stop_idle" : "stop_time_over");
+    logStopPhase(isIdle() ? "stop_idle" : "stop_time_over");
     forwarder.answerAll();
     CompletableFuture<Boolean> left = duties.stop();
     peers.send();
-    long leftMillis = lastMillis + FINAL_WRITES_MILLIS - EXIT_MILLIS - timer.nowMillis();
-    timer.after(leftMillis, () -> left.complete(false));
-    CompletableFuture<Void> refused = new CompletableFuture<>();
-    timer.after(idle ? 0 : LAST_REFUSALS_MILLIS, () -> refused.complete(null));
-    left.thenAcceptBoth(
-        refused,
-        (written, nothing) -> {
-          peers.send();
-          log.stateChange(
-              "stopped",
-              field("running", forwarder.activeRequests()),
-              field("lastRowsWritten", written));
-          onEnd.run();
-        });
+    long exitMillis = lastMillis + FINAL_WRITES_MILLIS - EXIT_MILLIS;
+    timer.after(exitMillis - timer.nowMillis(), () -> left.complete(false));
+    left.thenAccept(written -> exitWhenIdle(written, exitMillis, onEnd));
+  }
+
+  private boolean isIdle() {
+    return forwarder.activeRequests() == 0 && callers.openConnections() == 0;
+  }
+
+  /** Ends the process once all responses that have begun are written, or when the time is over. */
+  private void exitWhenIdle(boolean lastRowsWritten, long exitMillis, Runnable onEnd) {
+    if (!isIdle() && timer.nowMillis() < exitMillis) {
+      timer.after(STOP_CHECK_MILLIS, () -> exitWhenIdle(lastRowsWritten, exitMillis, onEnd));
+      return;
+    }
+    peers.send();
+    forwarder.logCutByStop();
+    log.stateChange(
+        "stopped",
+        field("running", forwarder.activeRequests()),
+        field("connections", callers.openConnections()),
+        field("lastRowsWritten", lastRowsWritten));
+    onEnd.run();
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -177,11 +177,7 @@
    * one that is at an upstream states that it may have run.
    */
   void onEntryEnding() {
-    if (ended) {
-      return;
-    }
-    if (callerResponse.isStarted()) {
-      log.cutByStop(attempt == null ? "" : attempt.upstream().id(), waitedMillis());
+    if (ended || callerResponse.isStarted()) {
       return;
     }
     mayHaveRun |= attempt != null;
@@ -189,6 +185,11 @@
     giveUp(ResultCode.DRAINING, "this entry ended before the answer");
   }
 
+  /** Logs that the end of this entry cuts the response. */
+  void logCutByStop() {
+    log.cutByStop(attempt == null ? "" : attempt.upstream().id(), waitedMillis());
+  }
+
   private long requestedTimeoutMillis() {
     OptionalLong requested = head.deadlineMillis();
     return requested.orElse(plan.route().timeoutMillis());
--- a/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Forwarder.java
@@ -127,6 +127,11 @@
     List.copyOf(active).forEach(Exchange::onEntryEnding);
   }
 
+  /** Logs the requests whose responses this entry's end cuts. */
+  public void logCutByStop() {
+    active.forEach(Exchange::logCutByStop);
+  }
+
   /** Returns the number of requests that wait for upstream capacity, by service. */
   public Map<String, Integer> waiting() {
     return components.waitingRequests().byService();
