--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -159,25 +159,25 @@
       ReferenceCountUtil.release(object);
       return;
     }
-    if (responsePending && !assembler.isBodyArriving()) {
-      queue(object);
-      return;
-    }
-    assembler.accept(object);
-  }
-
-  private void queue(HttpObject object) {
     queuedObjects.addLast(object);
-    updateAutoRead();
+    processQueued();
   }
 
+  /**
+   * Accepts what has been read, in its order, up to the end of the request being served. The rest
+   * waits for the end of that request's response.
+   */
   private void processQueued() {
-    while (!responsePending && !closing && !queuedObjects.isEmpty()) {
+    while (canAccept() && !queuedObjects.isEmpty()) {
       assembler.accept(queuedObjects.removeFirst());
     }
     updateAutoRead();
   }
 
+  private boolean canAccept() {
+    return !closing && (!responsePending || assembler.isBodyArriving());
+  }
+
   private void dropQueued(String cause) {
     for (HttpObject object : queuedObjects) {
       if (object instanceof HttpRequest head && object.decoderResult().isSuccess()) {
