--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -67,6 +68,9 @@
 
   private boolean headWritten;
 
+  /** Whether the request being read or served is a HEAD request, whose response has no content. */
+  private boolean isHeadRequest;
+
   /** Whether only the end of the connection marks the end of the response. */
   private boolean endsWithConnection;
 
@@ -169,11 +173,18 @@
    */
   private void processQueued() {
     while (canAccept() && !queuedObjects.isEmpty()) {
-      assembler.accept(queuedObjects.removeFirst());
+      accept(queuedObjects.removeFirst());
     }
     updateAutoRead();
   }
 
+  private void accept(HttpObject object) {
+    if (object instanceof HttpRequest head) {
+      isHeadRequest = head.method().equals(HttpMethod.HEAD);
+    }
+    assembler.accept(object);
+  }
+
   private boolean canAccept() {
     return !closing && (!responsePending || assembler.isBodyArriving());
   }
@@ -304,10 +315,19 @@
   public void writeFull(FullHttpResponse response) {
     headWritten = true;
     setCloseHeader(response);
-    channel.write(response);
+    channel.write(forMethod(response));
     onResponseWritten();
   }
 
+  /** Returns a response of this entry without its content if the request's method is HEAD. */
+  private FullHttpResponse forMethod(FullHttpResponse response) {
+    if (!isHeadRequest) {
+      return response;
+    }
+    response.release();
+    return response.replace(Unpooled.EMPTY_BUFFER);
+  }
+
   @Override
   public void abort() {
     responsePending = false;
@@ -337,6 +357,7 @@
     boolean bodyArriving = assembler.isBodyArriving();
     responsePending = false;
     activeRequest = null;
+    isHeadRequest = false;
     assembler.discard();
     releaseBody();
     lastActiveMillis = server.timer().nowMillis();
@@ -414,7 +435,7 @@
     assembler.discard();
     FullHttpResponse response = ProblemResponses.of(refusal);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(response);
+    channel.writeAndFlush(forMethod(response));
     discardInputThenClose();
   }
 
