--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -4,7 +4,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.limpetvale.core.result.Refusal;
@@ -82,6 +83,9 @@
    */
   private boolean closeAnnounced;
 
+  /** Writes the last output before the connection closes; null if it is not to close. */
+  private ChannelFuture lastOutput;
+
   /** Whether the connection is about to close, so that further input is discarded. */
   private boolean closing;
 
@@ -128,7 +132,7 @@
 
   /** Closes the connection, once all output is written, if no request is served or being read. */
   void closeIfIdle() {
-    if (!responsePending && !closing && !assembler.isReading()) {
+    if (!responsePending && !closing && !assembler.isReading() && lastOutput == null) {
       closeAfterOutput();
     }
   }
@@ -376,25 +380,38 @@
     }
     channel.flush();
     processQueued();
-    if (closeAnnounced && !responsePending) {
+    if (closeAnnounced && !responsePending && !closing) {
       closeAfterOutput();
     }
   }
 
   /**
-   * Returns whether no response follows the one that has just been written. In a stop, each request
-   * that the caller has sent ahead still gets one.
+   * Returns whether no response follows the one that has just been written. Each request that the
+   * caller has sent ahead still gets one, unless the caller itself has announced the close.
    */
   private boolean isLastResponse() {
     if (queuedObjects.isEmpty()) {
       return !keepAlive || server.keepsNoIdleConnections();
     }
-    return !keepAlive && !(closeAnnounced && server.isStopping());
+    return !keepAlive && !closeAnnounced;
   }
 
+  /**
+   * Closes the connection once its output is written. A request that is read until then is refused,
+   * unless the caller itself has announced the close.
+   */
   private void closeAfterOutput() {
-    closing = true;
-    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    closing = !keepAlive && !closeAnnounced;
+    closeAnnounced = true;
+    lastOutput = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+    lastOutput.addListener(this::closeAfter);
+  }
+
+  private void closeAfter(Future<? super Void> written) {
+    if (written == lastOutput && !responsePending) {
+      closing = true;
+      channel.close();
+    }
   }
 
   /**
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -97,7 +97,7 @@
   void start() {
     components.metrics().count(Counter.REQUESTS);
     if (request.mayOnlyBeRefused()) {
-      giveUp(ResultCode.DRAINING, "this entry stops and has announced the end of the connection");
+      giveUp(ResultCode.DRAINING, "the close of the connection was announced before this request");
       return;
     }
     String host = request.head().headers().get(HttpHeaderNames.HOST, "");
