--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -83,7 +83,7 @@
    */
   private boolean closeAnnounced;
 
-  /** Writes the last output before the connection closes; null if it is not to close. */
+  /** Completes once all output up to the latest decision to close is written; null before any. */
   private ChannelFuture lastOutput;
 
   /** Whether the connection is about to close, so that further input is discarded. */
@@ -407,6 +407,7 @@
     lastOutput.addListener(this::closeAfter);
   }
 
+  /** Closes the connection unless more output, or a request, has come since the decision. */
   private void closeAfter(Future<? super Void> written) {
     if (written == lastOutput && !responsePending) {
       closing = true;
