--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -51,6 +51,9 @@
      */
     void onExecutionStarted();
 
+    /** Called with a response of the upstream that is not taken for that of the request. */
+    void onResponseSkipped(SkippedResponse skipped);
+
     /** Decides whether a response is forwarded to the caller. */
     boolean shouldForward(HttpResponse response, boolean signed, boolean notRun);
 
@@ -103,6 +106,7 @@
   private final double predictedMillis;
 
   private ResponseExpectation expectation;
+  private ConnectionUse connectionUse = ConnectionUse.NONE;
   private long startedMillis;
   private long lastActivityMillis;
 
@@ -154,6 +158,7 @@
     lastActivityMillis = startedMillis;
     promptPending = true;
     state.requestSent(this, uncachedTokens, tight);
+    connectionUse = connection.nextUse();
     connection.send(message, body, expected, this);
   }
 
@@ -161,6 +166,11 @@
     return upstream;
   }
 
+  /** Returns which of its connection's requests the attempt is. */
+  ConnectionUse connectionUse() {
+    return connectionUse;
+  }
+
   /** Returns when the request was sent, on the monotonic clock. */
   long startedMillis() {
     return startedMillis;
@@ -207,6 +217,11 @@
         MIN_SILENCE_MILLIS, SILENCE_TARGET_MULTIPLE * plan.route().targetLatencyMillis());
   }
 
+  @Override
+  public void onSkipped(SkippedResponse skipped) {
+    listener.onResponseSkipped(skipped);
+  }
+
   @Override
   public void onHead(HttpResponse response, ResponseHead head) {
     lastActivityMillis = timer.nowMillis();
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -438,6 +438,7 @@
             components.placer().engineProfiles(),
             components.placer().upstreamNotices(),
             components.timer());
+    log.sent(connection.nextUse());
     attempt.send(
         UpstreamRequest.of(components.headerCodec(), request, grant(upstream, remainingMillis)),
         request.body(),
@@ -465,6 +466,12 @@
     }
   }
 
+  @Override
+  public void onResponseSkipped(SkippedResponse skipped) {
+    components.metrics().count(Counter.RESPONSES_SKIPPED);
+    log.responseSkipped(attempt.upstream(), attempt.connectionUse(), skipped);
+  }
+
   @Override
   public boolean shouldForward(HttpResponse response, boolean signed, boolean notRun) {
     int status = response.status().code();
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
@@ -23,12 +23,15 @@
 /** Logs the decisions about one request, each with the inputs that it was based on. */
 final class ExchangeLog {
   private static final int MAX_LOGGED_PARTS = 8;
+  private static final int MAX_LOGGED_IDS = 4;
   private static final int MAX_LOGGED_ID_LENGTH = 40;
 
   private final EventLog log;
   private final RequestHead head;
   private final Supplier<OptionalLong> sinceSignalMillis;
   private String responseEnd = "";
+  private ConnectionUse lastUse = ConnectionUse.NONE;
+  private int skippedResponses;
 
   private ExchangeLog(EventLog log, RequestHead head, Supplier<OptionalLong> sinceSignalMillis) {
     this.log = log;
@@ -115,6 +118,31 @@
         + candidate.load().tightStreams();
   }
 
+  /** Notes the connection of the last attempt, for the line about the request's end. */
+  void sent(ConnectionUse use) {
+    lastUse = use;
+  }
+
+  /** Logs a response of an upstream that was not taken for that of the request. */
+  void responseSkipped(Upstream upstream, ConnectionUse use, SkippedResponse skipped) {
+    skippedResponses++;
+    log(
+        "response_skipped",
+        field("upstream", upstream.id()),
+        field("localPort", use.localPort()),
+        field("requestNumber", use.requestNumber()),
+        field("status", skipped.status()),
+        field("ids", summarize(skipped.ids())),
+        field("reason", skipped.reason()));
+  }
+
+  private static String summarize(List<String> ids) {
+    return ids.stream()
+        .limit(MAX_LOGGED_IDS)
+        .map(ExchangeLog::shorten)
+        .collect(Collectors.joining(","));
+  }
+
   /** Logs an attempt that ended without a completely forwarded response. */
   void attemptFailed(Upstream upstream, Attempt.Failure failure, String detail, boolean begun) {
     log(
@@ -193,6 +221,9 @@
         field("route", plan == null ? "" : plan.route().name()),
         field("attempts", attempts),
         field("responseEnd", responseEnd),
+        field("localPort", lastUse.localPort()),
+        field("requestNumber", lastUse.requestNumber()),
+        field("skippedResponses", skippedResponses),
         field("firstMillis", pace.firstContentMillis()),
         field("longestGapMillis", pace.longestGapMillis()),
         field("millis", millis));
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseListener.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseListener.java
@@ -9,6 +9,9 @@
   /** Called once the request has been written completely. */
   void onRequestSent();
 
+  /** Called with the header of a final response that is not taken for that of the request. */
+  void onSkipped(SkippedResponse skipped);
+
   /** Called with the header of the response. */
   void onHead(HttpResponse response, ResponseHead head);
 
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
@@ -194,6 +195,12 @@
     return !requestId.isEmpty() && !sentIdHashes.contains(requestId.hashCode());
   }
 
+  /** Returns the place of the next request on the connection. */
+  ConnectionUse nextUse() {
+    int localPort = channel.localAddress() instanceof InetSocketAddress local ? local.getPort() : 0;
+    return new ConnectionUse(localPort, sentRequests + 1);
+  }
+
   /** Returns the time since the last response. */
   long idleMillis() {
     return timer.nowMillis() - idleSinceMillis;
@@ -254,10 +261,10 @@
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL
             || isToAnotherRequest(head, outcome);
     if (skipping) {
-      skip(response);
+      skip(response, head);
       return;
     }
-    identified = !head.requestId().isEmpty();
+    identified = !head.firstRequestId().isEmpty();
     if (!identified && sentRequests > 1) {
       fail(ResponseListener.FailureReason.SPOILED, "an answer without the request's id");
       return;
@@ -282,9 +289,9 @@
    * may be a repetition of the response before.
    */
   private boolean isToAnotherRequest(ResponseHead head, Outcome outcome) {
-    return head.requestId().isEmpty()
+    return head.firstRequestId().isEmpty()
         ? lastOutcome.equals(Optional.of(outcome))
-        : !head.requestId().equals(expectation.requestId());
+        : !head.firstRequestId().equals(expectation.requestId());
   }
 
   /** Returns whether a response without an id denies the execution of a request that has one. */
@@ -294,8 +301,12 @@
   }
 
   /** Skips a response other than the expected one, within limits on number and time. */
-  private void skip(HttpResponse response) {
+  private void skip(HttpResponse response, ResponseHead head) {
     skippedResponses++;
+    if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+      String reason = head.requestIds().isEmpty() ? "repeats the one before" : "another id";
+      listener.onSkipped(new SkippedResponse(response.status().code(), head.requestIds(), reason));
+    }
     if (skippedResponses > MAX_SKIPPED_RESPONSES) {
       fail(
           ResponseListener.FailureReason.SPOILED,
