--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -27,7 +27,7 @@
     CONNECTS_FAILED,
     ANSWERS_SPOILED,
     /** Final responses of upstreams that were not taken for those of the requests in progress. */
-    RESPONSES_SKIPPED,
+    RESPONSES_DISCARDED,
     /** Answers whose end was marked by nothing but the end of the upstream's connection. */
     ANSWERS_ENDED_BY_CLOSE,
     /** Requests that were not sent, or not sent again, because upstreams crash on them. */
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -52,7 +52,7 @@
     void onExecutionStarted();
 
     /** Called with a response of the upstream that is not taken for that of the request. */
-    void onResponseSkipped(SkippedResponse skipped);
+    void onResponseDiscarded(DiscardedResponse discarded);
 
     /** Decides whether a response is forwarded to the caller. */
     boolean shouldForward(HttpResponse response, boolean signed, boolean notRun);
@@ -218,8 +218,8 @@
   }
 
   @Override
-  public void onSkipped(SkippedResponse skipped) {
-    listener.onResponseSkipped(skipped);
+  public void onDiscarded(DiscardedResponse discarded) {
+    listener.onResponseDiscarded(discarded);
   }
 
   @Override
--- a/forward/src/main/java/org/limpetvale/forward/relay/SkippedResponse.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/DiscardedResponse.java
@@ -10,8 +10,8 @@
  * @param ids the request ids that it names, in order
  * @param reason why it was not taken
  */
-record SkippedResponse(int status, List<String> ids, String reason) {
-  SkippedResponse {
+record DiscardedResponse(int status, List<String> ids, String reason) {
+  DiscardedResponse {
     ids = List.copyOf(ids);
     Objects.requireNonNull(reason, "reason is null");
   }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -333,6 +333,7 @@
         .upstreamPool()
         .acquire(
             upstream,
+            request.head().method(),
             head.requestId(),
             route().isRetryable(),
             lease -> {
@@ -467,9 +468,9 @@
   }
 
   @Override
-  public void onResponseSkipped(SkippedResponse skipped) {
-    components.metrics().count(Counter.RESPONSES_SKIPPED);
-    log.responseSkipped(attempt.upstream(), attempt.connectionUse(), skipped);
+  public void onResponseDiscarded(DiscardedResponse discarded) {
+    components.metrics().count(Counter.RESPONSES_DISCARDED);
+    log.responseDiscarded(attempt.upstream(), attempt.connectionUse(), discarded);
   }
 
   @Override
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
@@ -31,7 +31,7 @@
   private final Supplier<OptionalLong> sinceSignalMillis;
   private String responseEnd = "";
   private ConnectionUse lastUse = ConnectionUse.NONE;
-  private int skippedResponses;
+  private int discardedResponses;
 
   private ExchangeLog(EventLog log, RequestHead head, Supplier<OptionalLong> sinceSignalMillis) {
     this.log = log;
@@ -124,16 +124,16 @@
   }
 
   /** Logs a response of an upstream that was not taken for that of the request. */
-  void responseSkipped(Upstream upstream, ConnectionUse use, SkippedResponse skipped) {
-    skippedResponses++;
+  void responseDiscarded(Upstream upstream, ConnectionUse use, DiscardedResponse discarded) {
+    discardedResponses++;
     log(
-        "response_skipped",
+        "response_discarded",
         field("upstream", upstream.id()),
         field("localPort", use.localPort()),
         field("requestNumber", use.requestNumber()),
-        field("status", skipped.status()),
-        field("ids", summarize(skipped.ids())),
-        field("reason", skipped.reason()));
+        field("status", discarded.status()),
+        field("ids", summarize(discarded.ids())),
+        field("reason", discarded.reason()));
   }
 
   private static String summarize(List<String> ids) {
@@ -223,7 +223,7 @@
         field("responseEnd", responseEnd),
         field("localPort", lastUse.localPort()),
         field("requestNumber", lastUse.requestNumber()),
-        field("skippedResponses", skippedResponses),
+        field("discardedResponses", discardedResponses),
         field("firstMillis", pace.firstContentMillis()),
         field("longestGapMillis", pace.longestGapMillis()),
         field("millis", millis));
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseListener.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseListener.java
@@ -10,7 +10,7 @@
   void onRequestSent();
 
   /** Called with the header of a final response that is not taken for that of the request. */
-  void onSkipped(SkippedResponse skipped);
+  void onDiscarded(DiscardedResponse discarded);
 
   /** Called with the header of the response. */
   void onHead(HttpResponse response, ResponseHead head);
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -7,18 +7,16 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.limpetvale.core.time.TimerService;
@@ -31,11 +29,11 @@
 /**
  * One connection to an upstream, with at most one request in progress.
  *
- * <p>Responses to other requests are discarded: those with another id and, except on a new
- * connection, those without one that may repeat the response before. Any other response without an
- * id on a connection that has carried requests ends it, as nobody can tell whose it is. After a
- * response, the connection is released only once everything read together with it is known to
- * belong to it. Bytes that arrive while it is idle close it.
+ * <p>{@link CarriedRequests} decides to which request a response belongs. One more response to an
+ * earlier request is discarded, and the connection is closed after the expected one; one that
+ * cannot be attributed ends the request in progress, which may have run, and the connection. After
+ * a response, the connection is released only if nothing was read behind it. Bytes that arrive
+ * while it is idle close it.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
@@ -53,25 +51,17 @@
    */
   private static final int MAX_SKIPPED_RESPONSES = 16;
 
-  /** Requests after which a connection is closed, which bounds the ids that it remembers. */
-  private static final int MAX_REQUESTS = 256;
-
   /** Maximum time from the header to the end of a response to another request. */
   private static final long MAX_SKIP_MILLIS = 1_000;
 
   private final DuplexChannel channel;
   private final ReceiveLimit receiveLimit;
+  private final UpstreamResponseDecoder decoder;
   private final HeaderCodec dialect;
   private final TimerService timer;
   private final Owner owner;
 
-  /**
-   * Hashes of the ids of all requests sent. A response to one of them may still arrive, so another
-   * request with its id needs another connection.
-   */
-  private final Set<Integer> sentIdHashes = new HashSet<>();
-
-  private int sentRequests;
+  private final CarriedRequests requests = new CarriedRequests();
   private ResponseListener listener;
   private ResponseExpectation expectation;
 
@@ -79,10 +69,13 @@
   private boolean skipping;
 
   private int skippedResponses;
+
+  /** Heads read since the request was sent, those of discarded responses included. */
+  private int readHeads;
+
   private TimerService.Subscription skipTimeout = () -> {};
   private ResponseLimits limits;
   private boolean responseKeepsAlive;
-  private boolean identified;
   private boolean framedByLength;
   private boolean requestWritten;
 
@@ -91,15 +84,9 @@
 
   private boolean responseStarted;
 
-  /** What was last answered on the connection, which a faulty upstream may write once more. */
-  private Optional<Outcome> lastOutcome = Optional.empty();
-
   private long idleSinceMillis;
   private long safeIdleMillis = DEFAULT_SAFE_IDLE_MILLIS;
 
-  /** What identifies a repetition of a response that bears no id. */
-  private record Outcome(int status, boolean notExecuted) {}
-
   /** Manages the connection between requests. */
   interface Owner {
     /** Called when the connection may serve another request. */
@@ -112,11 +99,13 @@
   UpstreamConnection(
       DuplexChannel channel,
       ReceiveLimit received,
+      UpstreamResponseDecoder decoder,
       HeaderCodec dialect,
       TimerService timer,
       Owner owner) {
     this.channel = Objects.requireNonNull(channel, "channel is null");
     this.receiveLimit = Objects.requireNonNull(received, "received is null");
+    this.decoder = Objects.requireNonNull(decoder, "decoder is null");
     this.dialect = Objects.requireNonNull(dialect, "dialect is null");
     this.timer = Objects.requireNonNull(timer, "timer is null");
     this.owner = Objects.requireNonNull(owner, "owner is null");
@@ -136,10 +125,11 @@
       ResponseListener responseSink) {
     listener = responseSink;
     expectation = expected;
-    sentRequests++;
-    sentIdHashes.add(expected.requestId().hashCode());
+    requests.add(request, expected.requestId());
+    decoder.expectResponse(request.method().equals(HttpMethod.HEAD));
     skipping = false;
     skippedResponses = 0;
+    readHeads = 0;
     receiveLimit.recordProgress();
     responseStarted = false;
     requestWritten = false;
@@ -191,14 +181,14 @@
   }
 
   /** Returns whether the response to a request could be told apart from all earlier ones. */
-  boolean canIdentify(String requestId) {
-    return !requestId.isEmpty() && !sentIdHashes.contains(requestId.hashCode());
+  boolean canCarry(HttpMethod method, String requestId) {
+    return requests.canAdd(method, requestId);
   }
 
   /** Returns the place of the next request on the connection. */
   ConnectionUse nextUse() {
     int localPort = channel.localAddress() instanceof InetSocketAddress local ? local.getPort() : 0;
-    return new ConnectionUse(localPort, sentRequests + 1);
+    return new ConnectionUse(localPort, requests.count() + 1);
   }
 
   /** Returns the time since the last response. */
@@ -255,25 +245,26 @@
       fail(ResponseListener.FailureReason.SPOILED, "a second answer");
       return;
     }
+    readHeads++;
     ResponseHead head = dialect.decodeResponse(response.status().code(), response.headers());
-    Outcome outcome = new Outcome(response.status().code(), head.notExecuted());
-    skipping =
-        response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            || isToAnotherRequest(head, outcome);
-    if (skipping) {
-      skip(response, head);
-      return;
-    }
-    identified = !head.firstRequestId().isEmpty();
-    if (!identified && sentRequests > 1) {
-      fail(ResponseListener.FailureReason.SPOILED, "an answer without the request's id");
-      return;
-    }
-    lastOutcome = Optional.of(outcome);
-    if (!identified && isUnprovenRefusal(response, head)) {
-      fail(ResponseListener.FailureReason.SPOILED, "a refusal without the request's id");
-      return;
+    switch (requests.attribute(response, head.requestIds())) {
+      case Attribution.Interim() -> skip();
+      case Attribution.Earlier() -> skipEarlier(response, head);
+      case Attribution.Unattributable(String cause) -> {
+        reportDiscarded(response, head, cause);
+        fail(ResponseListener.FailureReason.SPOILED, "unattributable response: " + cause);
+      }
+      case Attribution.Current(boolean identified) -> {
+        if (!identified && isUnprovenRefusal(response, head)) {
+          fail(ResponseListener.FailureReason.SPOILED, "a refusal without the request's id");
+        } else {
+          startResponse(response, head);
+        }
+      }
     }
+  }
+
+  private void startResponse(HttpResponse response, ResponseHead head) {
     receiveLimit.recordProgress();
     limits = ResponseLimits.of(response, expectation.isEventStream(response));
     responseStarted = true;
@@ -284,38 +275,36 @@
     listener.onHead(response, head);
   }
 
-  /**
-   * Returns whether a response is not to the request in progress: it has another id, or none and
-   * may be a repetition of the response before.
-   */
-  private boolean isToAnotherRequest(ResponseHead head, Outcome outcome) {
-    return head.firstRequestId().isEmpty()
-        ? lastOutcome.equals(Optional.of(outcome))
-        : !head.firstRequestId().equals(expectation.requestId());
-  }
-
   /** Returns whether a response without an id denies the execution of a request that has one. */
   private boolean isUnprovenRefusal(HttpResponse response, ResponseHead head) {
     return !expectation.requestId().isEmpty()
         && (head.notExecuted() || StatusCodes.promisesNotRun(response.status().code()));
   }
 
-  /** Skips a response other than the expected one, within limits on number and time. */
-  private void skip(HttpResponse response, ResponseHead head) {
-    skippedResponses++;
-    if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-      String reason = head.requestIds().isEmpty() ? "repeats the one before" : "another id";
-      listener.onSkipped(new SkippedResponse(response.status().code(), head.requestIds(), reason));
+  /** Skips one more response to an earlier request, which has to end within a time limit. */
+  private void skipEarlier(HttpResponse response, ResponseHead head) {
+    reportDiscarded(response, head, "one more to an earlier request");
+    skip();
+    if (skipping) {
+      skipTimeout = timer.after(MAX_SKIP_MILLIS, this::onSkipTimeout);
     }
+  }
+
+  /** Skips a response that is not the expected one, within a limit on their number. */
+  private void skip() {
+    skippedResponses++;
     if (skippedResponses > MAX_SKIPPED_RESPONSES) {
       fail(
           ResponseListener.FailureReason.SPOILED,
           "more than " + MAX_SKIPPED_RESPONSES + " other answers");
       return;
     }
-    if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-      skipTimeout = timer.after(MAX_SKIP_MILLIS, this::onSkipTimeout);
-    }
+    skipping = true;
+  }
+
+  private void reportDiscarded(HttpResponse response, ResponseHead head, String reason) {
+    listener.onDiscarded(
+        new DiscardedResponse(response.status().code(), head.requestIds(), reason));
   }
 
   private void onSkipTimeout() {
@@ -407,8 +396,8 @@
     return responseKeepsAlive
         && framedByLength
         && requestWritten
-        && identified
-        && sentRequests < MAX_REQUESTS;
+        && requests.mayCarryAnother()
+        && !decoder.hasReadMoreThan(readHeads);
   }
 
   @Override
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamPool.java
@@ -5,8 +5,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -87,12 +88,17 @@
    * Acquires a connection to an upstream.
    *
    * @param upstream the upstream
+   * @param method method of the request; a HEAD request gets a new connection
    * @param requestId id of the request; empty if it has none, for which a new connection is used
    * @param mayRepeat whether the request may be sent again if the connection turns out to be closed
    * @param callback receives the outcome, now or later
    */
   void acquire(
-      Upstream upstream, String requestId, boolean mayRepeat, Consumer<AcquireResult> callback) {
+      Upstream upstream,
+      HttpMethod method,
+      String requestId,
+      boolean mayRepeat,
+      Consumer<AcquireResult> callback) {
     IdleConnections connections =
         idleByUpstreamId.computeIfAbsent(upstream.id(), id -> new IdleConnections(upstream));
     if (!connections.upstream.isSameProcess(upstream)) {
@@ -102,7 +108,7 @@
     }
     UpstreamConnection idle =
         connections.take(
-            requestId, mayRepeat ? Long.MAX_VALUE : MAX_IDLE_MILLIS_FOR_NON_REPEATABLE);
+            method, requestId, mayRepeat ? Long.MAX_VALUE : MAX_IDLE_MILLIS_FOR_NON_REPEATABLE);
     if (idle != null) {
       callback.accept(new AcquireResult.Connected(idle));
       return;
@@ -166,13 +172,15 @@
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     ReceiveLimit receiveLimit = ReceiveLimit.of(MAX_BYTES_WITHOUT_PROGRESS);
+                    UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(decoderConfig());
                     channel
                         .pipeline()
                         .addLast(receiveLimit)
-                        .addLast(new HttpClientCodec(decoderConfig(), false, false))
+                        .addLast(new HttpRequestEncoder())
+                        .addLast(decoder)
                         .addLast(
                             new UpstreamConnection(
-                                channel, receiveLimit, dialect, timer, connections));
+                                channel, receiveLimit, decoder, dialect, timer, connections));
                   }
                 })
             .connect(address);
@@ -206,7 +214,7 @@
      * Takes the most recently used connection that can identify the response; returns null if it
      * has been idle for longer than the limit or there is none.
      */
-    UpstreamConnection take(String requestId, long maxIdleMillis) {
+    UpstreamConnection take(HttpMethod method, String requestId, long maxIdleMillis) {
       Iterator<UpstreamConnection> newestFirst = idle.descendingIterator();
       while (newestFirst.hasNext()) {
         UpstreamConnection connection = newestFirst.next();
@@ -215,7 +223,7 @@
           connection.close();
         } else if (connection.idleMillis() > maxIdleMillis) {
           return null;
-        } else if (connection.canIdentify(requestId)) {
+        } else if (connection.canCarry(method, requestId)) {
           newestFirst.remove();
           return connection;
         }
--- a/forward/src/main/java/org/limpetvale/forward/spi/ResponseHead.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/ResponseHead.java
@@ -17,9 +17,4 @@
     requestIds = List.copyOf(requestIds);
     Objects.requireNonNull(notice, "notice is null");
   }
-
-  /** Returns the first id that the response names, or an empty string. */
-  public String firstRequestId() {
-    return requestIds.isEmpty() ? "" : requestIds.getFirst();
-  }
 }
