--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -22,6 +22,7 @@
 import org.limpetvale.forward.duty.Members;
 import org.limpetvale.forward.duty.ScalingDuty;
 import org.limpetvale.forward.fleet.ConfigCache;
+import org.limpetvale.forward.fleet.Evacuations;
 import org.limpetvale.forward.fleet.TableFollower;
 import org.limpetvale.forward.fleet.UpstreamRegistry;
 import org.limpetvale.forward.http.TextServer;
@@ -134,8 +135,11 @@
     this.store = platform.store();
     this.config = ConfigCache.of(platform.decoder(), timer, log, settings.bounds().revokeMillis());
     this.upstreams = UpstreamRegistry.of(platform.decoder(), timer, log);
+    Evacuations evacuations = Evacuations.of(platform.decoder(), config, timer, log);
+    evacuations.onChange(upstreams::setEvacuatedZones);
+    metrics.registerGauge(ForwardMetrics.Gauge.EVACUATED_ZONES, () -> evacuations.zones().size());
     this.configFollower =
-        TableFollower.of(platform.store(), RowTable.CONFIG, CONFIG_PACE, config, timer, log);
+        TableFollower.of(platform.store(), RowTable.CONFIG, CONFIG_PACE, evacuations, timer, log);
     this.upstreamFollower =
         TableFollower.of(
             platform.store(), RowTable.UPSTREAMS, UPSTREAM_PACE, upstreams, timer, log);
--- a/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
@@ -53,6 +53,7 @@
   private final Map<String, Ended> ended = new HashMap<>();
   private final Map<String, RowDecoder.Registration> lastHeartbeats = new HashMap<>();
   private final List<Upstream> newHeartbeats = new ArrayList<>();
+  private Set<String> evacuatedZones = Set.of();
   private Consumer<FleetView> onChange = changed -> {};
   private ReadListener onRead = (sentMillis, heartbeats) -> {};
   private boolean loaded;
@@ -101,6 +102,31 @@
     return view.get();
   }
 
+  /** Sets the zones to whose upstreams nothing may be sent, also to those that register later. */
+  public void setEvacuatedZones(Set<String> zones) {
+    logEvacuations("evacuation_began", zones, evacuatedZones);
+    logEvacuations("evacuation_ended", evacuatedZones, zones);
+    evacuatedZones = Set.copyOf(zones);
+    publish(view.get().withEvacuatedZones(evacuatedZones));
+  }
+
+  /** Logs each zone that is in one set only; without upstreams, the zone may be misspelt. */
+  private void logEvacuations(String event, Set<String> zones, Set<String> others) {
+    zones.stream()
+        .filter(zone -> !others.contains(zone))
+        .forEach(
+            zone ->
+                log.stateChange(
+                    event,
+                    field("zone", zone),
+                    field("upstreams", upstreamsIn(zone)),
+                    field("upstreamsRead", loaded)));
+  }
+
+  private long upstreamsIn(String zone) {
+    return view.get().all().stream().filter(each -> each.zone().equals(zone)).count();
+  }
+
   /** Returns whether the upstreams have been read at least once. */
   public boolean isLoaded() {
     return loaded;
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -107,7 +107,7 @@
       Set<String> excluded,
       BooleanSupplier mayUseLimited) {
     long nowMillis = timer.nowMillis();
-    List<Upstream> ready = fleet.get().ready(plan.service());
+    List<Upstream> ready = fleet.get().accepting(plan.service());
     List<Upstream> usable =
         ready.stream().filter(each -> isUsable(each, excluded, nowMillis)).toList();
     List<Upstream> candidates =
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -391,7 +391,7 @@
     if (state.isLeaving() || state.isAskedToPause(components.timer().nowMillis())) {
       return false;
     }
-    return isRunning(upstream);
+    return components.fleet().get().accepts(upstream);
   }
 
   /** Returns whether the process of an upstream is still known and not draining. */
--- a/forward/src/main/java/org/limpetvale/forward/spi/RowDecoder.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/RowDecoder.java
@@ -22,6 +22,25 @@
   /** Decodes the configuration. */
   Decoded<FleetConfig> decodeConfig(StoredRow row);
 
+  /** What a row of the configuration table says about the evacuation of a zone. */
+  sealed interface Evacuation {
+    /** The row is no order to evacuate a zone. */
+    record None() implements Evacuation {}
+
+    /** The row orders that nothing is sent to the upstreams of a zone while it exists. */
+    record OfZone(String zone) implements Evacuation {
+      public OfZone {
+        Objects.requireNonNull(zone, "zone is null");
+      }
+    }
+
+    /** The row is an order whose zone cannot be read, and the reason. */
+    record Unusable(String reason) implements Evacuation {}
+  }
+
+  /** Decodes an order to evacuate a zone; also of a removed row, whose order has ended. */
+  Evacuation decodeEvacuation(StoredRow row);
+
   /**
    * An upstream's description, as it last wrote it.
    *
--- a/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/fleet/UpstreamRegistryTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.FleetConfig;
 import org.limpetvale.core.fleet.Upstream;
@@ -31,6 +32,11 @@
       return new Decoded.Unusable<>("none");
     }
 
+    @Override
+    public Evacuation decodeEvacuation(StoredRow row) {
+      return new Evacuation.None();
+    }
+
     @Override
     public Decoded<Registration> decodeUpstream(StoredRow row) {
       if (row.text().equals("faulty")) {
@@ -55,6 +61,18 @@
     return new StoredRow(id, text, StoreVersion.of(1), text.isEmpty());
   }
 
+  @Test
+  void anUpstreamThatRegistersInAnEvacuatedZoneGetsNothingUntilTheOrderHasEnded() {
+    registry.setEvacuatedZones(Set.of("z"));
+    registry.onSnapshot(List.of(row("i-1", "ready")));
+    Upstream upstream = registry.view().find("i-1").orElseThrow();
+    assertThat(registry.view().accepting("s")).isEmpty();
+    assertThat(registry.view().accepts(upstream)).isFalse();
+    registry.setEvacuatedZones(Set.of("unknown"));
+    assertThat(registry.view().accepting("s")).containsExactly(upstream);
+    assertThat(registry.view().accepts(upstream)).isTrue();
+  }
+
   private List<String> ready() {
     return registry.view().ready("s").stream().map(Upstream::id).toList();
   }
--- a/forward/src/test/java/org/limpetvale/forward/testing/VersionDecoder.java
+++ b/forward/src/test/java/org/limpetvale/forward/testing/VersionDecoder.java
@@ -40,6 +40,13 @@
         : Map.of(words[1], new ServicePolicy(words[1], 1, Optional.empty(), Optional.empty()));
   }
 
+  @Override
+  public Evacuation decodeEvacuation(StoredRow row) {
+    return row.key().startsWith("evacuate/")
+        ? new Evacuation.OfZone(row.key().substring("evacuate/".length()))
+        : new Evacuation.None();
+  }
+
   @Override
   public Decoded<Registration> decodeUpstream(StoredRow row) {
     return new Decoded.Unusable<>("none");
