--- a/forward/src/main/java/org/limpetvale/forward/spi/UpstreamNotice.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/UpstreamNotice.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.limpetvale.core.limit.StatedLimit;
 import org.limpetvale.core.limit.StatedPause;
 
@@ -22,8 +23,18 @@
    * @param running number of running requests
    * @param waiting number of queued requests
    * @param slots maximum number of requests that run concurrently
+   * @param slowdown factor by which work takes longer on its machine at that moment than it usually
+   *     does there; positive, 1 is as usual; empty if not stated. It changes many times a second,
+   *     so only the share of statements with a high one tells something for later.
    */
-  public record Load(int running, int waiting, int slots) {}
+  public record Load(int running, int waiting, int slots, OptionalDouble slowdown) {
+    public Load {
+      Objects.requireNonNull(slowdown, "slowdown is null");
+      if (slowdown.isPresent() && !(slowdown.getAsDouble() > 0)) {
+        throw new IllegalArgumentException("slowdown is not positive");
+      }
+    }
+  }
 
   public UpstreamNotice {
     Objects.requireNonNull(load, "load is null");
