Cold upstreams: all entries together send no more than a cold upstream bears

Change: cold_start_s and cold_per_s of a service (ColdStart), cold_remaining_ms of a row and X-Limpetvale-Cold-Ms of a response are decoded; a cold upstream's rate is divided in turns of one request each, of which any second holds at most the rate and two. The bounds come from the settings (coldOvershoot, coldAllowance; absent: nothing above the rate). A turn lapses after 150 ms without a connection.

--- a/core/src/main/java/org/limpetvale/core/fleet/ServicePolicy.java
+++ b/core/src/main/java/org/limpetvale/core/fleet/ServicePolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.limpetvale.core.limit.ColdStart;
 
 /**
  * The configuration of a service.
@@ -11,9 +12,14 @@
  * @param engine capabilities of its model engines, if it has any
  * @param scaling bounds on the number of upstreams per availability zone, if the service can be
  *     scaled
+ * @param coldStart what its upstreams bear after their start, if that is limited
  */
 public record ServicePolicy(
-    String name, int maxConnections, Optional<Engine> engine, Optional<ScalingBounds> scaling) {
+    String name,
+    int maxConnections,
+    Optional<Engine> engine,
+    Optional<ScalingBounds> scaling,
+    Optional<ColdStart> coldStart) {
 
   /**
    * The capabilities of a model engine.
@@ -31,9 +37,16 @@
    */
   public record ScalingBounds(int minPerZone, int maxPerZone) {}
 
+  /** Creates the configuration of a service whose upstreams bear all requests from their start. */
+  public ServicePolicy(
+      String name, int maxConnections, Optional<Engine> engine, Optional<ScalingBounds> scaling) {
+    this(name, maxConnections, engine, scaling, Optional.empty());
+  }
+
   public ServicePolicy {
     Objects.requireNonNull(name, "name is null");
     Objects.requireNonNull(engine, "engine is null");
     Objects.requireNonNull(scaling, "scaling is null");
+    Objects.requireNonNull(coldStart, "coldStart is null");
   }
 }
--- a/core/src/main/java/org/limpetvale/core/limit/SendTurns.java
+++ b/core/src/main/java/org/limpetvale/core/limit/SendTurns.java
@@ -20,8 +20,9 @@
  *
  * @param upstreamId id of the upstream
  * @param requestsPerSecond requests that all entries together may send per second
+ * @param requestsPerTurn requests that may be sent in one turn
  */
-public record SendTurns(String upstreamId, double requestsPerSecond) {
+public record SendTurns(String upstreamId, double requestsPerSecond, int requestsPerTurn) {
   /**
    * Lowest rate. A limit of zero would never be heard to end, because nobody would send a request
    * whose response could say so.
@@ -40,11 +41,23 @@
     Objects.requireNonNull(upstreamId, "upstreamId is null");
     requestsPerSecond =
         Math.clamp(requestsPerSecond, MIN_REQUESTS_PER_SECOND, MAX_REQUESTS_PER_SECOND);
+    requestsPerTurn = Math.max(1, requestsPerTurn);
   }
 
-  /** Returns the number of requests that may be sent in one turn. */
-  public int requestsPerTurn() {
-    return (int) Math.max(1, Math.ceil(requestsPerSecond * TURN_SECONDS));
+  /** Creates turns that last half a second, or as long as the limit allows no request. */
+  public SendTurns(String upstreamId, double requestsPerSecond) {
+    this(
+        upstreamId,
+        requestsPerSecond,
+        (int) Math.ceil(Math.min(requestsPerSecond, MAX_REQUESTS_PER_SECOND) * TURN_SECONDS));
+  }
+
+  /**
+   * Returns turns of one request each, which bound also short windows: any second contains at most
+   * {@code requestsPerSecond + 2} requests.
+   */
+  public static SendTurns ofSingleRequests(String upstreamId, double requestsPerSecond) {
+    return new SendTurns(upstreamId, requestsPerSecond, 1);
   }
 
   /** Returns the length of a turn in milliseconds. */
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -10,6 +10,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.limpetvale.core.fleet.ServicePolicy;
 import org.limpetvale.core.placement.RendezvousHashing;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.accept.CallerServer;
@@ -159,6 +160,15 @@
     EntryRoster roster = EntryRoster.of(self.writer(), members, peerBook, timer);
     UpstreamLimits limits =
         UpstreamLimits.of(loads, self.writer(), roster::entries, clock::millis, timer, log);
+    limits.setColdStarts(
+        service ->
+            config
+                .config()
+                .flatMap(each -> each.service(service))
+                .flatMap(ServicePolicy::coldStart),
+        settings.bounds().coldStarts());
+    upstreams.onColdStated(limits::coldStated);
+    metrics.registerGauge(ForwardMetrics.Gauge.COLD_UPSTREAMS, limits::coldUpstreams);
     UpstreamNotices notices =
         UpstreamNotices.of(
             loads, limits, () -> ThreadLocalRandom.current().nextDouble(), timer, log);
--- a/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import org.limpetvale.core.limit.ColdStart;
 import org.limpetvale.forward.account.RetryBudgets;
 
 /**
@@ -36,14 +37,17 @@
    * @param leaseMillis minimum time between the actions of two successive holders of a duty
    * @param usageWindowMillis length of a usage window
    * @param retries the fleet's retry budget
+   * @param coldStarts how far all entries may exceed what a cold upstream bears
    */
   public record Bounds(
       long revokeMillis,
       long graceMillis,
       long leaseMillis,
       long usageWindowMillis,
-      RetryBudgets.Bounds retries) {
+      RetryBudgets.Bounds retries,
+      ColdStart.Bounds coldStarts) {
     public Bounds {
+      Objects.requireNonNull(coldStarts, "coldStarts is null");
       Objects.requireNonNull(retries, "retries is null");
     }
   }
--- a/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.limpetvale.core.config.Fault;
+import org.limpetvale.core.limit.ColdStart;
 import org.limpetvale.forward.account.RetryBudgets;
 
 /** Reads settings from JSON and reports all faults in them at once. */
@@ -73,7 +74,9 @@
             "usageWindowMillis",
             "retryRatio",
             "retryAllowance",
-            "retryWindowMillis"));
+            "retryWindowMillis",
+            "coldOvershoot",
+            "coldAllowance"));
     return new ForwardSettings.Bounds(
         millis(node, "revokeMillis"),
         millis(node, "graceMillis"),
@@ -82,7 +85,16 @@
         new RetryBudgets.Bounds(
             number(node, "retryRatio"),
             number(node, "retryAllowance"),
-            millis(node, "retryWindowMillis")));
+            millis(node, "retryWindowMillis")),
+        new ColdStart.Bounds(
+            number(node, "coldOvershoot", ColdStart.Bounds.STRICT.overshoot()),
+            number(node, "coldAllowance", ColdStart.Bounds.STRICT.allowance())));
+  }
+
+  /** Returns a number that a deployment may leave out or set to null. */
+  private double number(JsonNode node, String field, double defaultValue) {
+    JsonNode value = node.path(field);
+    return value.isMissingNode() || value.isNull() ? defaultValue : number(node, field);
   }
 
   private void checkKnownFields(JsonNode node, String path, Set<String> names) {
--- a/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
+++ b/forward/src/main/java/org/limpetvale/forward/fleet/UpstreamRegistry.java
@@ -55,6 +55,7 @@
   private final List<Upstream> newHeartbeats = new ArrayList<>();
   private Set<String> evacuatedZones = Set.of();
   private Consumer<FleetView> onChange = changed -> {};
+  private ColdListener onColdStated = (upstream, coldMillis) -> {};
   private ReadListener onRead = (sentMillis, heartbeats) -> {};
   private boolean loaded;
   private long recoveredAtMillis = Long.MIN_VALUE / 2;
@@ -73,6 +74,17 @@
     void onRead(long sentMillis, List<Upstream> heartbeats);
   }
 
+  /** Learns what upstreams state about their start. */
+  @FunctionalInterface
+  public interface ColdListener {
+    /**
+     * Called for each new description.
+     *
+     * @param coldMillis how long the upstream is still cold; negative if it says nothing readable
+     */
+    void onColdStated(Upstream upstream, long coldMillis);
+  }
+
   /** An upstream whose description has gone, and when that was seen. */
   private record Ended(Upstream upstream, long atMillis) {}
 
@@ -92,6 +104,11 @@
     onChange = Objects.requireNonNull(action, "action is null");
   }
 
+  /** Sets the action that learns how long upstreams are still cold. */
+  public void onColdStated(ColdListener action) {
+    onColdStated = Objects.requireNonNull(action, "action is null");
+  }
+
   /** Sets the action that learns of each read. */
   public void onRead(ReadListener action) {
     onRead = Objects.requireNonNull(action, "action is null");
@@ -238,6 +255,9 @@
 
   private void noteHeartbeat(RowDecoder.Registration latest) {
     RowDecoder.Registration last = lastHeartbeats.put(latest.upstream().id(), latest);
+    if (!latest.equals(last)) {
+      onColdStated.onColdStated(latest.upstream(), latest.coldMillis());
+    }
     if (last != null
         && last.upstream().isSameProcess(latest.upstream())
         && latest.heartbeats() > last.heartbeats()) {
--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -39,6 +39,8 @@
     OPEN_CONNECTIONS,
     /** Number of upstreams that have named a limit on the requests of all entries. */
     LIMITED_UPSTREAMS,
+    /** Number of upstreams that have stated that they are cold. */
+    COLD_UPSTREAMS,
     /** Number of availability zones to which the operator has ordered to send nothing. */
     EVACUATED_ZONES,
     /** Number of prompt parts that are blocked because upstreams crash on them. */
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamLimits.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamLimits.java
@@ -6,13 +6,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.limit.ColdStart;
 import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.limit.OwnTurns;
 import org.limpetvale.core.limit.ReturnSchedule;
+import org.limpetvale.core.limit.SendTurns;
 import org.limpetvale.core.limit.StatedLimit;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
@@ -29,6 +34,9 @@
   private static final long MIN_RETURN_MILLIS = 200;
   private static final long MAX_RETURN_MILLIS = 10_000;
 
+  /** Time after which a turn at a cold upstream has lapsed if no connection has opened. */
+  private static final long TURN_VALIDITY_MILLIS = 150;
+
   private final UpstreamStates states;
   private final String self;
   private final Supplier<List<String>> entries;
@@ -36,6 +44,8 @@
   private final TimerService timer;
   private final EventLog log;
   private final Map<String, ReturnSchedule> returnsByService = new HashMap<>();
+  private Function<String, Optional<ColdStart>> coldStarts = service -> Optional.empty();
+  private ColdStart.Bounds coldBounds = ColdStart.Bounds.STRICT;
 
   private UpstreamLimits(
       UpstreamStates states,
@@ -122,9 +132,100 @@
     return recent;
   }
 
-  /** Returns whether an upstream has named a limit that is in force. */
+  /**
+   * Sets what limits the requests to cold upstreams.
+   *
+   * @param byService supplies what the upstreams of a service bear; empty for all requests
+   * @param bounds how far all entries together may exceed that
+   */
+  public void setColdStarts(
+      Function<String, Optional<ColdStart>> byService, ColdStart.Bounds bounds) {
+    coldStarts = Objects.requireNonNull(byService, "byService is null");
+    coldBounds = Objects.requireNonNull(bounds, "bounds is null");
+  }
+
+  /**
+   * Records how long an upstream is still cold, as it has just said itself.
+   *
+   * @param statedMillis that time; negative if the upstream said nothing readable
+   */
+  public void coldStated(Upstream upstream, long statedMillis) {
+    Optional<ColdStart> coldStart = coldStarts.apply(upstream.service());
+    long millis =
+        coldStart.isPresent()
+            ? coldStart
+                .get()
+                .remainingMillis(statedMillis, upstream.startedMillis(), fleetMillis.getAsLong())
+            : Math.max(0, statedMillis);
+    if (millis > 0) {
+      extendCold(states.state(upstream), millis, coldStart);
+    }
+  }
+
+  private void extendCold(UpstreamState state, long millis, Optional<ColdStart> coldStart) {
+    long nowMillis = timer.nowMillis();
+    boolean begins = !state.isCold(nowMillis);
+    state.extendCold(nowMillis + millis, nowMillis);
+    if (begins) {
+      log.stateChange(
+          "upstream_cold",
+          field("upstream", state.upstream().id()),
+          field("service", state.upstream().service()),
+          field("zone", state.upstream().zone()),
+          field("millis", millis),
+          field("requestsPerSecond", coldStart.map(each -> each.sendRate(coldBounds)).orElse(-1.0)),
+          field("entries", entries.get().size()));
+    }
+  }
+
+  /** Returns the number of upstreams that are cold. */
+  public int coldUpstreams() {
+    int[] count = {0};
+    states.forEach(state -> count[0] += state.isCold(timer.nowMillis()) ? 1 : 0);
+    return count[0];
+  }
+
+  /**
+   * Returns whether a request that was placed on an upstream must not be sent there any more,
+   * because the upstream became cold since, or this entry's turn at the cold upstream has lapsed.
+   *
+   * @param placedMillis monotonic time at which it was placed
+   */
+  public boolean hasTurnLapsed(Upstream upstream, long placedMillis) {
+    UpstreamState state = states.state(upstream);
+    return coldRate(state).isPresent()
+        && (placedMillis < state.coldSinceMillis()
+            || timer.nowMillis() - placedMillis > TURN_VALIDITY_MILLIS);
+  }
+
+  /** Returns the rate at which all entries together may send to an upstream that is cold. */
+  private OptionalDouble coldRate(UpstreamState state) {
+    if (!state.isCold(timer.nowMillis())) {
+      return OptionalDouble.empty();
+    }
+    Optional<ColdStart> coldStart = coldStarts.apply(state.upstream().service());
+    return coldStart.isPresent()
+        ? OptionalDouble.of(coldStart.get().sendRate(coldBounds))
+        : OptionalDouble.empty();
+  }
+
+  /** Returns the turns of all entries for the lower of an upstream's limits; empty without one. */
+  private Optional<SendTurns> turns(UpstreamState state) {
+    String id = state.upstream().id();
+    OptionalDouble named = state.limit().requestsPerSecond();
+    OptionalDouble cold = coldRate(state);
+    if (cold.isPresent()) {
+      double lower = Math.min(cold.getAsDouble(), named.orElse(Double.MAX_VALUE));
+      return Optional.of(SendTurns.ofSingleRequests(id, lower));
+    }
+    return named.isPresent()
+        ? Optional.of(new SendTurns(id, named.getAsDouble()))
+        : Optional.empty();
+  }
+
+  /** Returns whether a limit of an upstream is in force. */
   public boolean isLimited(Upstream upstream) {
-    return states.state(upstream).limit().isInForce();
+    return turns(states.state(upstream)).isPresent();
   }
 
   /** Returns whether this entry may send a request to an upstream now. */
@@ -133,11 +234,12 @@
     if (!state.wantsRequest(timer.nowMillis())) {
       return false;
     }
-    if (!state.limit().isInForce()) {
+    Optional<SendTurns> turns = turns(state);
+    if (turns.isEmpty()) {
       return true;
     }
     long nowFleetMillis = fleetMillis.getAsLong();
-    OwnTurns own = state.ownTurns(self, entries.get());
+    OwnTurns own = state.ownTurns(self, entries.get(), turns.get());
     return own.allowedSoFar(nowFleetMillis) > sentInTurn(state, own, nowFleetMillis);
   }
 
@@ -158,10 +260,11 @@
     if (fromMillis >= untilMillis) {
       return 0;
     }
-    if (!state.limit().isInForce()) {
+    Optional<SendTurns> turns = turns(state);
+    if (turns.isEmpty()) {
       return Math.max(1, state.upstream().slots() / Math.max(1, entries.get().size()));
     }
-    OwnTurns own = state.ownTurns(self, entries.get());
+    OwnTurns own = state.ownTurns(self, entries.get(), turns.get());
     int sent = sentInTurn(state, own, fromMillis + offsetMillis);
     return own.allowedUntil(fromMillis + offsetMillis, untilMillis + offsetMillis, sent);
   }
@@ -181,7 +284,8 @@
     for (Upstream upstream : upstreams) {
       UpstreamState state = states.state(upstream);
       earliestMillis = Math.min(earliestMillis, state.askedPauseUntilMillis());
-      fleetPerSecond += state.limit().requestsPerSecond().orElse(upstream.slots());
+      fleetPerSecond +=
+          turns(state).map(SendTurns::requestsPerSecond).orElse((double) upstream.slots());
     }
     double ownPerSecond = fleetPerSecond / Math.max(1, entries.get().size());
     return returnsByService
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamNotices.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamNotices.java
@@ -77,6 +77,9 @@
     UpstreamState state = states.state(upstream);
     notice.load().ifPresent(load -> state.loadReported(load, timer.nowMillis()));
     limits.responseReceived(upstream, notice.limit(), sentMillis);
+    if (notice.coldMillis() > 0) {
+      limits.coldStated(upstream, notice.coldMillis());
+    }
     applyPause(state, notice.pause(), sentMillis);
     if (notice.leaving()) {
       leavingHeardMillis.put(upstream.id(), timer.nowMillis());
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -94,7 +94,8 @@
   private OwnTurns ownTurns;
 
   private List<String> turnsOfEntries;
-  private double turnsOfLimit;
+  private long coldSinceMillis = Long.MIN_VALUE;
+  private long coldUntilMillis = Long.MIN_VALUE;
 
   private final Deque<Long> sentAtMillis = new ArrayDeque<>();
 
@@ -276,23 +277,40 @@
   }
 
   /**
-   * Returns this entry's turns at the upstream, whose limit must be in force.
+   * Returns this entry's turns at the upstream.
    *
    * @param self id of this entry
    * @param entries ids of the entries that share the limit
+   * @param turns turns of all entries for the limit in force
    */
-  OwnTurns ownTurns(String self, List<String> entries) {
-    double requestsPerSecond = limit.requestsPerSecond().orElseThrow();
+  OwnTurns ownTurns(String self, List<String> entries, SendTurns turns) {
     boolean current =
-        ownTurns != null && turnsOfEntries == entries && turnsOfLimit == requestsPerSecond;
+        ownTurns != null && turnsOfEntries == entries && ownTurns.turns().equals(turns);
     if (!current) {
       turnsOfEntries = entries;
-      turnsOfLimit = requestsPerSecond;
-      ownTurns = OwnTurns.of(new SendTurns(upstream.id(), requestsPerSecond), self, entries);
+      ownTurns = OwnTurns.of(turns, self, entries);
     }
     return ownTurns;
   }
 
+  /** Records that the upstream is cold until a time; an earlier one does not shorten it. */
+  void extendCold(long untilMillis, long nowMillis) {
+    if (!isCold(nowMillis)) {
+      coldSinceMillis = nowMillis;
+    }
+    coldUntilMillis = Math.max(coldUntilMillis, untilMillis);
+  }
+
+  /** Returns whether the upstream has stated that it is cold, so that it bears few requests. */
+  public boolean isCold(long nowMillis) {
+    return nowMillis < coldUntilMillis;
+  }
+
+  /** Returns when this entry learned that the upstream is cold. */
+  long coldSinceMillis() {
+    return coldSinceMillis;
+  }
+
   /** Records a limit that cannot be understood; returns whether it is the first one. */
   boolean unreadableLimitReceived() {
     boolean first = !unreadableLimitSeen;
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -326,7 +326,8 @@
     UpstreamState.LimitUse limitUse = state.limitUse(components.timer().nowMillis());
     log.placed(plan, choice, limitUse, waitedMillis(), sentAttempts + 1);
     triedUpstreamIds.add(upstream.id());
-    state.recordSend(components.timer().nowMillis());
+    long placedMillis = components.timer().nowMillis();
+    state.recordSend(placedMillis);
     int uncachedTokens = choice.load().uncachedTokens(head.shape().promptTokens());
     state.reserve(uncachedTokens);
     components
@@ -338,11 +339,12 @@
             route().isRetryable(),
             lease -> {
               state.release(uncachedTokens);
-              onAcquired(choice, state, lease);
+              onAcquired(choice, state, placedMillis, lease);
             });
   }
 
-  private void onAcquired(Choice choice, UpstreamState state, UpstreamPool.AcquireResult lease) {
+  private void onAcquired(
+      Choice choice, UpstreamState state, long placedMillis, UpstreamPool.AcquireResult lease) {
     Upstream upstream = choice.upstream();
     switch (lease) {
       case UpstreamPool.AcquireResult.Unreachable unreachable -> {
@@ -353,7 +355,7 @@
       }
       case UpstreamPool.AcquireResult.Connected(UpstreamConnection connection) -> {
         state.connected();
-        if (ended || !isStillEligible(upstream, state)) {
+        if (ended || !isStillEligible(upstream, state, placedMillis)) {
           connection.close();
           if (!ended) {
             placeOrWait();
@@ -387,10 +389,13 @@
     }
   }
 
-  private boolean isStillEligible(Upstream upstream, UpstreamState state) {
+  private boolean isStillEligible(Upstream upstream, UpstreamState state, long placedMillis) {
     if (state.isLeaving() || state.isAskedToPause(components.timer().nowMillis())) {
       return false;
     }
+    if (components.placer().upstreamLimits().hasTurnLapsed(upstream, placedMillis)) {
+      return false;
+    }
     return components.fleet().get().accepts(upstream);
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/spi/RowDecoder.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/RowDecoder.java
@@ -45,11 +45,17 @@
    * An upstream's description, as it last wrote it.
    *
    * @param heartbeats how often its process has written it; rises with each heartbeat
+   * @param coldMillis how long its process is still cold; negative if it says nothing readable
    */
-  record Registration(Upstream upstream, long heartbeats) {
+  record Registration(Upstream upstream, long heartbeats, long coldMillis) {
     public Registration {
       Objects.requireNonNull(upstream, "upstream is null");
     }
+
+    /** Creates a description that does not say whether its process is cold. */
+    public Registration(Upstream upstream, long heartbeats) {
+      this(upstream, heartbeats, -1);
+    }
   }
 
   /** Decodes an upstream's description. */
--- a/forward/src/main/java/org/limpetvale/forward/spi/UpstreamNotice.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/UpstreamNotice.java
@@ -12,9 +12,16 @@
  * @param limit the request rate that it accepts from all entries together
  * @param leaving whether it is about to end and takes no new requests
  * @param pause how long it wants no requests from this entry
+ * @param coldMillis how long it is still cold; negative if it does not say
  */
 public record UpstreamNotice(
-    Optional<Load> load, StatedLimit limit, boolean leaving, StatedPause pause) {
+    Optional<Load> load, StatedLimit limit, boolean leaving, StatedPause pause, long coldMillis) {
+
+  /** Creates a notice that does not say whether the upstream is cold. */
+  public UpstreamNotice(
+      Optional<Load> load, StatedLimit limit, boolean leaving, StatedPause pause) {
+    this(load, limit, leaving, pause, -1);
+  }
 
   /**
    * An upstream's load at the time of its response.
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamLimitsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamLimitsTest.java
@@ -4,9 +4,11 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.limit.ColdStart;
 import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.limit.StatedLimit;
 import org.limpetvale.forward.log.EventLog;
@@ -61,6 +63,51 @@
     assertThat(limits.allowedUntil(List.of(upstream), timer.nowMillis() + 10_000)).isZero();
   }
 
+  private void bearsTenPerSecondWhenCold() {
+    limits.setColdStarts(
+        service -> Optional.of(new ColdStart(3_000, 10)), new ColdStart.Bounds(1.5, 5));
+  }
+
+  @Test
+  void aColdUpstreamGetsWhatItBearsUntilItHasWarmedUp() {
+    bearsTenPerSecondWhenCold();
+    limits.coldStated(upstream, 0);
+    assertThat(limits.isLimited(upstream)).isFalse();
+    limits.coldStated(upstream, 3_000);
+    assertThat(limits.coldUpstreams()).isOne();
+    assertThat(send(2_900)).isBetween(28, 30);
+    timer.advance(100);
+    assertThat(send(1_000)).isEqualTo(1_000);
+  }
+
+  @Test
+  void theLowerOfTwoLimitsOfAColdUpstreamIsInForce() {
+    bearsTenPerSecondWhenCold();
+    limits.coldStated(upstream, 30_000);
+    limits.responseReceived(upstream, TWO_PER_SECOND, timer.nowMillis() - 5);
+    assertThat(send(10_000)).isBetween(18, 21);
+  }
+
+  @Test
+  void aColdUpstreamOfAServiceThatNamesNoRateIsNotLimited() {
+    limits.coldStated(upstream, 3_000);
+    assertThat(limits.isLimited(upstream)).isFalse();
+    assertThat(limits.hasTurnLapsed(upstream, timer.nowMillis() - 1_000)).isFalse();
+  }
+
+  @Test
+  void aTurnAtAColdUpstreamLapsesWhileTheConnectionOpens() {
+    bearsTenPerSecondWhenCold();
+    long placedBeforeMillis = timer.nowMillis();
+    timer.advance(10);
+    limits.coldStated(upstream, 3_000);
+    long placedMillis = timer.nowMillis();
+    assertThat(limits.hasTurnLapsed(upstream, placedBeforeMillis)).isTrue();
+    assertThat(limits.hasTurnLapsed(upstream, placedMillis)).isFalse();
+    timer.advance(500);
+    assertThat(limits.hasTurnLapsed(upstream, placedMillis)).isTrue();
+  }
+
   @Test
   void theLimitIsSharedAmongTheEntries() {
     entries = List.of(SELF, "edge-1.boot", "edge-2.boot", "edge-3.boot");
