--- a/forward/src/main/java/org/limpetvale/forward/http/Transport.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/Transport.java
@@ -5,11 +5,13 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollDatagramChannel;
@@ -41,6 +43,19 @@
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final long SHUTDOWN_TIMEOUT_MILLIS = 100;
 
+  private static final int MIN_READ_BYTES = 64;
+  private static final int INITIAL_READ_BYTES = 2_048;
+
+  /**
+   * Maximum size of a read from a client. Input that is not served yet keeps its buffer, and many
+   * clients together may not take all memory with it.
+   */
+  private static final int MAX_READ_BYTES = 16 * 1024;
+
+  /** Unread output of a client at which writing to it pauses, and resumes. */
+  private static final WriteBufferWaterMark CLIENT_WATER_MARK =
+      new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+
   /** Netty's own value for TCP connections. */
   private static final int MAX_READS_PER_PASS = 16;
 
@@ -113,7 +128,9 @@
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.SO_KEEPALIVE, true);
+            .childOption(ChannelOption.SO_KEEPALIVE, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CLIENT_WATER_MARK)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, shortReads());
     if (nativeTransport) {
       return bootstrap
           .childOption(EpollChannelOption.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
@@ -130,9 +147,11 @@
    * of the pass. The native transport is told of a close together with the last bytes.
    */
   private static RecvByteBufAllocator readingUntilNothingIsLeft() {
-    return new AdaptiveRecvByteBufAllocator()
-        .respectMaybeMoreData(false)
-        .maxMessagesPerRead(MAX_READS_PER_PASS);
+    return shortReads().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_PASS);
+  }
+
+  private static DefaultMaxMessagesRecvByteBufAllocator shortReads() {
+    return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
   }
 
   /** Returns a datagram bootstrap on the event loop; datagrams of any size are read whole. */
