--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -190,7 +190,9 @@
             metrics,
             log,
             timer);
-    this.callers = CallerServer.of(transport, timer, log, config::limits, forwarder);
+    this.callers =
+        CallerServer.of(
+            transport, timer, log, config::limits, forwarder, settings.callerCapacity(), metrics);
     Demand demand = new Demand(upstreams::view, loads, peerBook, forwarder::waiting);
     ScalingDuty scaling =
         ScalingDuty.of(
@@ -276,6 +278,7 @@
         });
     metrics.registerGauge(ForwardMetrics.Gauge.BLOCKED_PARTS, crashes::blockedParts);
     metrics.registerGauge(ForwardMetrics.Gauge.OPEN_CONNECTIONS, callers::openConnections);
+    metrics.registerGauge(ForwardMetrics.Gauge.CALLER_HELD_BYTES, callers::heldBytes);
     logBindFailure("callers", callers.listen(settings.callers()));
     logBindFailure("ready", TextServer.listen(transport, settings.ready(), path -> readyPage()));
     transport.loop().execute(this::follow);
--- a/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import org.limpetvale.forward.accept.CallerCapacity;
 import org.limpetvale.forward.account.RetryBudgets;
 
 /**
@@ -16,6 +17,7 @@
  * @param store address of the platform's store
  * @param duties address of the platform's interface for duty calls
  * @param bounds time limits and budgets
+ * @param callerCapacity what callers may take of memory and descriptors
  */
 public record ForwardSettings(
     String name,
@@ -26,7 +28,8 @@
     InetSocketAddress peers,
     InetSocketAddress store,
     InetSocketAddress duties,
-    Bounds bounds) {
+    Bounds bounds,
+    CallerCapacity callerCapacity) {
 
   /**
    * Time limits and budgets.
@@ -58,5 +61,6 @@
     Objects.requireNonNull(store, "store is null");
     Objects.requireNonNull(duties, "duties is null");
     Objects.requireNonNull(bounds, "bounds is null");
+    Objects.requireNonNull(callerCapacity, "callerCapacity is null");
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -6,9 +6,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeSet;
 import org.limpetvale.core.config.Fault;
+import org.limpetvale.forward.accept.CallerCapacity;
 import org.limpetvale.forward.account.RetryBudgets;
 
 /** Reads settings from JSON and reports all faults in them at once. */
@@ -45,7 +47,8 @@
   }
 
   private ForwardSettings settings(JsonNode root) {
-    checkKnownFields(root, "", Set.of("name", "zone", "listen", "store", "duties", "bounds"));
+    checkKnownFields(
+        root, "", Set.of("name", "zone", "listen", "store", "duties", "bounds", "machine"));
     JsonNode listen = root.path("listen");
     checkKnownFields(listen, "listen.", Set.of("callers", "ready", "metrics", "peers"));
     checkKnownFields(root.path("store"), "store.", Set.of("address"));
@@ -59,7 +62,26 @@
         address(listen, "peers", "listen."),
         address(root.path("store"), "address", "store."),
         address(root.path("duties"), "address", "duties."),
-        bounds(root.path("bounds")));
+        bounds(root.path("bounds")),
+        callerCapacity(root.path("machine")));
+  }
+
+  private CallerCapacity callerCapacity(JsonNode node) {
+    checkKnownFields(node, "machine.", Set.of("memoryMegabytes", "maxDescriptors"));
+    return CallerCapacity.of(
+        optionalCount(node, "memoryMegabytes"), optionalCount(node, "maxDescriptors"));
+  }
+
+  private OptionalInt optionalCount(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (value.isMissingNode() || value.isNull()) {
+      return OptionalInt.empty();
+    }
+    if (!value.canConvertToInt() || value.asInt() <= 0) {
+      faults.add(new Fault("machine." + field, display(value), "a whole number above 0"));
+      return OptionalInt.empty();
+    }
+    return OptionalInt.of(value.asInt());
   }
 
   private ForwardSettings.Bounds bounds(JsonNode node) {
--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -35,6 +35,10 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter
     implements ResponseWriter, RequestAssembler.Listener {
   private static final int MAX_QUEUED_OBJECTS = 16;
+
+  /** Memory of queued objects from which no more is decoded. */
+  private static final long MAX_QUEUED_BYTES = 32 * 1024;
+
   private static final long LINGER_MILLIS = 1_000;
 
   /** Time from reading a request to its start above which this process may have been paused. */
@@ -42,7 +46,9 @@
 
   private final CallerServer server;
   private final RequestAssembler assembler;
+  private final StrictRequestDecoder decoder;
   private final Deque<HttpObject> queuedObjects = new ArrayDeque<>();
+  private long queuedBytes;
   private Channel channel;
   private TimerService.Subscription idleCheck = () -> {};
 
@@ -92,6 +98,13 @@
   CallerConnection(CallerServer server) {
     this.server = server;
     this.assembler = new RequestAssembler(server, this);
+    this.decoder =
+        new StrictRequestDecoder(server.limits().maxHeaderBytes(), this::hasQueueCapacity);
+  }
+
+  /** Returns the decoder that precedes this handler in the pipeline. */
+  StrictRequestDecoder decoder() {
+    return decoder;
   }
 
   @Override
@@ -125,11 +138,21 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
-    if (activeRequest != null && context.channel().isWritable()) {
+    if (!context.channel().isWritable()) {
+      return;
+    }
+    if (activeRequest != null) {
       activeRequest.onCallerWritable();
+    } else {
+      processQueued();
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    assembler.onReadComplete();
+  }
+
   /** Closes the connection, once all output is written, if no request is served or being read. */
   void closeIfIdle() {
     if (!responsePending && !closing && !assembler.isReading() && lastOutput == null) {
@@ -137,6 +160,36 @@
     }
   }
 
+  /** Returns whether the connection waits for its caller, so that it may be closed for room. */
+  boolean waitsForCaller() {
+    return !responsePending;
+  }
+
+  /** Returns whether what is read from the connection is discarded, as it is about to close. */
+  boolean isClosing() {
+    return closing;
+  }
+
+  /** Returns the time since the caller last sent anything or was sent a response. */
+  long idleMillis() {
+    return server.timer().nowMillis() - lastActiveMillis;
+  }
+
+  /** Closes the connection, whose caller keeps it waiting, to make room for others. */
+  void closeForRoom() {
+    closing = true;
+    channel.close();
+  }
+
+  /**
+   * Returns how much memory a request that has not been read completely holds, times how long it
+   * has held it, in byte milliseconds; 0 if there is none.
+   */
+  long unstartedLoad() {
+    long bytes = closing ? 0 : assembler.unstartedBytes();
+    return bytes * (1 + server.timer().nowMillis() - assembler.arrivedMillis());
+  }
+
   private void scheduleIdleCheck(long delayMillis) {
     idleCheck = server.timer().after(Math.max(1, delayMillis), this::checkIdle);
   }
@@ -168,20 +221,56 @@
       return;
     }
     queuedObjects.addLast(object);
+    addToQueued(queuedSize(object));
     processQueued();
   }
 
+  private static long queuedSize(HttpObject object) {
+    return switch (object) {
+      case HttpRequest head -> RequestAssembler.headBytes(head);
+      case HttpContent content -> content.content().readableBytes();
+      default -> 0;
+    };
+  }
+
+  private void addToQueued(long bytes) {
+    queuedBytes += bytes;
+    server.memory().reserve(bytes);
+  }
+
+  private HttpObject removeFirstQueued() {
+    HttpObject object = queuedObjects.removeFirst();
+    addToQueued(-queuedSize(object));
+    return object;
+  }
+
+  private boolean hasQueueCapacity() {
+    return !closing && queuedObjects.size() < MAX_QUEUED_OBJECTS && queuedBytes < MAX_QUEUED_BYTES;
+  }
+
   /**
    * Accepts what has been read, in its order, up to the end of the request being served. The rest
    * waits for the end of that request's response.
    */
   private void processQueued() {
     while (canAccept() && !queuedObjects.isEmpty()) {
-      accept(queuedObjects.removeFirst());
+      accept(removeFirstQueued());
+      decodeWaitingInput();
     }
     updateAutoRead();
   }
 
+  /** Decodes input that has waited for capacity of the queue, so that the queue is filled again. */
+  private void decodeWaitingInput() {
+    try {
+      if (decoder.resume()) {
+        assembler.onReadComplete();
+      }
+    } catch (Exception e) {
+      channel.pipeline().fireExceptionCaught(e);
+    }
+  }
+
   private void accept(HttpObject object) {
     if (object instanceof HttpRequest head) {
       isHeadRequest = head.method().equals(HttpMethod.HEAD);
@@ -190,7 +279,10 @@
   }
 
   private boolean canAccept() {
-    return !closing && (!responsePending || assembler.isBodyArriving());
+    if (closing) {
+      return false;
+    }
+    return responsePending ? assembler.isBodyArriving() : channel.isWritable();
   }
 
   private void dropQueued(String cause) {
@@ -200,13 +292,14 @@
       }
       ReferenceCountUtil.release(object);
     }
+    addToQueued(-queuedBytes);
     queuedObjects.clear();
   }
 
   /** Reads from the caller only while the queue and the body have capacity. */
   private void updateAutoRead() {
     boolean bodyFull = assembler.isBodyArriving() && body.isFull();
-    channel.config().setAutoRead(closing || queuedObjects.size() < MAX_QUEUED_OBJECTS && !bodyFull);
+    channel.config().setAutoRead(closing || hasQueueCapacity() && !bodyFull);
   }
 
   /** Starts the header timeout when the first bytes of a new request arrive. */
@@ -442,6 +535,17 @@
       activeRequest.onBodyFailed(refusal);
       return;
     }
+    if (refusal.code() != ResultCode.MEMORY_SHORT) {
+      logRefusal(refusal);
+    }
+    assembler.discard();
+    FullHttpResponse response = ProblemResponses.of(refusal);
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    channel.writeAndFlush(forMethod(response));
+    discardInputThenClose();
+  }
+
+  private void logRefusal(Refusal refusal) {
     server
         .log()
         .decision(
@@ -450,11 +554,6 @@
             field("code", refusal.code().label()),
             field("detail", refusal.detail()),
             field("caller", String.valueOf(channel.remoteAddress())));
-    assembler.discard();
-    FullHttpResponse response = ProblemResponses.of(refusal);
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(forMethod(response));
-    discardInputThenClose();
   }
 
   /**
--- a/forward/src/main/java/org/limpetvale/forward/accept/HeaderStartDetector.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/HeaderStartDetector.java
@@ -3,22 +3,34 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
+import java.util.function.BooleanSupplier;
 
-/** Reports bytes that may start a header, before the decoder reads them. */
+/**
+ * Reports bytes that may start a header, before the decoder reads them, and discards those of a
+ * connection that is about to close.
+ */
 final class HeaderStartDetector extends ChannelInboundHandlerAdapter {
   private final Runnable onHeaderBytes;
+  private final BooleanSupplier discarding;
 
   /**
    * Creates a detector.
    *
    * @param onHeaderBytes run for each read that contains bytes other than line ends
+   * @param discarding whether what is read is discarded
    */
-  HeaderStartDetector(Runnable onHeaderBytes) {
+  HeaderStartDetector(Runnable onHeaderBytes, BooleanSupplier discarding) {
     this.onHeaderBytes = onHeaderBytes;
+    this.discarding = discarding;
   }
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
+    if (discarding.getAsBoolean()) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
     if (message instanceof ByteBuf bytes && hasHeaderByte(bytes)) {
       onHeaderBytes.run();
     }
--- a/forward/src/main/java/org/limpetvale/forward/accept/RequestAssembler.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/RequestAssembler.java
@@ -8,6 +8,9 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
+import java.util.Iterator;
+import java.util.Map;
 import java.util.Optional;
 import org.limpetvale.core.result.Refusal;
 import org.limpetvale.core.result.ResultCode;
@@ -25,6 +28,15 @@
 
   private static final long MEMORY_RETRY_MILLIS = 1_000;
 
+  /** Size below which pieces of a body that arrive together are joined. */
+  private static final int SHORT_PIECE_BYTES = 1_024;
+
+  /** Size of joined pieces from which they are passed on. */
+  private static final int JOINED_BYTES = 4_096;
+
+  private static final int BYTES_PER_HEAD = 512;
+  private static final int BYTES_PER_HEADER_FIELD = 160;
+
   /** Receives the assembled requests. */
   interface Listener {
     /** Called when the header of a request has been read and is valid. */
@@ -46,6 +58,10 @@
   private HttpRequest head;
 
   private RequestBody body;
+
+  /** Short pieces of the body, which are reserved but not yet added to it. */
+  private ByteArrayOutputStream joined = new ByteArrayOutputStream(0);
+
   private long arrivedMillis;
   private long bodyBytes;
   private boolean started;
@@ -65,8 +81,31 @@
     return started;
   }
 
+  /** Returns the memory that the request being read holds; 0 if it has been started. */
+  long unstartedBytes() {
+    return head != null && !started ? body.heldBytes() + joined.size() : 0;
+  }
+
+  /** Returns the time at which the header of the request being read had arrived. */
+  long arrivedMillis() {
+    return arrivedMillis;
+  }
+
+  /** Passes on the pieces of the body that were read together. */
+  void onReadComplete() {
+    if (joined.size() > 0) {
+      byte[] bytes = joined.toByteArray();
+      joined = new ByteArrayOutputStream(0);
+      body.add(bytes);
+    }
+  }
+
   /** Discards the request being read. */
   void discard() {
+    if (joined.size() > 0) {
+      server.memory().release(joined.size());
+      joined = new ByteArrayOutputStream(0);
+    }
     if (head != null && !started) {
       body.close();
     }
@@ -102,14 +141,40 @@
       listener.onRefused(refusal.get());
       return;
     }
+    long headBytes = headBytes(request);
+    if (!server.reserve(headBytes)) {
+      refuseForMemory();
+      return;
+    }
     head = request;
     arrivedMillis = server.timer().nowMillis();
-    body = RequestBody.incoming(server.memory());
+    body = RequestBody.incoming(server.memory(), headBytes);
     bodyBytes = 0;
     started = false;
     listener.onHeadRead(request);
   }
 
+  /** Returns the memory that the header of a request takes, about. */
+  static long headBytes(HttpRequest request) {
+    long bytes = BYTES_PER_HEAD + request.uri().length();
+    Iterator<Map.Entry<CharSequence, CharSequence>> fields =
+        request.headers().iteratorCharSequence();
+    while (fields.hasNext()) {
+      Map.Entry<CharSequence, CharSequence> field = fields.next();
+      bytes += BYTES_PER_HEADER_FIELD + field.getKey().length() + field.getValue().length();
+    }
+    return bytes;
+  }
+
+  private void refuseForMemory() {
+    listener.onRefused(memoryRefusal());
+  }
+
+  /** Returns the refusal of a request for which there is no memory left. */
+  static Refusal memoryRefusal() {
+    return Refusal.of(ResultCode.MEMORY_SHORT, "too much is held for callers", MEMORY_RETRY_MILLIS);
+  }
+
   private void acceptContent(HttpContent content) {
     try {
       if (head == null || !acceptBytes(content.content())) {
@@ -136,22 +201,52 @@
     if (size == 0) {
       return true;
     }
-    if (!server.memory().tryReserve(size)) {
-      if (!started) {
-        listener.onRefused(
-            Refusal.of(ResultCode.MEMORY_SHORT, "too many bodies are held", MEMORY_RETRY_MILLIS));
-        return false;
-      }
-      body.discardDelivered();
-      server.memory().reserve(size);
+    if (!reserveForBody(size)) {
+      return false;
     }
     byte[] copy = new byte[size];
     bytes.readBytes(copy);
-    body.add(copy);
+    if (size >= SHORT_PIECE_BYTES) {
+      onReadComplete();
+      body.add(copy);
+    } else {
+      join(copy);
+    }
     return true;
   }
 
+  /**
+   * Reserves memory for a part of the body; returns whether the request goes on. Making room may
+   * have refused this very request.
+   */
+  private boolean reserveForBody(int size) {
+    if (started && body.isBeingForwarded()) {
+      if (!server.memory().tryReserve(size)) {
+        body.discardDelivered();
+        server.memory().reserve(size);
+      }
+      return true;
+    }
+    boolean reserved = server.reserve(size);
+    if (reserved && head == null) {
+      server.memory().release(size);
+      return false;
+    }
+    if (!reserved && head != null) {
+      refuseForMemory();
+    }
+    return reserved;
+  }
+
+  private void join(byte[] piece) {
+    joined.writeBytes(piece);
+    if (joined.size() >= JOINED_BYTES) {
+      onReadComplete();
+    }
+  }
+
   private void finishRequest() {
+    onReadComplete();
     IncomingRequest request = IncomingRequest.of(head, body, arrivedMillis);
     boolean first = !started;
     head = null;
--- a/forward/src/main/java/org/limpetvale/forward/accept/RequestBody.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/RequestBody.java
@@ -19,6 +19,12 @@
   /** Undelivered bytes above which no more should be read from the caller. */
   static final int MAX_PENDING_BYTES = 128 * 1024;
 
+  /** Parts above which a body is not retained for another attempt, however short they are. */
+  private static final int MAX_REPLAY_PARTS = 4_096;
+
+  /** Memory that a part takes beside its bytes. */
+  private static final long PART_OVERHEAD_BYTES = 32;
+
   private static final byte[] EMPTY = {};
 
   /** Receives the parts of a body. */
@@ -33,12 +39,15 @@
     void onEnd();
   }
 
-  private final BodyMemoryBudget memory;
+  private final CallerMemoryBudget memory;
   private final List<byte[]> parts = new ArrayList<>();
 
   /** Number of retained parts that have been delivered to the reader. */
   private int deliveredParts;
 
+  /** Memory that the header of the request takes. */
+  private long headBytes;
+
   private long retainedBytes;
   private long pendingBytes;
   private boolean replayable = true;
@@ -48,13 +57,28 @@
   private boolean delivering;
   private Runnable onDrain = () -> {};
 
-  private RequestBody(BodyMemoryBudget memory) {
+  private RequestBody(CallerMemoryBudget memory, long headBytes) {
     this.memory = Objects.requireNonNull(memory, "memory is null");
+    this.headBytes = headBytes;
   }
 
   /** Creates a body of which nothing has arrived yet. */
-  static RequestBody incoming(BodyMemoryBudget memory) {
-    return new RequestBody(memory);
+  static RequestBody incoming(CallerMemoryBudget memory) {
+    return incoming(memory, 0);
+  }
+
+  /**
+   * Creates a body of which nothing has arrived yet.
+   *
+   * @param headBytes memory that the header of its request takes, which is already reserved
+   */
+  static RequestBody incoming(CallerMemoryBudget memory, long headBytes) {
+    return new RequestBody(memory, headBytes);
+  }
+
+  /** Returns the memory that the request holds. */
+  long heldBytes() {
+    return headBytes + retainedBytes + parts.size() * PART_OVERHEAD_BYTES;
   }
 
   /** Adds a part, whose bytes are already reserved in the memory budget. */
@@ -63,6 +87,7 @@
       memory.release(bytes.length);
       return;
     }
+    memory.reserve(PART_OVERHEAD_BYTES);
     parts.add(bytes);
     retainedBytes += bytes.length;
     pendingBytes += bytes.length;
@@ -99,12 +124,18 @@
     }
   }
 
+  /** Returns whether a part has been delivered. */
+  boolean isBeingForwarded() {
+    return deliveredParts > 0 || !replayable;
+  }
+
   /** Releases all parts. */
   void close() {
     closed = true;
     reader = null;
+    memory.release(heldBytes());
     parts.clear();
-    memory.release(retainedBytes);
+    headBytes = 0;
     retainedBytes = 0;
   }
 
@@ -170,7 +201,7 @@
       reader.onPart(part);
     }
     delivering = false;
-    if (!replayable || retainedBytes > MAX_REPLAY_BYTES) {
+    if (!replayable || retainedBytes > MAX_REPLAY_BYTES || parts.size() > MAX_REPLAY_PARTS) {
       discardDelivered();
     }
     if (reader != null && ended && deliveredParts == parts.size()) {
@@ -188,6 +219,7 @@
     for (byte[] part : parts.subList(0, deliveredParts)) {
       bytes += part.length;
     }
+    memory.release(deliveredParts * PART_OVERHEAD_BYTES);
     parts.subList(0, deliveredParts).clear();
     deliveredParts = 0;
     retainedBytes -= bytes;
--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -31,12 +31,18 @@
     /** Answers whose end was marked by nothing but the end of the upstream's connection. */
     ANSWERS_ENDED_BY_CLOSE,
     /** Requests that were not sent, or not sent again, because upstreams crash on them. */
-    CRASHING_REQUESTS_STOPPED
+    CRASHING_REQUESTS_STOPPED,
+    /** Requests refused because callers hold all memory that is meant for them. */
+    REQUESTS_REFUSED_FOR_MEMORY,
+    /** Connections of callers closed because there are as many as descriptors allow. */
+    CONNECTIONS_CLOSED_FOR_ROOM
   }
 
   /** The gauges; the metric names are derived from these names. */
   public enum Gauge {
     OPEN_CONNECTIONS,
+    /** Memory that the requests of callers hold. */
+    CALLER_HELD_BYTES,
     /** Number of upstreams that have named a limit on the requests of all entries. */
     LIMITED_UPSTREAMS,
     /** Number of prompt parts that are blocked because upstreams crash on them. */
--- a/forward/src/test/java/org/limpetvale/forward/SettingsReaderTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/SettingsReaderTest.java
@@ -28,6 +28,20 @@
             });
   }
 
+  @Test
+  void theMachineIsOptionalAndBoundsWhatCallersMayTake() {
+    String small =
+        VALID.replace("\"bounds\"", "\"machine\": {\"memoryMegabytes\": 64}, \"bounds\"");
+    assertThat(SettingsReader.read(small))
+        .isInstanceOfSatisfying(
+            SettingsReader.Outcome.Valid.class,
+            valid ->
+                assertThat(valid.settings().callerCapacity().memoryBytes())
+                    .isEqualTo(8 * 1024 * 1024));
+    assertThat(SettingsReader.read(small.replace("64", "0")))
+        .isInstanceOf(SettingsReader.Outcome.Invalid.class);
+  }
+
   @Test
   void allFaultsAreReportedAtOnce() {
     String faulty =
--- a/forward/src/test/java/org/limpetvale/forward/accept/CallerLeftDuringAPauseTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/accept/CallerLeftDuringAPauseTest.java
@@ -29,13 +29,8 @@
     CallerServer server =
         CallerServer.of(
             transport, timer, EventLog.silent(), () -> CallerLimits.DEFAULT, this::start);
-    channel
-        .pipeline()
-        .addLast(
-            new StrictRequestDecoder(CallerLimits.DEFAULT.maxHeaderBytes()),
-            new HttpResponseEncoder());
     CallerConnection connection = new CallerConnection(server);
-    channel.pipeline().addLast(connection);
+    channel.pipeline().addLast(connection.decoder(), new HttpResponseEncoder(), connection);
     connection.channelActive(channel.pipeline().lastContext());
   }
 
--- a/forward/src/test/java/org/limpetvale/forward/accept/RequestBodyTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/accept/RequestBodyTest.java
@@ -8,7 +8,9 @@
 import org.junit.jupiter.api.Test;
 
 final class RequestBodyTest {
-  private final BodyMemoryBudget memory = new BodyMemoryBudget();
+  private static final int BUDGET_BYTES = 24 * 1024 * 1024;
+
+  private final CallerMemoryBudget memory = CallerMemoryBudget.of(BUDGET_BYTES);
   private final RequestBody body = RequestBody.incoming(memory);
 
   /** Accepts a given number of parts. */
@@ -113,7 +115,7 @@
 
   @Test
   void closingReleasesAllMemory() {
-    int whole = 24 * 1024 * 1024;
+    int whole = BUDGET_BYTES;
     assertThat(memory.tryReserve(whole)).isTrue();
     body.add(new byte[whole]);
     assertThat(memory.tryReserve(1)).isFalse();
