--- a/core/src/main/java/org/limpetvale/core/fleet/Route.java
+++ b/core/src/main/java/org/limpetvale/core/fleet/Route.java
@@ -18,6 +18,7 @@
  * @param maxAttempts maximum number of upstreams to which a request is sent
  * @param open whether requests need no API key
  * @param resumable whether an interrupted stream may be resumed at another upstream
+ * @param allowedRegions regions in which its requests may be processed
  */
 public record Route(
     String name,
@@ -31,7 +32,38 @@
     List<Split> splits,
     int maxAttempts,
     boolean open,
-    boolean resumable) {
+    boolean resumable,
+    AllowedRegions allowedRegions) {
+
+  /** Creates a route whose requests may be processed in all regions. */
+  public Route(
+      String name,
+      String host,
+      String prefix,
+      Kind kind,
+      long timeoutMillis,
+      long targetLatencyMillis,
+      long targetGapMillis,
+      int priority,
+      List<Split> splits,
+      int maxAttempts,
+      boolean open,
+      boolean resumable) {
+    this(
+        name,
+        host,
+        prefix,
+        kind,
+        timeoutMillis,
+        targetLatencyMillis,
+        targetGapMillis,
+        priority,
+        splits,
+        maxAttempts,
+        open,
+        resumable,
+        AllowedRegions.ALL);
+  }
 
   /** Determines which requests of a route may be retried. */
   public enum Kind {
@@ -57,6 +89,7 @@
     Objects.requireNonNull(host, "host is null");
     Objects.requireNonNull(prefix, "prefix is null");
     Objects.requireNonNull(kind, "kind is null");
+    Objects.requireNonNull(allowedRegions, "allowedRegions is null");
     splits = List.copyOf(Objects.requireNonNull(splits, "splits is null"));
   }
 
--- a/core/src/main/java/org/limpetvale/core/result/ResultCode.java
+++ b/core/src/main/java/org/limpetvale/core/result/ResultCode.java
@@ -52,6 +52,11 @@
       503,
       ExecutionStatus.NOT_RUN,
       "Every upstream that could take the request has asked for fewer requests."),
+  NO_REGION_ALLOWED(
+      3014,
+      503,
+      ExecutionStatus.NOT_RUN,
+      "No region is allowed by both the route and the workspace."),
   UPSTREAM_CRASHED(
       4001, 502, ExecutionStatus.MAY_HAVE_RUN, "The upstream crashed while it ran the request."),
   UPSTREAM_SILENT(4002, 504, ExecutionStatus.MAY_HAVE_RUN, "The upstream stopped answering."),
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -174,6 +174,7 @@
             loads, limits, () -> ThreadLocalRandom.current().nextDouble(), timer, log);
     Placer placer =
         Placer.of(settings.zone(), upstreams::view, peerBook, loads, notices, engines, timer);
+    placer.setRegionsByZone(settings.regionsByZone());
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
     this.crashes = CrashGuard.of(timer, log);
     crashes.setTrialTurns((part, round) -> isFirstOfRound(part, round, self, peerBook));
--- a/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
@@ -1,6 +1,7 @@
 package org.limpetvale.forward;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Objects;
 import org.limpetvale.core.limit.ColdStart;
 import org.limpetvale.forward.account.RetryBudgets;
@@ -17,6 +18,7 @@
  * @param store address of the platform's store
  * @param duties address of the platform's interface for duty calls
  * @param bounds time limits and budgets
+ * @param regionsByZone region of each availability zone
  */
 public record ForwardSettings(
     String name,
@@ -27,7 +29,8 @@
     InetSocketAddress peers,
     InetSocketAddress store,
     InetSocketAddress duties,
-    Bounds bounds) {
+    Bounds bounds,
+    Map<String, String> regionsByZone) {
 
   /**
    * Time limits and budgets.
@@ -62,5 +65,6 @@
     Objects.requireNonNull(store, "store is null");
     Objects.requireNonNull(duties, "duties is null");
     Objects.requireNonNull(bounds, "bounds is null");
+    regionsByZone = Map.copyOf(Objects.requireNonNull(regionsByZone, "regionsByZone is null"));
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import org.limpetvale.core.config.Fault;
@@ -46,7 +48,8 @@
   }
 
   private ForwardSettings settings(JsonNode root) {
-    checkKnownFields(root, "", Set.of("name", "zone", "listen", "store", "duties", "bounds"));
+    checkKnownFields(
+        root, "", Set.of("name", "zone", "regionsByZone", "listen", "store", "duties", "bounds"));
     JsonNode listen = root.path("listen");
     checkKnownFields(listen, "listen.", Set.of("callers", "ready", "metrics", "peers"));
     checkKnownFields(root.path("store"), "store.", Set.of("address"));
@@ -60,7 +63,19 @@
         address(listen, "peers", "listen."),
         address(root.path("store"), "address", "store."),
         address(root.path("duties"), "address", "duties."),
-        bounds(root.path("bounds")));
+        bounds(root.path("bounds")),
+        regionsByZone(root.path("regionsByZone")));
+  }
+
+  /** Returns the region of each zone; a deployment may leave the field out or set it to null. */
+  private Map<String, String> regionsByZone(JsonNode node) {
+    Map<String, String> regions = new HashMap<>();
+    if (!node.isObject() && !node.isMissingNode() && !node.isNull()) {
+      faults.add(new Fault("regionsByZone", display(node), "an object of zones and regions"));
+    }
+    node.fieldNames()
+        .forEachRemaining(zone -> regions.put(zone, text(node, zone, "regionsByZone.")));
+    return regions;
   }
 
   private ForwardSettings.Bounds bounds(JsonNode node) {
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.limpetvale.core.fleet.AllowedRegions;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.CandidateSampler;
@@ -48,6 +49,7 @@
   private final UpstreamLimits limits;
   private final EngineProfiles engines;
   private final TimerService timer;
+  private Map<String, String> regionsByZone = Map.of();
   private final PrefixCacheIndex prefixes = PrefixCacheIndex.empty();
   private final RecentPlacements recent = new RecentPlacements();
   private final StreamCountEstimate tightStreams = StreamCountEstimate.empty();
@@ -107,7 +109,7 @@
       Set<String> excluded,
       BooleanSupplier mayUseLimited) {
     long nowMillis = timer.nowMillis();
-    List<Upstream> ready = fleet.get().accepting(plan.service());
+    List<Upstream> ready = inAllowedRegions(plan, fleet.get().accepting(plan.service()));
     List<Upstream> usable =
         ready.stream().filter(each -> isUsable(each, excluded, nowMillis)).toList();
     List<Upstream> candidates =
@@ -128,6 +130,21 @@
     return choice.<Placement>map(Placement.Chosen::new).orElseGet(Placement.Unavailable::new);
   }
 
+  /** Sets the region of each availability zone; that of any other zone is not known. */
+  public void setRegionsByZone(Map<String, String> regions) {
+    regionsByZone = Map.copyOf(regions);
+  }
+
+  private List<Upstream> inAllowedRegions(RequestPlan plan, List<Upstream> upstreams) {
+    AllowedRegions allowed = plan.allowedRegions();
+    if (allowed.equals(AllowedRegions.ALL)) {
+      return upstreams;
+    }
+    return upstreams.stream()
+        .filter(each -> allowed.admits(Optional.ofNullable(regionsByZone.get(each.zone()))))
+        .toList();
+  }
+
   /** Returns the upstreams that neither are limited nor leave, or all if there are none. */
   private List<Upstream> unlimited(List<Upstream> ready) {
     List<Upstream> unlimited =
--- a/forward/src/main/java/org/limpetvale/forward/route/Planner.java
+++ b/forward/src/main/java/org/limpetvale/forward/route/Planner.java
@@ -64,7 +64,15 @@
               ResultCode.CONFIG_STALE, staleness(view, "the configuration may be out of date"));
     }
     return workspace(view, config.get(), route.get(), head)
-        .flatMap(workspace -> Result.ok(plan(config.get(), route.get(), workspace)));
+        .flatMap(workspace -> inRegions(plan(config.get(), route.get(), workspace)));
+  }
+
+  private static Result<RequestPlan> inRegions(RequestPlan plan) {
+    return plan.allowedRegions().isNone()
+        ? refuse(
+            ResultCode.NO_REGION_ALLOWED,
+            "route " + plan.route().name() + " and the workspace allow no common region")
+        : Result.ok(plan);
   }
 
   private static RequestPlan plan(FleetConfig config, Route route, Optional<Workspace> workspace) {
--- a/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
+++ b/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.limpetvale.core.fleet.AllowedRegions;
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.ServicePolicy;
 import org.limpetvale.core.fleet.Workspace;
@@ -43,6 +44,13 @@
     return Math.min(LOWEST_RANK, Math.max(0, first) * ROUTE_PRIORITIES + routePriority);
   }
 
+  /** Returns the regions in which the request may be processed, by its route and workspace. */
+  public AllowedRegions allowedRegions() {
+    return route
+        .allowedRegions()
+        .and(workspace.map(Workspace::allowedRegions).orElse(AllowedRegions.ALL));
+  }
+
   /** Returns whether the service runs model engines. */
   public boolean targetsModelEngine() {
     return policy.flatMap(ServicePolicy::engine).isPresent();
--- a/forward/src/test/java/org/limpetvale/forward/place/PlacerTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/PlacerTest.java
@@ -3,12 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.limpetvale.core.fleet.AllowedRegions;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.fleet.Workspace;
 import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.placement.PromptShape;
 import org.limpetvale.forward.log.EventLog;
@@ -102,6 +106,21 @@
     assertThat(place(true)).isInstanceOf(Placement.Chosen.class);
   }
 
+  private Placement placeFor(String region) {
+    Workspace workspace =
+        new Workspace("w", OptionalInt.empty(), AllowedRegions.of(Set.of(region)));
+    RequestPlan plan = new RequestPlan(1, ROUTE, "desk", Optional.empty(), Optional.of(workspace));
+    return placer.place(plan, PromptShape.NONE, 0, Set.of(), () -> true);
+  }
+
+  @Test
+  void aRequestThatIsBoundToARegionIsPlacedInNoOther() {
+    assertThat(placeFor("north")).isEqualTo(new Placement.Unavailable());
+    placer.setRegionsByZone(Map.of("z", "north"));
+    assertThat(placeFor("north")).isInstanceOf(Placement.Chosen.class);
+    assertThat(placeFor("south")).isEqualTo(new Placement.Unavailable());
+  }
+
   /** A request that makes its upstream the more loaded one. */
   private static final class BusyRequest implements UpstreamState.SentRequest {
     @Override
