--- a/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
@@ -1,6 +1,7 @@
 package org.limpetvale.forward;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Objects;
 import org.limpetvale.core.limit.ColdStart;
 import org.limpetvale.forward.accept.CallerCapacity;
@@ -18,6 +19,7 @@
  * @param store address of the platform's store
  * @param duties address of the platform's interface for duty calls
  * @param bounds time limits and budgets
+ * @param regionsByZone region of each availability zone
  * @param callerCapacity what callers may take of memory and descriptors
  */
 public record ForwardSettings(
@@ -30,6 +32,7 @@
     InetSocketAddress store,
     InetSocketAddress duties,
     Bounds bounds,
+    Map<String, String> regionsByZone,
     CallerCapacity callerCapacity) {
 
   /**
@@ -66,5 +69,6 @@
     Objects.requireNonNull(duties, "duties is null");
     Objects.requireNonNull(bounds, "bounds is null");
     Objects.requireNonNull(callerCapacity, "callerCapacity is null");
+    regionsByZone = Map.copyOf(Objects.requireNonNull(regionsByZone, "regionsByZone is null"));
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeSet;
@@ -49,7 +51,10 @@
 
   private ForwardSettings settings(JsonNode root) {
     checkKnownFields(
-        root, "", Set.of("name", "zone", "listen", "store", "duties", "bounds", "machine"));
+        root,
+        "",
+        Set.of(
+            "name", "zone", "regionsByZone", "listen", "store", "duties", "bounds", "machine"));
     JsonNode listen = root.path("listen");
     checkKnownFields(listen, "listen.", Set.of("callers", "ready", "metrics", "peers"));
     checkKnownFields(root.path("store"), "store.", Set.of("address"));
@@ -64,6 +69,7 @@
         address(root.path("store"), "address", "store."),
         address(root.path("duties"), "address", "duties."),
         bounds(root.path("bounds")),
+        regionsByZone(root.path("regionsByZone")),
         callerCapacity(root.path("machine")));
   }
 
@@ -85,6 +91,17 @@
     return OptionalInt.of(value.asInt());
   }
 
+  /** Returns the region of each zone; a deployment may leave the field out or set it to null. */
+  private Map<String, String> regionsByZone(JsonNode node) {
+    Map<String, String> regions = new HashMap<>();
+    if (!node.isObject() && !node.isMissingNode() && !node.isNull()) {
+      faults.add(new Fault("regionsByZone", display(node), "an object of zones and regions"));
+    }
+    node.fieldNames()
+        .forEachRemaining(zone -> regions.put(zone, text(node, zone, "regionsByZone.")));
+    return regions;
+  }
+
   private ForwardSettings.Bounds bounds(JsonNode node) {
     checkKnownFields(
         node,
