--- a/forward/src/main/java/org/limpetvale/forward/spi/UpstreamNotice.java
+++ b/forward/src/main/java/org/limpetvale/forward/spi/UpstreamNotice.java
@@ -23,9 +23,9 @@
    * @param running number of running requests
    * @param waiting number of queued requests
    * @param slots maximum number of requests that run concurrently
-   * @param slowdown factor by which work takes longer on its machine at that moment than it usually
-   *     does there; positive, 1 is as usual; empty if not stated. It changes many times a second,
-   *     so only the share of statements with a high one tells something for later.
+   * @param slowdown factor by which work takes longer on its machine at that moment than usual;
+   *     positive, 1 is as usual; empty if not stated. It changes many times a second, so that an
+   *     old one tells little; its mean differs between machines of different speed.
    */
   public record Load(int running, int waiting, int slots, OptionalDouble slowdown) {
     public Load {
