--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerConnection.java
@@ -41,6 +41,9 @@
 
   private static final long LINGER_MILLIS = 1_000;
 
+  /** Memory that a byte of a header takes once it is decoded, if all fields are short. */
+  private static final long MEMORY_PER_HEADER_BYTE = 40;
+
   /** Time from reading a request to its start above which this process may have been paused. */
   private static final long MAX_START_DELAY_MILLIS = 50;
 
@@ -56,6 +59,14 @@
   private TimerService.Subscription headerTimeout = () -> {};
 
   private boolean headerStarted;
+  private long headerStartMillis;
+
+  /** Bytes of the header that has not ended. */
+  private long headerBytes;
+
+  /** Memory that is reserved for the header that has not ended. */
+  private long headerMemoryBytes;
+
   private long lastActiveMillis;
 
   /** The body of the request being served; null if there is none. */
@@ -121,6 +132,7 @@
     idleCheck.cancel();
     headerTimeout.cancel();
     assembler.discard();
+    releaseHeader();
     releaseBody();
     dropQueued(closing ? "the connection was closed before its turn" : "the caller disconnected");
     closing = true;
@@ -151,6 +163,7 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
     assembler.onReadComplete();
+    reserveForHeader();
   }
 
   /** Closes the connection, once all output is written, if no request is served or being read. */
@@ -178,6 +191,7 @@
   /** Closes the connection, whose caller keeps it waiting, to make room for others. */
   void closeForRoom() {
     closing = true;
+    releaseHeader();
     channel.close();
   }
 
@@ -186,8 +200,24 @@
    * has held it, in byte milliseconds; 0 if there is none.
    */
   long unstartedLoad() {
-    long bytes = closing ? 0 : assembler.unstartedBytes();
-    return bytes * (1 + server.timer().nowMillis() - assembler.arrivedMillis());
+    if (closing) {
+      return 0;
+    }
+    long nowMillis = server.timer().nowMillis();
+    return assembler.unstartedBytes() * (1 + nowMillis - assembler.arrivedMillis())
+        + headerMemoryBytes * (1 + nowMillis - headerStartMillis);
+  }
+
+  /**
+   * Ends the request that has not been read completely, to make room for others. One whose header
+   * has not ended gets no response, as its connection keeps the header until it is closed.
+   */
+  void giveUpUnstarted() {
+    if (headerMemoryBytes > 0) {
+      closeForRoom();
+    } else {
+      onRefused(RequestAssembler.memoryRefusal());
+    }
   }
 
   private void scheduleIdleCheck(long delayMillis) {
@@ -303,11 +333,17 @@
   }
 
   /** Starts the header timeout when the first bytes of a new request arrive. */
-  void onHeaderBytes() {
-    if (headerStarted || responsePending || closing || assembler.isReading()) {
+  void onHeaderBytes(int size) {
+    if (responsePending || closing || assembler.isReading()) {
+      return;
+    }
+    headerBytes += size;
+    if (headerStarted) {
       return;
     }
     headerStarted = true;
+    headerBytes = size;
+    headerStartMillis = server.timer().nowMillis();
     headerTimeout =
         server.timer().after(server.limits().headerTimeoutMillis(), this::onHeaderTimeout);
   }
@@ -318,9 +354,32 @@
     }
   }
 
+  /** Reserves memory for a header that has not ended with what was read. */
+  private void reserveForHeader() {
+    if (!headerStarted || closing) {
+      return;
+    }
+    long bytes = headerBytes * MEMORY_PER_HEADER_BYTE - headerMemoryBytes;
+    boolean reserved = server.reserve(bytes);
+    if (reserved) {
+      headerMemoryBytes += bytes;
+    }
+    if (closing) {
+      releaseHeader();
+    } else if (!reserved) {
+      closeForRoom();
+    }
+  }
+
+  private void releaseHeader() {
+    server.memory().release(headerMemoryBytes);
+    headerMemoryBytes = 0;
+  }
+
   @Override
   public void onHeadRead(HttpRequest head) {
     headerStarted = false;
+    releaseHeader();
     headerTimeout.cancel();
     keepAlive = HttpUtil.isKeepAlive(head);
     if (HttpUtil.is100ContinueExpected(head)) {
--- a/forward/src/main/java/org/limpetvale/forward/accept/CallerServer.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/CallerServer.java
@@ -193,7 +193,7 @@
       if (largest.isEmpty()) {
         return false;
       }
-      largest.get().onRefused(RequestAssembler.memoryRefusal());
+      largest.get().giveUpUnstarted();
     }
     return true;
   }
--- a/forward/src/main/java/org/limpetvale/forward/accept/HeaderStartDetector.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/HeaderStartDetector.java
@@ -5,22 +5,23 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntConsumer;
 
 /**
  * Reports bytes that may start a header, before the decoder reads them, and discards those of a
  * connection that is about to close.
  */
 final class HeaderStartDetector extends ChannelInboundHandlerAdapter {
-  private final Runnable onHeaderBytes;
+  private final IntConsumer onHeaderBytes;
   private final BooleanSupplier discarding;
 
   /**
    * Creates a detector.
    *
-   * @param onHeaderBytes run for each read that contains bytes other than line ends
+   * @param onHeaderBytes receives the size of each read that contains bytes other than line ends
    * @param discarding whether what is read is discarded
    */
-  HeaderStartDetector(Runnable onHeaderBytes, BooleanSupplier discarding) {
+  HeaderStartDetector(IntConsumer onHeaderBytes, BooleanSupplier discarding) {
     this.onHeaderBytes = onHeaderBytes;
     this.discarding = discarding;
   }
@@ -32,7 +33,7 @@
       return;
     }
     if (message instanceof ByteBuf bytes && hasHeaderByte(bytes)) {
-      onHeaderBytes.run();
+      onHeaderBytes.accept(bytes.readableBytes());
     }
     context.fireChannelRead(message);
   }
