--- a/forward/src/main/java/org/limpetvale/forward/accept/RequestAssembler.java
+++ b/forward/src/main/java/org/limpetvale/forward/accept/RequestAssembler.java
@@ -34,8 +34,8 @@
   /** Size of joined pieces from which they are passed on. */
   private static final int JOINED_BYTES = 4_096;
 
-  private static final int BYTES_PER_HEAD = 512;
-  private static final int BYTES_PER_HEADER_FIELD = 160;
+  private static final long BYTES_PER_HEAD = 512;
+  private static final long BYTES_PER_HEADER_FIELD = 160;
 
   /** Receives the assembled requests. */
   interface Listener {
