--- a/forward/src/main/java/org/limpetvale/forward/http/Transport.java
+++ b/forward/src/main/java/org/limpetvale/forward/http/Transport.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
@@ -16,6 +17,7 @@
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.epoll.EpollTcpInfo;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -50,6 +52,12 @@
   /** Value of SO_LINGER with which the system delivers what was written before a close. */
   private static final int LINGER_DEFAULT = -1;
 
+  /** Bytes that the system takes to send later, so that what is written is nearly sent. */
+  private static final long MAX_UNSENT_BYTES = 16 * 1024;
+
+  /** The system's number of the state of a connection that has been reset. */
+  private static final int TCP_STATE_CLOSED = 7;
+
   private final MultiThreadIoEventLoopGroup group;
   private final boolean nativeTransport;
 
@@ -93,7 +101,8 @@
           .option(EpollChannelOption.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
           .option(EpollChannelOption.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_SECONDS)
           .option(EpollChannelOption.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-          .option(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLIS);
+          .option(EpollChannelOption.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLIS)
+          .option(EpollChannelOption.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES);
     }
     return bootstrap
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
@@ -159,6 +168,24 @@
     setLinger(channel, LINGER_DEFAULT);
   }
 
+  /**
+   * Returns whether the system knows that the peer of a connection has not received all that was
+   * written: it has reset the connection, or not confirmed all bytes. Only the native transport can
+   * tell, and only on systems with these figures; false elsewhere.
+   */
+  public static boolean hasUndelivered(Channel channel) {
+    if (!(channel instanceof EpollSocketChannel socket) || !socket.isOpen()) {
+      return false;
+    }
+    try {
+      EpollTcpInfo info = socket.tcpInfo();
+      return info.state() == TCP_STATE_CLOSED || info.unacked() > 0;
+    } catch (ChannelException e) {
+      // The system has no such figures, as others without the native transport.
+      return false;
+    }
+  }
+
   private static void setLinger(Channel channel, int value) {
     if (channel.isOpen()) {
       channel.config().setOption(ChannelOption.SO_LINGER, value);
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -75,7 +75,7 @@
      *
      * @param end how the end of its body was recognized
      */
-    void onCompleted(int status, ResponseEnd.Complete end);
+    void onCompleted(StatusCode status, ResponseEnd.Complete end);
 
     /** Called when the attempt ended without a completely forwarded response. */
     void onFailed(Failure failure, String detail);
@@ -115,7 +115,10 @@
 
   private boolean requestSent;
   private boolean promptPending;
-  private int status;
+
+  /** Null before the header of the response. */
+  private StatusCode status;
+
   private boolean notRun;
   private boolean forwarded;
 
@@ -225,16 +228,17 @@
   @Override
   public void onHead(HttpResponse response, ResponseHead head) {
     lastActivityMillis = timer.nowMillis();
-    status = response.status().code();
-    notRun = head.notExecuted() || status == StatusCodes.MISDIRECTED;
-    if (status != StatusCodes.MISDIRECTED) {
+    status = StatusCode.of(response);
+    boolean misdirected = status.equals(StatusCode.MISDIRECTED);
+    notRun = head.notExecuted() || misdirected;
+    if (!misdirected) {
       notices.responseReceived(upstream, head.notice(), startedMillis);
       notices.requestAnswered(upstream, head.notExecuted());
     }
     if (!notRun && !startsWithFirstEvent()) {
       markExecutionStarted();
     }
-    state.recordOutcome(StatusCodes.isServerError(status) && !notRun, lastActivityMillis);
+    state.recordOutcome(status.isServerError() && !notRun, lastActivityMillis);
     forwarded = listener.shouldForward(response, head.signed(), notRun);
     if (!forwarded) {
       return;
@@ -257,7 +261,7 @@
    * server error counts as executed.
    */
   private boolean startsWithFirstEvent() {
-    return plan.route().kind() == Route.Kind.STREAMING && !StatusCodes.isServerError(status);
+    return plan.route().kind() == Route.Kind.STREAMING && !status.isServerError();
   }
 
   @Override
@@ -293,7 +297,7 @@
    * speed is estimated.
    */
   private void recordTiming() {
-    if (!StatusCodes.isSuccess(status)) {
+    if (!status.isSuccess()) {
       return;
     }
     if (lastContentMillis > 0 && isModelRequest()) {
@@ -359,7 +363,7 @@
     if (notRun) {
       return Failure.NOT_RUN;
     }
-    return StatusCodes.isServerError(status) ? Failure.FAILED : Failure.SPOILED;
+    return status.isServerError() ? Failure.FAILED : Failure.SPOILED;
   }
 
   @Override
--- a/forward/src/main/java/org/limpetvale/forward/relay/CallerResponse.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/CallerResponse.java
@@ -64,7 +64,7 @@
    */
   void start(HttpResponse response, boolean mayResume) {
     started = true;
-    resumable = mayResume && StatusCodes.isSuccess(response.status().code());
+    resumable = mayResume && StatusCode.of(response).isSuccess();
     representation = Optional.of(Representation.of(response));
     HttpHeaders headers = HopByHopHeaders.endToEnd(response.headers());
     if (resumable) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/CarriedRequests.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/CarriedRequests.java
@@ -3,8 +3,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
 import java.util.List;
@@ -71,25 +69,15 @@
    * @param requestIds the ids that it names
    */
   Attribution attribute(HttpResponse response, List<String> requestIds) {
-    if (isInterim(response)) {
+    if (StatusCode.of(response).isInterim()) {
       return new Attribution.Interim();
     }
     Attribution attribution = attributeFinal(response, requestIds);
     boolean identified = attribution instanceof Attribution.Current(boolean named) && named;
-    mayCarryAnother &= identified && isSuccess(response);
+    mayCarryAnother &= identified && StatusCode.of(response).isSuccess();
     return attribution;
   }
 
-  /** Returns whether a final response follows: no request asks for another protocol. */
-  private static boolean isInterim(HttpResponse response) {
-    return response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
-  }
-
-  private static boolean isSuccess(HttpResponse response) {
-    return response.status().codeClass() == HttpStatusClass.SUCCESS;
-  }
-
   private Attribution attributeFinal(HttpResponse response, List<String> requestIds) {
     if (!isProtocolSpoken(response)) {
       return new Attribution.Unattributable("another protocol");
@@ -123,6 +111,6 @@
   private static boolean isProtocolSpoken(HttpResponse response) {
     HttpVersion version = response.protocolVersion();
     return (version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0))
-        && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+        && !StatusCode.of(response).equals(StatusCode.SWITCHING_PROTOCOLS);
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -475,17 +475,17 @@
 
   @Override
   public boolean shouldForward(HttpResponse response, boolean signed, boolean notRun) {
-    int status = response.status().code();
-    if (StatusCodes.isSuccess(status) && !signed) {
+    StatusCode status = StatusCode.of(response);
+    if (status.isSuccess() && !signed) {
       return false;
     }
     if (callerResponse.isStarted()) {
       return !notRun && callerResponse.canContinueWith(response);
     }
     if (notRun) {
-      return status != StatusCodes.MISDIRECTED && !mayHaveRun && !acquireRetry(false);
+      return !status.equals(StatusCode.MISDIRECTED) && !mayHaveRun && !acquireRetry(false);
     }
-    return !StatusCodes.isServerError(status) || !acquireRetry(true);
+    return !status.isServerError() || !acquireRetry(true);
   }
 
   @Override
@@ -523,7 +523,7 @@
   }
 
   @Override
-  public void onCompleted(int status, ResponseEnd.Complete end) {
+  public void onCompleted(StatusCode status, ResponseEnd.Complete end) {
     if (!callerResponse.canEndWith(end)) {
       giveUp(ResultCode.UPSTREAM_LOST, "the framing of the response states more than its end");
       return;
@@ -532,10 +532,10 @@
     if (end == ResponseEnd.Complete.CLOSED_BY_UPSTREAM) {
       components.metrics().count(Counter.ANSWERS_ENDED_BY_CLOSE);
     }
-    boolean served = StatusCodes.isSuccess(status);
+    boolean served = status.isSuccess();
     components.metrics().count(served ? Counter.SERVED : Counter.FAILED);
     recordAnswer(served, status, end);
-    finish(served ? "served" : "passed_on", status);
+    finish(served ? "served" : "passed_on", status.value());
     callerResponse.finish(end);
   }
 
@@ -543,12 +543,12 @@
    * Records what a whole answer says of the request. An answer that ended with its connection says
    * nothing yet, as a crash may have closed it.
    */
-  private void recordAnswer(boolean served, int status, ResponseEnd.Complete end) {
+  private void recordAnswer(boolean served, StatusCode status, ResponseEnd.Complete end) {
     if (end == ResponseEnd.Complete.CLOSED_BY_UPSTREAM) {
       recordLoss(attempt, true);
     } else if (served) {
       components.crashGuard().requestServed(request, plan, head.shape());
-    } else if (status == StatusCodes.INTERNAL_ERROR) {
+    } else if (status.equals(StatusCode.INTERNAL_ERROR)) {
       components.crashGuard().answerReceived(request, plan);
     }
   }
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseEnd.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseEnd.java
@@ -24,6 +24,11 @@
     FRAMING,
     /** An orderly close by the upstream. */
     UPSTREAM_CLOSE,
+    /**
+     * An orderly close of a success by an upstream that had not yet taken the whole request. It may
+     * have been closed by a failure as well.
+     */
+    CLOSE_WITHIN_REQUEST,
     /** Any other end of the connection, such as one after a failed write. */
     CONNECTION_END
   }
@@ -48,6 +53,9 @@
     if (signal == Signal.CONNECTION_END) {
       return new BrokenOff(reasonOf(signal), "the connection ended before the response");
     }
+    if (signal == Signal.CLOSE_WITHIN_REQUEST) {
+      return new BrokenOff(reasonOf(signal), "the upstream closed within the request");
+    }
     if (events.isPresent() && events.get().events() == 0 && !mayBeEmpty) {
       return new BrokenOff(reasonOf(signal), "the stream ended before its first event: " + signal);
     }
--- a/forward/src/main/java/org/limpetvale/forward/relay/ResponseExpectation.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ResponseExpectation.java
@@ -39,7 +39,7 @@
    * for what the route's responses are.
    */
   boolean isEventStream(HttpResponse response) {
-    if (!StatusCodes.isSuccess(response.status().code())) {
+    if (!StatusCode.of(response).isSuccess()) {
       return false;
     }
     String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamConnection.java
@@ -77,6 +77,10 @@
   private ResponseLimits limits;
   private boolean responseKeepsAlive;
   private boolean framedByLength;
+
+  /** Whether the response is a success. */
+  private boolean succeeds;
+
   private boolean requestWritten;
 
   /** Uploads the body; null if it was written with the header. */
@@ -256,6 +260,7 @@
       }
       case Attribution.Current(boolean identified) -> {
         if (!identified && isUnprovenRefusal(response, head)) {
+          reportDiscarded(response, head, "a refusal without the request's id");
           fail(ResponseListener.FailureReason.SPOILED, "a refusal without the request's id");
         } else {
           startResponse(response, head);
@@ -271,6 +276,7 @@
     responseKeepsAlive = HttpUtil.isKeepAlive(response);
     framedByLength =
         HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+    succeeds = StatusCode.of(response).isSuccess();
     updateSafeIdle(response);
     listener.onHead(response, head);
   }
@@ -278,7 +284,7 @@
   /** Returns whether a response without an id denies the execution of a request that has one. */
   private boolean isUnprovenRefusal(HttpResponse response, ResponseHead head) {
     return !expectation.requestId().isEmpty()
-        && (head.notExecuted() || StatusCodes.promisesNotRun(response.status().code()));
+        && (head.notExecuted() || StatusCode.of(response).promisesNotRun());
   }
 
   /** Skips one more response to an earlier request, which has to end within a time limit. */
@@ -357,6 +363,11 @@
     done.onComplete(end);
   }
 
+  /** Returns whether the request is written and nothing shows that the upstream has not got it. */
+  private boolean isRequestTaken() {
+    return requestWritten && !Transport.hasUndelivered(channel);
+  }
+
   private ResponseEnd.Signal endSignal() {
     if (framedByLength) {
       return ResponseEnd.Signal.FRAMING;
@@ -364,9 +375,12 @@
     if (!channel.isActive()) {
       return ResponseEnd.Signal.CONNECTION_END;
     }
-    return channel.isInputShutdown()
-        ? ResponseEnd.Signal.UPSTREAM_CLOSE
-        : ResponseEnd.Signal.FRAMING;
+    if (!channel.isInputShutdown()) {
+      return ResponseEnd.Signal.FRAMING;
+    }
+    return succeeds && !isRequestTaken()
+        ? ResponseEnd.Signal.CLOSE_WITHIN_REQUEST
+        : ResponseEnd.Signal.UPSTREAM_CLOSE;
   }
 
   @Override
--- a/forward/src/main/java/org/limpetvale/forward/relay/UpstreamResponseDecoder.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/UpstreamResponseDecoder.java
@@ -36,9 +36,16 @@
     return begunResponses > responses || actualReadableBytes() > 0;
   }
 
+  /**
+   * {@inheritDoc}
+   *
+   * @throws IllegalArgumentException if the status does not exist, which makes the response
+   *     unreadable
+   */
   @Override
   protected HttpMessage createMessage(String[] initialLine) {
     begunResponses++;
+    StatusCode.decode(initialLine[1]);
     return super.createMessage(initialLine);
   }
 
--- a/forward/src/test/java/org/limpetvale/forward/relay/ResponseEndTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/ResponseEndTest.java
@@ -32,6 +32,16 @@
         .isInstanceOf(BrokenOff.class);
   }
 
+  @Test
+  void aCloseWithinTheRequestEndsNothing() {
+    for (boolean mayBeEmpty : new boolean[] {true, false}) {
+      assertThat(ResponseEnd.of(Signal.CLOSE_WITHIN_REQUEST, Optional.empty(), mayBeEmpty))
+          .isInstanceOf(BrokenOff.class);
+      assertThat(ResponseEnd.of(Signal.CLOSE_WITHIN_REQUEST, stream("data: a\n\n"), mayBeEmpty))
+          .isInstanceOf(BrokenOff.class);
+    }
+  }
+
   @Test
   void aStreamThatEndsWithinAnEventIsBrokenOffWhateverEndedIt() {
     for (Signal signal : Signal.values()) {
--- a/forward/src/test/java/org/limpetvale/forward/relay/ResumeExplorationTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/relay/ResumeExplorationTest.java
@@ -95,7 +95,7 @@
   private static boolean mayContinue(Representation first, HttpResponse head, Mutant mutant) {
     return switch (mutant) {
       case APPENDS_ANOTHER_REPRESENTATION -> true;
-      case APPENDS_ANY_SUCCESS -> StatusCodes.isSuccess(head.status().code());
+      case APPENDS_ANY_SUCCESS -> StatusCode.of(head).isSuccess();
       default -> first.equals(Representation.of(head));
     };
   }
