--- a/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -53,8 +53,7 @@
     checkKnownFields(
         root,
         "",
-        Set.of(
-            "name", "zone", "regionsByZone", "listen", "store", "duties", "bounds", "machine"));
+        Set.of("name", "zone", "regionsByZone", "listen", "store", "duties", "bounds", "machine"));
     JsonNode listen = root.path("listen");
     checkKnownFields(listen, "listen.", Set.of("callers", "ready", "metrics", "peers"));
     checkKnownFields(root.path("store"), "store.", Set.of("address"));
