--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -171,12 +171,15 @@
   }
 
   /**
-   * Records the start of a response.
+   * Records the start of a response. What a cold upstream takes says nothing of its speed.
    *
    * @param millis time since the request was sent
    * @param predictedMillis predicted value of that time
    */
   public void answerStarted(double millis, double predictedMillis, long nowMillis) {
+    if (isCold(nowMillis)) {
+      return;
+    }
     latencyRatio.recordAnswer(millis, predictedMillis, nowMillis);
     serviceLatencyRatio.recordAnswer(millis, predictedMillis, nowMillis);
   }
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
@@ -125,4 +125,23 @@
     state.refused(1_000);
     assertThat(state.isAvoided(1_250)).isFalse();
   }
+
+  /** Guards against an upstream that is avoided once it is warm because its start was slow. */
+  @Test
+  void anUpstreamThatIsSlowWhileItIsColdDoesNotCountAsSlow() {
+    UpstreamStates book = UpstreamStates.empty();
+    for (int i = 0; i < 30; i++) {
+      state(book, "u" + i % 5).answerStarted(60, 40, 1_000 + i);
+    }
+    UpstreamState started = state(book, "started");
+    started.extendCold(3_000, 1_000);
+    for (int i = 0; i < 3; i++) {
+      started.answerStarted(480, 40, 1_100 + i);
+    }
+    assertThat(speed(started, Optional.empty(), 3_100)).isEqualTo(1);
+    for (int i = 0; i < 3; i++) {
+      started.answerStarted(480, 40, 3_200 + i);
+    }
+    assertThat(speed(started, Optional.empty(), 3_300)).isLessThan(0.5);
+  }
 }
