--- a/core/src/main/java/org/limpetvale/core/placement/PrefixCacheIndex.java
+++ b/core/src/main/java/org/limpetvale/core/placement/PrefixCacheIndex.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import org.limpetvale.core.fleet.Upstream;
 
 /**
@@ -20,9 +21,18 @@
 public final class PrefixCacheIndex {
   private static final int MAX_PARTS = 20_000;
 
-  /** Time after which a part that was not used again no longer counts as cached. */
+  /**
+   * Time after which a part that was not used again no longer counts as cached, unless more is
+   * known of how long engines keep one.
+   */
   private static final long RETENTION_MILLIS = 20_000;
 
+  /** Chance from which a recorded copy goes before the assumption for preferred engines. */
+  private static final double LIKELY = 0.5;
+
+  /** Time for which the read of a part is remembered. */
+  private static final long READ_MEMORY_MILLIS = 120_000;
+
   /**
    * Assumed cached fraction of a prefix that is not recorded anywhere, by the engine's affinity
    * rank: all entries prefer the same engines for it.
@@ -45,16 +55,21 @@
     private long lastReadMillis;
 
     void recordRead(Upstream upstream, long nowMillis) {
-      byEngine.values().removeIf(each -> nowMillis - each.readAtMillis() > RETENTION_MILLIS);
+      byEngine.values().removeIf(each -> nowMillis - each.readAtMillis() > READ_MEMORY_MILLIS);
       byEngine.put(upstream.id(), new PartRead(upstream.startedMillis(), nowMillis));
       lastReadMillis = nowMillis;
     }
 
-    boolean holds(Upstream upstream, long nowMillis) {
+    OptionalLong lastReadBy(Upstream upstream) {
       PartRead lastRead = byEngine.get(upstream.id());
-      return lastRead != null
-          && lastRead.processStartMillis() == upstream.startedMillis()
-          && nowMillis - lastRead.readAtMillis() <= RETENTION_MILLIS;
+      return lastRead != null && lastRead.processStartMillis() == upstream.startedMillis()
+          ? OptionalLong.of(lastRead.readAtMillis())
+          : OptionalLong.empty();
+    }
+
+    double chanceAt(Upstream upstream, CopyChance chance) {
+      OptionalLong lastRead = lastReadBy(upstream);
+      return lastRead.isPresent() ? chance.of(lastRead.getAsLong()) : 0;
     }
   }
 
@@ -91,9 +106,25 @@
    */
   public int expectedCachedTokens(
       Upstream upstream, PromptShape shape, int affinityRank, long nowMillis) {
+    CopyChance chance = CopyChance.certainFor(RETENTION_MILLIS, nowMillis);
+    return expectedCachedTokens(upstream, shape, affinityRank, chance);
+  }
+
+  /**
+   * Estimates how many tokens of a prompt an engine has in its cache: the tokens of each recorded
+   * part, times the chance that the engine still holds it and all parts before it.
+   *
+   * @param upstream the engine
+   * @param shape the prompt
+   * @param affinityRank the engine's rank for the prompt in the preference order that all entries
+   *     share; 0 is the first
+   * @param chance chance that a part is still held
+   */
+  public int expectedCachedTokens(
+      Upstream upstream, PromptShape shape, int affinityRank, CopyChance chance) {
     Objects.requireNonNull(shape, "shape is null");
-    int recordedTokens = recordedTokens(upstream, shape.parts(), nowMillis);
-    if (isRecordedAnywhere(shape, nowMillis)) {
+    int recordedTokens = recordedTokens(upstream, shape.parts(), chance);
+    if (isRecordedAnywhere(shape, chance)) {
       return recordedTokens;
     }
     double confidence =
@@ -104,24 +135,41 @@
     return Math.max(recordedTokens, assumedTokens);
   }
 
-  private boolean isRecordedAnywhere(PromptShape shape, long nowMillis) {
+  /**
+   * Returns when the shared prefix of a prompt was last sent to an engine; empty if it was not.
+   *
+   * @return monotonic time in milliseconds
+   */
+  public OptionalLong lastReadMillis(Upstream upstream, PromptShape shape) {
+    List<PromptShape.Part> shared = shape.sharedParts();
+    if (shared.isEmpty()) {
+      return OptionalLong.empty();
+    }
+    PartReads reads = byPart.get(shared.getLast().id());
+    return reads == null ? OptionalLong.empty() : reads.lastReadBy(upstream);
+  }
+
+  private boolean isRecordedAnywhere(PromptShape shape, CopyChance chance) {
     List<PromptShape.Part> shared = shape.sharedParts();
     if (shared.isEmpty()) {
       return false;
     }
     PartReads reads = byPart.get(shared.getLast().id());
-    return reads != null && nowMillis - reads.lastReadMillis <= RETENTION_MILLIS;
+    return reads != null && chance.of(reads.lastReadMillis) >= LIKELY;
   }
 
-  private int recordedTokens(Upstream upstream, List<PromptShape.Part> parts, long nowMillis) {
-    int tokens = 0;
+  private int recordedTokens(
+      Upstream upstream, List<PromptShape.Part> parts, CopyChance partChance) {
+    double tokens = 0;
+    double chance = 1;
     for (PromptShape.Part part : parts) {
       PartReads reads = byPart.get(part.id());
-      if (reads == null || !reads.holds(upstream, nowMillis)) {
-        return tokens;
+      chance = reads == null ? 0 : Math.min(chance, reads.chanceAt(upstream, partChance));
+      if (chance <= 0) {
+        break;
       }
-      tokens += part.tokens();
+      tokens += chance * part.tokens();
     }
-    return tokens;
+    return (int) Math.round(tokens);
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -34,6 +34,7 @@
 import org.limpetvale.forward.peer.PeerReports;
 import org.limpetvale.forward.place.EngineProfiles;
 import org.limpetvale.forward.place.Placer;
+import org.limpetvale.forward.place.PromptMemory;
 import org.limpetvale.forward.place.UpstreamLimits;
 import org.limpetvale.forward.place.UpstreamNotices;
 import org.limpetvale.forward.place.UpstreamStates;
@@ -160,6 +161,9 @@
             loads, limits, () -> ThreadLocalRandom.current().nextDouble(), timer, log);
     Placer placer =
         Placer.of(settings.zone(), upstreams::view, peerBook, loads, notices, engines, timer);
+    if (settings.placement().weighsPromptMemory()) {
+      placer.weighPromptMemory(PromptMemory.of(() -> 1 + peerBook.liveEntryCount(), timer, log));
+    }
     RetryBudgets budgets = RetryBudgets.of(settings.bounds().retries(), members::share, timer);
     this.crashes = CrashGuard.of(timer, log);
     crashes.setTrialTurns((part, round) -> isFirstOfRound(part, round, self, peerBook));
--- a/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
@@ -16,6 +16,7 @@
  * @param store address of the platform's store
  * @param duties address of the platform's interface for duty calls
  * @param bounds time limits and budgets
+ * @param placement how upstreams are chosen
  */
 public record ForwardSettings(
     String name,
@@ -26,7 +27,19 @@
     InetSocketAddress peers,
     InetSocketAddress store,
     InetSocketAddress duties,
-    Bounds bounds) {
+    Bounds bounds,
+    Placement placement) {
+
+  /**
+   * How upstreams are chosen.
+   *
+   * @param weighsPromptMemory whether it is weighed for each request what a prompt that an engine
+   *     still holds saves, against the wait for that engine
+   */
+  public record Placement(boolean weighsPromptMemory) {
+    /** The choice without any option. */
+    public static final Placement DEFAULT = new Placement(false);
+  }
 
   /**
    * Time limits and budgets.
@@ -58,5 +71,6 @@
     Objects.requireNonNull(store, "store is null");
     Objects.requireNonNull(duties, "duties is null");
     Objects.requireNonNull(bounds, "bounds is null");
+    Objects.requireNonNull(placement, "placement is null");
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -45,7 +45,8 @@
   }
 
   private ForwardSettings settings(JsonNode root) {
-    checkKnownFields(root, "", Set.of("name", "zone", "listen", "store", "duties", "bounds"));
+    checkKnownFields(
+        root, "", Set.of("name", "zone", "listen", "store", "duties", "bounds", "placement"));
     JsonNode listen = root.path("listen");
     checkKnownFields(listen, "listen.", Set.of("callers", "ready", "metrics", "peers"));
     checkKnownFields(root.path("store"), "store.", Set.of("address"));
@@ -59,7 +60,22 @@
         address(listen, "peers", "listen."),
         address(root.path("store"), "address", "store."),
         address(root.path("duties"), "address", "duties."),
-        bounds(root.path("bounds")));
+        bounds(root.path("bounds")),
+        placement(root.path("placement")));
+  }
+
+  private ForwardSettings.Placement placement(JsonNode node) {
+    checkKnownFields(node, "placement.", Set.of("weighsPromptMemory"));
+    return new ForwardSettings.Placement(flag(node, "weighsPromptMemory", "placement."));
+  }
+
+  /** Returns a flag; false if it is absent. */
+  private boolean flag(JsonNode node, String field, String path) {
+    JsonNode value = node.path(field);
+    if (!value.isMissingNode() && !value.isBoolean()) {
+      faults.add(new Fault(path + field, display(value), "true or false"));
+    }
+    return value.asBoolean();
   }
 
   private ForwardSettings.Bounds bounds(JsonNode node) {
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
@@ -18,6 +19,7 @@
 import org.limpetvale.core.placement.PrefixCacheIndex;
 import org.limpetvale.core.placement.PromptShape;
 import org.limpetvale.core.placement.RendezvousHashing;
+import org.limpetvale.core.placement.RepeatedPrefill;
 import org.limpetvale.core.placement.ServicePlacement;
 import org.limpetvale.core.placement.StreamCountEstimate;
 import org.limpetvale.core.placement.UpstreamLoad;
@@ -40,6 +42,9 @@
   /** Share of its latency target that a request may wait for an engine with its prefix cached. */
   private static final double MAX_AFFINITY_WAIT_SHARE = 0.3;
 
+  /** Expected share of a prefix from which an engine is always a candidate for it. */
+  private static final double LIKELY_HELD_SHARE = 0.5;
+
   private final String zone;
   private final Supplier<FleetView> fleet;
   private final PeerReports peers;
@@ -50,6 +55,7 @@
   private final TimerService timer;
   private final PrefixCacheIndex prefixes = PrefixCacheIndex.empty();
   private final RecentPlacements recent = new RecentPlacements();
+  private Optional<PromptMemory> memory = Optional.empty();
   private final StreamCountEstimate tightStreams = StreamCountEstimate.empty();
 
   private Placer(
@@ -90,6 +96,14 @@
     return new Placer(zone, fleet, peers, loads, notices, engines, timer);
   }
 
+  /**
+   * Weighs for each request what a kept prompt saves against the wait for it; without this, a kept
+   * prompt counts as held for a fixed time and reading it again has a fixed weight.
+   */
+  public void weighPromptMemory(PromptMemory learned) {
+    memory = Optional.of(learned);
+  }
+
   /**
    * Places a request.
    *
@@ -156,7 +170,6 @@
       long waitedMillis,
       List<Upstream> pooled,
       List<Upstream> candidates) {
-    long nowMillis = timer.nowMillis();
     boolean tight = engines.isTight(plan.service(), plan.route());
     EnginePools pools = pools(plan.service(), pooled);
     List<String> preferred = preferred(tight, shape, pools, pooled);
@@ -164,12 +177,14 @@
         CandidateSampler.sample(
             candidates,
             1 + peers.liveEntryCount(),
-            each -> mayHavePrefix(each, shape, preferred, nowMillis),
+            each -> mayHavePrefix(plan, each, shape, preferred),
             ThreadLocalRandom.current()::nextDouble);
     List<UpstreamLoad> rated =
-        sample.stream().map(each -> loadWithAffinity(each, shape, preferred, nowMillis)).toList();
+        sample.stream().map(each -> loadWithAffinity(plan, each, shape, preferred)).toList();
+    memory.ifPresent(known -> known.candidatesRated(plan.service(), shape, rated));
     boolean patient = waitedMillis < MAX_AFFINITY_WAIT_SHARE * plan.route().targetLatencyMillis();
-    PlacementRequest request = new PlacementRequest(plan.route(), shape, zone, tight, patient);
+    PlacementRequest request =
+        new PlacementRequest(plan.route(), shape, zone, tight, patient, repeatedPrefill(plan));
     return EnginePlacement.choose(
         request,
         engines.model(plan.service()),
@@ -178,12 +193,49 @@
         ThreadLocalRandom.current()::nextDouble);
   }
 
-  /** Records that a request was sent, so that its prompt is expected in the engine's cache. */
-  public void requestSent(Upstream upstream, PromptShape shape) {
-    if (shape.isModelRequest()) {
-      prefixes.recordPrompt(upstream, shape, timer.nowMillis());
-      recent.note(upstream.id(), shape, timer.nowMillis());
+  /**
+   * Records that a request was sent, so that its prompt is expected in the engine's cache.
+   *
+   * @return the copy of its shared prefix that the request counted on
+   */
+  public Optional<PromptMemory.ExpectedCopy> requestSent(Choice choice, PromptShape shape) {
+    if (!shape.isModelRequest()) {
+      return Optional.empty();
     }
+    Upstream upstream = choice.upstream();
+    String service = upstream.service();
+    OptionalLong lastReadMillis = prefixes.lastReadMillis(upstream, shape);
+    prefixes.recordPrompt(upstream, shape, timer.nowMillis());
+    recent.note(upstream.id(), shape, timer.nowMillis());
+    int engineCount = fleet.get().ready(service).size();
+    memory.ifPresent(
+        known ->
+            known.requestSent(
+                service, shape, choice.load().uncachedTokens(shape.promptTokens()), engineCount));
+    return memory.map(
+        known -> known.expect(service, lastReadMillis, shape, engines.model(service)));
+  }
+
+  /** Returns what was learned about kept prompts; empty if they are not weighed. */
+  public Optional<PromptMemory> promptMemory() {
+    return memory;
+  }
+
+  private RepeatedPrefill repeatedPrefill(RequestPlan plan) {
+    return memory
+        .<RepeatedPrefill>map(
+            known -> known.repeatedPrefill(plan.service(), plan.engineCacheTokens()))
+        .orElseGet(RepeatedPrefill.FixedWeight::new);
+  }
+
+  /** Returns how many prompt tokens an engine is expected to have in its cache. */
+  private int cachedTokens(
+      RequestPlan plan, Upstream upstream, PromptShape shape, int affinityRank) {
+    return memory
+        .map(known -> known.chance(plan.service(), plan.engineCacheTokens()))
+        .map(chance -> prefixes.expectedCachedTokens(upstream, shape, affinityRank, chance))
+        .orElseGet(
+            () -> prefixes.expectedCachedTokens(upstream, shape, affinityRank, timer.nowMillis()));
   }
 
   /**
@@ -233,21 +285,22 @@
   }
 
   private boolean mayHavePrefix(
-      Upstream upstream, PromptShape shape, List<String> preferred, long nowMillis) {
+      RequestPlan plan, Upstream upstream, PromptShape shape, List<String> preferred) {
     if (preferred.contains(upstream.id())) {
       return true;
     }
     int shared = shape.sharedTokens();
     return shared >= MIN_LOOKUP_PREFIX_TOKENS
-        && prefixes.expectedCachedTokens(upstream, shape, Integer.MAX_VALUE, nowMillis) >= shared;
+        && cachedTokens(plan, upstream, shape, Integer.MAX_VALUE)
+            >= (memory.isPresent() ? LIKELY_HELD_SHARE : 1) * shared;
   }
 
   private UpstreamLoad loadWithAffinity(
-      Upstream upstream, PromptShape shape, List<String> preferred, long nowMillis) {
+      RequestPlan plan, Upstream upstream, PromptShape shape, List<String> preferred) {
     int place = preferred.indexOf(upstream.id());
     int affinityRank = place < 0 ? Integer.MAX_VALUE : place;
-    int cached = prefixes.expectedCachedTokens(upstream, shape, affinityRank, nowMillis);
-    return load(upstream, cached, affinityRank, nowMillis);
+    int cached = cachedTokens(plan, upstream, shape, affinityRank);
+    return load(upstream, cached, affinityRank, timer.nowMillis());
   }
 
   private UpstreamLoad load(Upstream upstream, int cachedTokens, int affinityRank, long nowMillis) {
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.Choice;
@@ -89,6 +90,7 @@
   private final UpstreamConnection connection;
   private final EngineProfiles engines;
   private final UpstreamNotices notices;
+  private final LongConsumer onReadWithoutQueue;
   private final TimerService timer;
 
   /** The load of the upstream as known when the request was placed. */
@@ -126,6 +128,12 @@
 
   private ByteArrayOutputStream bufferedBody;
 
+  /**
+   * Creates an attempt that is not sent yet.
+   *
+   * @param onReadWithoutQueue receives the time to the first event of a model request whose engine
+   *     had no other prompt to read, in milliseconds
+   */
   Attempt(
       Listener listener,
       RequestPlan plan,
@@ -135,6 +143,7 @@
       UpstreamConnection connection,
       EngineProfiles engines,
       UpstreamNotices notices,
+      LongConsumer onReadWithoutQueue,
       TimerService timer) {
     this.listener = listener;
     this.plan = plan;
@@ -145,6 +154,7 @@
     this.connection = connection;
     this.engines = engines;
     this.notices = notices;
+    this.onReadWithoutQueue = onReadWithoutQueue;
     this.timer = timer;
     this.load = choice.load();
     this.predictedMillis = choice.predictedMillis();
@@ -308,6 +318,7 @@
     state.answerStarted(millis, predictedMillis * load.relativeSpeed(), lastActivityMillis);
     if (isModelRequest() && load.pendingPromptTokens() == 0) {
       engines.noteRead(upstream, request.shape(), load.cachedTokens(), millis);
+      onReadWithoutQueue.accept(millis);
     }
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Exchange.java
@@ -33,6 +33,7 @@
 import org.limpetvale.forward.admit.WaitingRequests;
 import org.limpetvale.forward.metrics.ForwardMetrics.Counter;
 import org.limpetvale.forward.place.Placement;
+import org.limpetvale.forward.place.PromptMemory;
 import org.limpetvale.forward.place.UpstreamState;
 import org.limpetvale.forward.route.RequestPlan;
 import org.limpetvale.forward.spi.HeaderCodec;
@@ -427,7 +428,8 @@
     }
     sentAttempts++;
     components.metrics().count(Counter.ATTEMPTS);
-    components.placer().requestSent(upstream, head.shape());
+    Optional<PromptMemory.ExpectedCopy> expectedCopy =
+        components.placer().requestSent(choice, head.shape());
     attempt =
         new Attempt(
             this,
@@ -438,6 +440,7 @@
             connection,
             components.placer().engineProfiles(),
             components.placer().upstreamNotices(),
+            millis -> firstEventWithoutQueue(upstream, expectedCopy, millis),
             components.timer());
     log.sent(connection.nextUse());
     attempt.send(
@@ -446,6 +449,14 @@
         ResponseExpectation.of(head.requestId(), route(), resumeAfterEventId, request.head()));
   }
 
+  private void firstEventWithoutQueue(
+      Upstream upstream, Optional<PromptMemory.ExpectedCopy> copy, long millis) {
+    components
+        .placer()
+        .promptMemory()
+        .ifPresent(memory -> copy.ifPresent(each -> memory.firstEvent(upstream, each, millis)));
+  }
+
   private HeaderCodec.RequestMetadata grant(Upstream upstream, long remainingMillis) {
     Optional<Integer> rank =
         plan.targetsModelEngine() ? Optional.of(plan.rank()) : Optional.empty();
--- a/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
+++ b/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
@@ -43,6 +43,11 @@
     return Math.min(LOWEST_RANK, Math.max(0, first) * ROUTE_PRIORITIES + routePriority);
   }
 
+  /** Returns the memory of an engine of the service in tokens; 0 if it is not configured. */
+  public long engineCacheTokens() {
+    return policy.flatMap(ServicePolicy::engine).map(ServicePolicy.Engine::cacheTokens).orElse(0L);
+  }
+
   /** Returns whether the service runs model engines. */
   public boolean targetsModelEngine() {
     return policy.flatMap(ServicePolicy::engine).isPresent();
