--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -136,37 +136,18 @@
             + reliabilityPenaltyMillis(load)
             + poolPenaltyMillis(request, model, pools, load, uncached)
             + gapPenaltyMillis(request, model, pools, load, uncached);
-    costMillis += repeatedPrefillCostMillis(request, model, load);
+    boolean urgentOnPreferred = !request.canWait() && load.affinityRank() <= 1;
+    double weight = urgentOnPreferred ? URGENT_REPEATED_PREFILL_WEIGHT : REPEATED_PREFILL_WEIGHT;
+    costMillis += weight * prefillMillis(model, shape.sharedTokens(), load.cachedTokens());
     if (!load.upstream().zone().equals(request.zone())) {
       costMillis += CROSS_ZONE_PENALTY_MILLIS;
     }
     return Choice.of(load.upstream(), predictedMillis, costMillis, load);
   }
 
-  private static double repeatedPrefillCostMillis(
-      PlacementRequest request, EngineModel model, UpstreamLoad load) {
-    double repeatedMillis =
-        prefillMillis(model, request.shape().sharedTokens(), load.cachedTokens());
-    return switch (request.repeatedPrefill()) {
-      case RepeatedPrefill.FixedWeight() -> {
-        boolean urgentOnPreferred = !request.canWait() && load.affinityRank() <= 1;
-        yield repeatedMillis
-            * (urgentOnPreferred ? URGENT_REPEATED_PREFILL_WEIGHT : REPEATED_PREFILL_WEIGHT);
-      }
-      case RepeatedPrefill.ByDemand byDemand ->
-          byDemand.delayMillis(
-              repeatedMillis / load.relativeSpeed(),
-              readingQueueMillis(model, load),
-              model.prefillTokensPerMilli() * load.relativeSpeed());
-    };
-  }
-
-  private static double readingQueueMillis(EngineModel model, UpstreamLoad load) {
-    return load.pendingPromptTokens() / model.prefillTokensPerMilli() / load.relativeSpeed();
-  }
-
   private static double queueMillis(EngineModel model, UpstreamLoad load) {
-    double readingMillis = readingQueueMillis(model, load);
+    double readingMillis =
+        load.pendingPromptTokens() / model.prefillTokensPerMilli() / load.relativeSpeed();
     int excess = Math.max(0, load.totalRequests() - load.upstream().slots());
     return readingMillis
         + load.totalRequests() * MILLIS_PER_RUNNING_REQUEST
--- a/core/src/main/java/org/limpetvale/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/limpetvale/core/placement/PlacementRequest.java
@@ -13,25 +13,12 @@
  *     prompts
  * @param canWait whether the request can still wait for an engine that has the prefix of its prompt
  *     cached
- * @param repeatedPrefill how the cost of reading the shared prefix again is weighed
  */
 public record PlacementRequest(
-    Route route,
-    PromptShape shape,
-    String zone,
-    boolean tightGap,
-    boolean canWait,
-    RepeatedPrefill repeatedPrefill) {
+    Route route, PromptShape shape, String zone, boolean tightGap, boolean canWait) {
   public PlacementRequest {
     Objects.requireNonNull(route, "route is null");
     Objects.requireNonNull(shape, "shape is null");
     Objects.requireNonNull(zone, "zone is null");
-    Objects.requireNonNull(repeatedPrefill, "repeatedPrefill is null");
-  }
-
-  /** A request for which reading a shared prefix again has a fixed weight. */
-  public PlacementRequest(
-      Route route, PromptShape shape, String zone, boolean tightGap, boolean canWait) {
-    this(route, shape, zone, tightGap, canWait, new RepeatedPrefill.FixedWeight());
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -19,7 +19,6 @@
 import org.limpetvale.core.placement.PrefixCacheIndex;
 import org.limpetvale.core.placement.PromptShape;
 import org.limpetvale.core.placement.RendezvousHashing;
-import org.limpetvale.core.placement.RepeatedPrefill;
 import org.limpetvale.core.placement.ServicePlacement;
 import org.limpetvale.core.placement.StreamCountEstimate;
 import org.limpetvale.core.placement.UpstreamLoad;
@@ -97,8 +96,8 @@
   }
 
   /**
-   * Weighs for each request what a kept prompt saves against the wait for it; without this, a kept
-   * prompt counts as held for a fixed time and reading it again has a fixed weight.
+   * Weighs what a kept prompt saves by the chance that its engine still holds it; without this, it
+   * counts as held for a fixed time.
    */
   public void weighPromptMemory(PromptMemory learned) {
     memory = Optional.of(learned);
@@ -181,10 +180,8 @@
             ThreadLocalRandom.current()::nextDouble);
     List<UpstreamLoad> rated =
         sample.stream().map(each -> loadWithAffinity(plan, each, shape, preferred)).toList();
-    memory.ifPresent(known -> known.candidatesRated(plan.service(), shape, rated));
     boolean patient = waitedMillis < MAX_AFFINITY_WAIT_SHARE * plan.route().targetLatencyMillis();
-    PlacementRequest request =
-        new PlacementRequest(plan.route(), shape, zone, tight, patient, repeatedPrefill(plan));
+    PlacementRequest request = new PlacementRequest(plan.route(), shape, zone, tight, patient);
     return EnginePlacement.choose(
         request,
         engines.model(plan.service()),
@@ -221,13 +218,6 @@
     return memory;
   }
 
-  private RepeatedPrefill repeatedPrefill(RequestPlan plan) {
-    return memory
-        .<RepeatedPrefill>map(
-            known -> known.repeatedPrefill(plan.service(), plan.engineCacheTokens()))
-        .orElseGet(RepeatedPrefill.FixedWeight::new);
-  }
-
   /** Returns how many prompt tokens an engine is expected to have in its cache. */
   private int cachedTokens(
       RequestPlan plan, Upstream upstream, PromptShape shape, int affinityRank) {
--- a/forward/src/main/java/org/limpetvale/forward/place/PromptMemory.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/PromptMemory.java
@@ -3,7 +3,6 @@
 import static org.limpetvale.forward.log.EventLog.field;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalLong;
@@ -11,18 +10,16 @@
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.CopyChance;
 import org.limpetvale.core.placement.CopyRetention;
-import org.limpetvale.core.placement.EngineDemand;
 import org.limpetvale.core.placement.EngineModel;
 import org.limpetvale.core.placement.EnginePlacement;
 import org.limpetvale.core.placement.PromptShape;
-import org.limpetvale.core.placement.RepeatedPrefill;
-import org.limpetvale.core.placement.UpstreamLoad;
+import org.limpetvale.core.placement.WrittenTokens;
 import org.limpetvale.core.time.TimerService;
 import org.limpetvale.forward.log.EventLog;
 
 /**
- * What this entry has learned about how long the engines of each service keep prompts, and what
- * reading one again costs. Must only be used on the event loop.
+ * What this entry has learned about how long the engines of each service keep prompts. Must only be
+ * used on the event loop.
  */
 public final class PromptMemory {
   /** Shortest saved time from which an answer shows whether a copy was held. */
@@ -31,9 +28,6 @@
   /** Share of the saved time above the prediction from which a copy counts as not held. */
   private static final double MISSED_SHARE = 0.6;
 
-  /** Weight of a request in the share of missing prefix tokens. */
-  private static final double MISSING_WEIGHT = 0.01;
-
   /** Time between two log lines about a service. */
   private static final long LOG_INTERVAL_MILLIS = 10_000;
 
@@ -44,13 +38,12 @@
 
   /** What is known about one service. */
   private static final class Service {
-    private final EngineDemand demand = EngineDemand.empty();
+    private final WrittenTokens written = WrittenTokens.empty();
     private final CopyRetention retention = CopyRetention.empty();
 
     /** Memory of an engine in tokens; 0 if it is not configured. */
     private long cacheTokens;
 
-    private double missingShare;
     private long held;
     private long missed;
     private long loggedMillis = Long.MIN_VALUE / 2;
@@ -90,30 +83,12 @@
     return readMillis -> known.retention.chance(turnovers(known, readMillis));
   }
 
-  /** Returns how reading a shared prefix again is weighed for a service now. */
-  RepeatedPrefill repeatedPrefill(String service, long cacheTokens) {
-    Service known = service(service, cacheTokens);
-    return new RepeatedPrefill.ByDemand(known.demand.rates(timer.nowMillis()), known.missingShare);
-  }
-
-  /** Records how much of a request's shared prefix the candidate with the most of it holds. */
-  void candidatesRated(String service, PromptShape shape, List<UpstreamLoad> candidates) {
-    int shared = shape.sharedTokens();
-    Service known = services.get(service);
-    if (known == null || shared == 0 || candidates.isEmpty()) {
-      return;
-    }
-    int most = candidates.stream().mapToInt(UpstreamLoad::cachedTokens).max().orElse(0);
-    double missing = Math.clamp(1 - (double) most / shared, 0, 1);
-    known.missingShare += MISSING_WEIGHT * (missing - known.missingShare);
-  }
-
   /** Records a request that is sent to an engine of a service with the given number of engines. */
   void requestSent(String service, PromptShape shape, int uncachedTokens, int engines) {
     Service known = services.get(service);
     if (known != null) {
       double weight = (double) Math.max(1, entries.getAsInt()) / Math.max(1, engines);
-      known.demand.requestSent(uncachedTokens, shape.outputTokens(), weight, timer.nowMillis());
+      known.written.requestSent(uncachedTokens + shape.outputTokens(), weight, timer.nowMillis());
     }
   }
 
@@ -154,20 +129,17 @@
       return;
     }
     known.loggedMillis = nowMillis;
-    EngineDemand.Rates rates = known.demand.rates(nowMillis);
     log.stateChange(
         "prompt_memory",
         field("service", name),
         field("held", known.held),
         field("missed", known.missed),
         field("chanceAfterHalfTurnover", known.retention.chance(0.5)),
-        field("chanceAfterTurnover", known.retention.chance(1)),
-        field("missingShare", known.missingShare),
-        field("engineReadTokensPerMilli", rates.readTokensPerMilli()));
+        field("chanceAfterTurnover", known.retention.chance(1)));
   }
 
   private static double turnovers(Service known, long readMillis) {
-    return known.cacheTokens <= 0 ? 0 : known.demand.writtenSince(readMillis) / known.cacheTokens;
+    return known.cacheTokens <= 0 ? 0 : known.written.since(readMillis) / known.cacheTokens;
   }
 
   private Service service(String name, long cacheTokens) {
