--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -116,6 +116,14 @@
     return uncached * (cachedTokens + uncached / 2) / PAIRS_PER_MILLION * MILLIS_PER_MILLION_PAIRS;
   }
 
+  /**
+   * Returns the predicted time to the first event on an engine of the usual speed without other
+   * requests, in milliseconds.
+   */
+  public static double firstEventMillis(EngineModel model, int promptTokens, int cachedTokens) {
+    return BASE_LATENCY_MILLIS + prefillMillis(model, promptTokens, cachedTokens);
+  }
+
   private static Choice score(
       PlacementRequest request, EngineModel model, EnginePools pools, UpstreamLoad load) {
     PromptShape shape = request.shape();
--- a/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
@@ -21,6 +21,7 @@
  * @param bounds time limits and budgets
  * @param regionsByZone region of each availability zone
  * @param callerCapacity what callers may take of memory and descriptors
+ * @param placement how upstreams are chosen
  */
 public record ForwardSettings(
     String name,
@@ -33,7 +34,19 @@
     InetSocketAddress duties,
     Bounds bounds,
     Map<String, String> regionsByZone,
-    CallerCapacity callerCapacity) {
+    CallerCapacity callerCapacity,
+    Placement placement) {
+
+  /**
+   * How upstreams are chosen.
+   *
+   * @param weighsPromptMemory whether it is weighed for each request what a prompt that an engine
+   *     still holds saves, against the wait for that engine
+   */
+  public record Placement(boolean weighsPromptMemory) {
+    /** The choice without any option. */
+    public static final Placement DEFAULT = new Placement(false);
+  }
 
   /**
    * Time limits and budgets.
@@ -70,5 +83,6 @@
     Objects.requireNonNull(bounds, "bounds is null");
     Objects.requireNonNull(callerCapacity, "callerCapacity is null");
     regionsByZone = Map.copyOf(Objects.requireNonNull(regionsByZone, "regionsByZone is null"));
+    Objects.requireNonNull(placement, "placement is null");
   }
 }
--- a/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -53,7 +53,16 @@
     checkKnownFields(
         root,
         "",
-        Set.of("name", "zone", "regionsByZone", "listen", "store", "duties", "bounds", "machine"));
+        Set.of(
+            "name",
+            "zone",
+            "regionsByZone",
+            "listen",
+            "store",
+            "duties",
+            "bounds",
+            "machine",
+            "placement"));
     JsonNode listen = root.path("listen");
     checkKnownFields(listen, "listen.", Set.of("callers", "ready", "metrics", "peers"));
     checkKnownFields(root.path("store"), "store.", Set.of("address"));
@@ -69,7 +78,8 @@
         address(root.path("duties"), "address", "duties."),
         bounds(root.path("bounds")),
         regionsByZone(root.path("regionsByZone")),
-        callerCapacity(root.path("machine")));
+        callerCapacity(root.path("machine")),
+        placement(root.path("placement")));
   }
 
   private CallerCapacity callerCapacity(JsonNode node) {
@@ -101,6 +111,20 @@
     return regions;
   }
 
+  private ForwardSettings.Placement placement(JsonNode node) {
+    checkKnownFields(node, "placement.", Set.of("weighsPromptMemory"));
+    return new ForwardSettings.Placement(flag(node, "weighsPromptMemory", "placement."));
+  }
+
+  /** Returns a flag; false if it is absent. */
+  private boolean flag(JsonNode node, String field, String path) {
+    JsonNode value = node.path(field);
+    if (!value.isMissingNode() && !value.isBoolean()) {
+      faults.add(new Fault(path + field, display(value), "true or false"));
+    }
+    return value.asBoolean();
+  }
+
   private ForwardSettings.Bounds bounds(JsonNode node) {
     checkKnownFields(
         node,
--- a/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
+++ b/forward/src/main/java/org/limpetvale/forward/route/RequestPlan.java
@@ -51,6 +51,11 @@
         .and(workspace.map(Workspace::allowedRegions).orElse(AllowedRegions.ALL));
   }
 
+  /** Returns the memory of an engine of the service in tokens; 0 if it is not configured. */
+  public long engineCacheTokens() {
+    return policy.flatMap(ServicePolicy::engine).map(ServicePolicy.Engine::cacheTokens).orElse(0L);
+  }
+
   /** Returns whether the service runs model engines. */
   public boolean targetsModelEngine() {
     return policy.flatMap(ServicePolicy::engine).isPresent();
