--- a/forward/src/test/java/org/limpetvale/forward/SettingsReaderTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/SettingsReaderTest.java
@@ -42,6 +42,21 @@
         .isInstanceOf(SettingsReader.Outcome.Invalid.class);
   }
 
+  @Test
+  void promptMemoryIsWeighedOnlyWhereTheSettingsSaySo() {
+    String weighed =
+        VALID.replace("\"bounds\"", "\"placement\": {\"weighsPromptMemory\": true}, \"bounds\"");
+    assertThat(weighsPromptMemory(VALID)).isFalse();
+    assertThat(weighsPromptMemory(weighed)).isTrue();
+    assertThat(SettingsReader.read(weighed.replace("true", "1")))
+        .isInstanceOf(SettingsReader.Outcome.Invalid.class);
+  }
+
+  private static boolean weighsPromptMemory(String json) {
+    return SettingsReader.read(json) instanceof SettingsReader.Outcome.Valid(var settings)
+        && settings.placement().weighsPromptMemory();
+  }
+
   @Test
   void allFaultsAreReportedAtOnce() {
     String faulty =
