--- a/core/src/main/java/org/limpetvale/core/placement/StatedSlowdown.java
+++ b/core/src/main/java/org/limpetvale/core/placement/StatedSlowdown.java
@@ -21,6 +21,8 @@
   /** Number of statements after which the weight of an old one has fallen to about a third. */
   private static final int MAX_STATEMENTS = 60;
 
+  private static final int MIN_STATEMENTS = 5;
+
   /** Time after which a statement tells half as much about the present moment. */
   private static final double HALF_LIFE_MILLIS = 100;
 
@@ -55,7 +57,12 @@
    * its own speed.
    */
   public boolean isSlowMoment(long nowMillis) {
-    return statements > 0 && expectedFactor(nowMillis) > MOMENT_FACTOR * Math.max(1, meanFactor);
+    return statements > 0 && expectedFactor(nowMillis) > MOMENT_FACTOR * meanFactor;
+  }
+
+  /** Returns whether there are enough statements for the mean to tell the machine's speed. */
+  public boolean isKnown() {
+    return statements >= MIN_STATEMENTS;
   }
 
   private double weightOfLast(long nowMillis) {
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -411,8 +411,8 @@
    */
   private double speed(PeerReport.Load others, long nowMillis) {
     double lasting = lastingSpeed(others.speedPercent() / PERCENT, nowMillis);
-    double slowdown = statedSlowdown.expectedFactor(nowMillis) / serviceTimes.meanSlowdown();
-    return lasting / Math.max(1, slowdown);
+    double moment = statedSlowdown.expectedFactor(nowMillis) / statedSlowdown.meanFactor();
+    return lasting / Math.max(1, moment);
   }
 
   /**
@@ -432,7 +432,8 @@
           : learned.getAsDouble();
     }
     boolean disproved = sudden > 0 && othersSpeed < MIN_LASTING_SPEED;
-    return othersSpeed > 0 && !disproved ? othersSpeed : 1;
+    double stated = serviceTimes.meanSlowdown() / statedSlowdown.meanFactor();
+    return othersSpeed > 0 && !disproved ? othersSpeed : statedSlowdown.isKnown() ? stated : 1;
   }
 
   /**
