--- a/core/src/main/java/org/limpetvale/core/placement/EngineModel.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EngineModel.java
@@ -8,14 +8,9 @@
  *     if unknown
  * @param readingPauseMillis pause between two events of a stream while the engine reads long
  *     prompts chunk by chunk; 0 if unknown
- * @param tightPauseMillis long pause between two events of a stream on the engines of the tight
- *     pool; 0 if unknown
  */
 public record EngineModel(
-    double prefillTokensPerMilli,
-    double idlePauseMillis,
-    double readingPauseMillis,
-    double tightPauseMillis) {
+    double prefillTokensPerMilli, double idlePauseMillis, double readingPauseMillis) {
   /** The model assumed for engines without observations. */
   public static final EngineModel DEFAULT = new EngineModel(40, 0, 0);
 
@@ -25,21 +20,6 @@
     }
   }
 
-  /** Creates a model without knowledge of the tight pool. */
-  public EngineModel(
-      double prefillTokensPerMilli, double idlePauseMillis, double readingPauseMillis) {
-    this(prefillTokensPerMilli, idlePauseMillis, readingPauseMillis, 0);
-  }
-
-  /** Returns the model of an engine of the given speed, relative to the usual engine. */
-  public EngineModel atSpeed(double relativeSpeed) {
-    return new EngineModel(
-        prefillTokensPerMilli * relativeSpeed,
-        idlePauseMillis / relativeSpeed,
-        readingPauseMillis / relativeSpeed,
-        tightPauseMillis / relativeSpeed);
-  }
-
   /** Returns the number of prompt tokens that an engine reads in the given time. */
   public double prefillTokensWithin(double millis) {
     return prefillTokensPerMilli * Math.max(0, millis);
--- a/core/src/main/java/org/limpetvale/core/placement/EngineModelEstimator.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EngineModelEstimator.java
@@ -35,9 +35,6 @@
   /** Number of samples after which the weight of an old one has fallen to about a third. */
   private static final double DECAY_SAMPLES = 1_000;
 
-  /** The same for pauses in the tight pool, which has to follow its load. */
-  private static final double TIGHT_DECAY_SAMPLES = 300;
-
   /** Effective number of samples before an estimate is used. */
   private static final double MIN_SAMPLES = 20;
 
@@ -51,8 +48,6 @@
 
   private final DecayingHistogram pauses = DecayingHistogram.withDecaySamples(DECAY_SAMPLES);
   private final DecayingHistogram readingPauses = DecayingHistogram.withDecaySamples(DECAY_SAMPLES);
-  private final DecayingHistogram tightPauses =
-      DecayingHistogram.withDecaySamples(TIGHT_DECAY_SAMPLES);
   private final DecayingHistogram tokensPerMilli =
       DecayingHistogram.withDecaySamples(DECAY_SAMPLES);
 
@@ -74,9 +69,6 @@
       return;
     }
     pauses.add(millis);
-    if (!servesLongPrompts) {
-      tightPauses.add(millis);
-    }
     double idleMillis = pauses.quantile(IDLE_QUANTILE);
     if (servesLongPrompts
         && hasEnoughSamples(pauses)
@@ -112,8 +104,7 @@
                 ? tokensPerMilli.quantile(0.5)
                 : EngineModel.DEFAULT.prefillTokensPerMilli(),
             hasEnoughSamples(pauses) ? pauses.quantile(IDLE_QUANTILE) : 0,
-            hasEnoughSamples(readingPauses) ? readingPauses.quantile(READING_QUANTILE) : 0,
-            hasEnoughSamples(tightPauses) ? tightPauses.quantile(READING_QUANTILE) : 0));
+            hasEnoughSamples(readingPauses) ? readingPauses.quantile(READING_QUANTILE) : 0));
   }
 
   private static boolean hasEnoughSamples(DecayingHistogram samples) {
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -64,10 +64,7 @@
 
   private static final double TIGHT_OUTSIDE_POOL_PENALTY_MILLIS = 150;
 
-  /** Lowest speed that an engine may have for good; below that, it has become slow. */
-  private static final double MIN_LASTING_SPEED = 0.5;
-
-  /** Cost of an engine of half the usual speed, if it has become slow. */
+  /** Cost of an engine of half the usual speed, because a stream's events take longer there. */
   private static final double HALF_SPEED_PENALTY_MILLIS = 200;
 
   private static final double UNRESPONSIVE_PENALTY_MILLIS = 5_000;
@@ -128,22 +125,20 @@
   }
 
   private static Choice score(
-      PlacementRequest request, EngineModel usual, EnginePools pools, UpstreamLoad load) {
+      PlacementRequest request, EngineModel model, EnginePools pools, UpstreamLoad load) {
     PromptShape shape = request.shape();
-    EngineModel model = usual.atSpeed(load.relativeSpeed());
     int uncached = load.uncachedTokens(shape.promptTokens());
     double ownMillis =
-        prefillMillis(usual, shape.promptTokens(), load.cachedTokens()) / load.relativeSpeed();
+        prefillMillis(model, shape.promptTokens(), load.cachedTokens()) / load.relativeSpeed();
     double predictedMillis = BASE_LATENCY_MILLIS + queueMillis(model, load) + ownMillis;
     double costMillis =
         predictedMillis
             + reliabilityPenaltyMillis(load)
-            + (model.idlePauseMillis() - usual.idlePauseMillis())
             + poolPenaltyMillis(request, model, pools, load, uncached)
             + gapPenaltyMillis(request, model, pools, load, uncached);
     boolean urgentOnPreferred = !request.canWait() && load.affinityRank() <= 1;
     double weight = urgentOnPreferred ? URGENT_REPEATED_PREFILL_WEIGHT : REPEATED_PREFILL_WEIGHT;
-    costMillis += weight * prefillMillis(usual, shape.sharedTokens(), load.cachedTokens());
+    costMillis += weight * prefillMillis(model, shape.sharedTokens(), load.cachedTokens());
     if (!load.upstream().zone().equals(request.zone())) {
       costMillis += CROSS_ZONE_PENALTY_MILLIS;
     }
@@ -151,16 +146,17 @@
   }
 
   private static double queueMillis(EngineModel model, UpstreamLoad load) {
-    double readingMillis = load.pendingPromptTokens() / model.prefillTokensPerMilli();
+    double readingMillis =
+        load.pendingPromptTokens() / model.prefillTokensPerMilli() / load.relativeSpeed();
     int excess = Math.max(0, load.totalRequests() - load.upstream().slots());
     return readingMillis
-        + load.totalRequests() * MILLIS_PER_RUNNING_REQUEST / load.relativeSpeed()
+        + load.totalRequests() * MILLIS_PER_RUNNING_REQUEST
         + excess * SLOT_WAIT_MILLIS;
   }
 
   private static double reliabilityPenaltyMillis(UpstreamLoad load) {
     double slowMillis = (1 / load.relativeSpeed() - 1) * HALF_SPEED_PENALTY_MILLIS;
-    return (load.relativeSpeed() < MIN_LASTING_SPEED ? slowMillis : 0)
+    return slowMillis
         + load.failureRate() * FAILURE_PENALTY_MILLIS
         + (load.unresponsive() ? UNRESPONSIVE_PENALTY_MILLIS : 0);
   }
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePools.java
@@ -29,18 +29,6 @@
   /** Largest share of the engines in the tight pool. */
   private static final double MAX_TIGHT_SHARE = 0.4;
 
-  /**
-   * Share of the shortest gap target that the long pauses in the tight pool may take. The rest is
-   * for the few pauses of a stream that are longer still.
-   */
-  private static final double TOLERATED_PAUSE_SHARE = 0.4;
-
-  /** Smallest share of the usual number of streams that is put on an engine. */
-  private static final double MIN_STREAMS_SHARE = 0.25;
-
-  /** Steps in which that share changes, so that the pool does not follow each sample. */
-  private static final double STREAMS_SHARE_STEPS = 8;
-
   private static final int MIN_ENGINES_TO_SPLIT = 4;
   private static final int MIN_TIGHT_ENGINES = 2;
   private static final String POOL_KEY = "tight-pool";
@@ -49,27 +37,19 @@
     tightPoolIds = Set.copyOf(tightPoolIds);
   }
 
-  /** Splits the engines of a service, with the usual number of streams on an engine. */
-  public static EnginePools split(
-      List<Upstream> engines, double tightStreams, long shortestGapMillis) {
-    return split(engines, tightStreams, shortestGapMillis, 1);
-  }
-
   /**
    * Splits the engines of a service.
    *
    * @param engines engines that accept new requests
    * @param tightStreams estimated number of streams with short gap targets in the fleet
    * @param shortestGapMillis the shortest of these targets; 0 without such streams
-   * @param streamsShare share of the usual number of streams to put on an engine, from {@link
-   *     #streamsShare}
    */
   public static EnginePools split(
-      List<Upstream> engines, double tightStreams, long shortestGapMillis, double streamsShare) {
+      List<Upstream> engines, double tightStreams, long shortestGapMillis) {
     if (tightStreams <= 0 || engines.size() < MIN_ENGINES_TO_SPLIT) {
       return new EnginePools(Set.of(), shortestGapMillis);
     }
-    int needed = (int) Math.ceil(tightStreams / streamsPerEngine(engines, streamsShare));
+    int needed = (int) Math.ceil(tightStreams / streamsPerEngine(engines));
     int maxCount = (int) Math.max(1, Math.floor(engines.size() * MAX_TIGHT_SHARE));
     int count = Math.min(maxCount, Math.max(MIN_TIGHT_ENGINES, needed));
     return new EnginePools(
@@ -80,25 +60,8 @@
         shortestGapMillis);
   }
 
-  /**
-   * Returns the share of the usual number of streams that an engine of the tight pool carries
-   * without pauses near the gap target. Engines differ in how much each stream, and each of its
-   * prompts, lengthens the pauses of the others.
-   *
-   * @param tightPauseMillis long pause of streams in the tight pool; 0 if unknown
-   * @param shortestGapMillis the shortest gap target of these streams
-   */
-  public static double streamsShare(double tightPauseMillis, long shortestGapMillis) {
-    if (tightPauseMillis <= 0) {
-      return 1;
-    }
-    double share = TOLERATED_PAUSE_SHARE * shortestGapMillis / tightPauseMillis;
-    return Math.clamp(
-        Math.round(share * STREAMS_SHARE_STEPS) / STREAMS_SHARE_STEPS, MIN_STREAMS_SHARE, 1);
-  }
-
-  private static double streamsPerEngine(List<Upstream> engines, double streamsShare) {
+  private static double streamsPerEngine(List<Upstream> engines) {
     double slots = engines.stream().mapToInt(Upstream::slots).average().orElse(1);
-    return Math.max(1, TIGHT_SLOT_SHARE * slots * streamsShare);
+    return Math.max(1, TIGHT_SLOT_SHARE * slots);
   }
 }
--- a/core/src/main/java/org/limpetvale/core/placement/ServicePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/ServicePlacement.java
@@ -42,9 +42,7 @@
     int slots = Math.max(1, load.upstream().slots());
     double rounds = Math.max(0, load.totalRequests() + 1.0 - slots) / slots;
     double predictedMillis = TYPICAL_CALL_MILLIS * (1 + rounds) / load.relativeSpeed();
-    double occupiedMillis =
-        TYPICAL_CALL_MILLIS * load.totalRequests() / slots / load.relativeSpeed();
-    double costMillis = predictedMillis + occupiedMillis;
+    double costMillis = predictedMillis + TYPICAL_CALL_MILLIS * load.totalRequests() / slots;
     costMillis +=
         load.failureRate() * FAILURE_PENALTY_MILLIS
             + (load.unresponsive() ? UNRESPONSIVE_PENALTY_MILLIS : 0);
--- a/core/src/test/java/org/limpetvale/core/placement/EngineModelEstimatorTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EngineModelEstimatorTest.java
@@ -126,14 +126,4 @@
     estimator.recordPrefill(4_000, 0, 110);
     assertThat(estimator.model()).isEmpty();
   }
-
-  @Test
-  void theLongPausesOfTheTightPoolAreKnownApart() {
-    EngineModelEstimator estimator = EngineModelEstimator.empty();
-    for (int i = 0; i < 200; i++) {
-      estimator.recordPause(i % 2 == 0 ? 20 : 400, true);
-      estimator.recordPause(i % 5 == 0 ? 90 : 20, false);
-    }
-    assertThat(estimator.model().orElseThrow().tightPauseMillis()).isBetween(80.0, 100.0);
-  }
 }
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -2,9 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -303,76 +301,4 @@
     assertThat(index.expectedCachedTokens(upstream, shape, 9, 60_000)).isZero();
     assertThat(index.expectedCachedTokens(upstream, shape, 0, 60_000)).isBetween(1, 600);
   }
-
-  private static UpstreamLoad loadAtSpeed(
-      Upstream upstream, int requests, int pendingTokens, int tightStreams, double speed) {
-    return new UpstreamLoad(
-        upstream, requests, 0, pendingTokens, 0, tightStreams, 0, 1, speed, 0, false);
-  }
-
-  /** A backlog of 4,000 tokens fits a gap of 150 ms at the usual speed, but not at 0.6 of it. */
-  @Test
-  void aStreamWithAShortGapGoesWhereItsPausesHoldAtTheEnginesOwnSpeed() {
-    List<Upstream> engines = upstreams(2);
-    assertThat(
-            chosen(
-                TIGHT,
-                prompt(0, 100),
-                loadAtSpeed(engines.get(0), 0, 4_000, 0, 0.6),
-                loadAtSpeed(engines.get(1), 0, 6_500, 0, 1.6)))
-        .isEqualTo("u1");
-  }
-
-  /** A prompt of 3,500 tokens is within the gap of the streams on a fast engine only. */
-  @Test
-  void aLongPromptGoesWhereItBreaksNoStreamsGap() {
-    List<Upstream> engines = upstreams(2);
-    assertThat(
-            chosen(
-                LOOSE,
-                prompt(0, 3_500),
-                loadAtSpeed(engines.get(0), 2, 0, 2, 1),
-                loadAtSpeed(engines.get(1), 40, 0, 2, 1.6)))
-        .isEqualTo("u1");
-  }
-
-  /** Each request stays while 300 more are placed; slots are not the limit. */
-  @Test
-  void enginesOfThreeSpeedsShareAnEvenDemandBySpeed() {
-    List<Upstream> engines = upstreams(9);
-    double[] speeds = {0.6, 1, 1.6};
-    int[] running = new int[9];
-    Deque<Integer> order = new ArrayDeque<>();
-    int[] taken = new int[3];
-    for (int i = 0; i < 3_000; i++) {
-      List<UpstreamLoad> loads =
-          IntStream.range(0, 9)
-              .mapToObj(
-                  k -> loadAtSpeed(engines.get(k), running[k], 200 * running[k], 0, speeds[k % 3]))
-              .toList();
-      Choice choice = choose(LOOSE, prompt(0, 800), NO_POOLS, false, loads).orElseThrow();
-      int at = engines.indexOf(choice.upstream());
-      running[at]++;
-      taken[at % 3]++;
-      order.addLast(at);
-      if (order.size() > 300) {
-        running[order.removeFirst()]--;
-      }
-    }
-    assertThat(taken[0]).as("speed 0.6").isBetween(300, 650);
-    assertThat(taken[1]).as("speed 1").isBetween(800, 1_100);
-    assertThat(taken[2]).as("speed 1.6").isBetween(1_300, 1_800);
-  }
-
-  @Test
-  void longPausesInTheTightPoolSpreadItsStreamsOverMoreEngines() {
-    List<Upstream> engines = upstreams(20);
-    assertThat(EnginePools.streamsShare(0, 300)).as("unknown").isEqualTo(1);
-    assertThat(EnginePools.streamsShare(100, 300)).isEqualTo(1);
-    assertThat(EnginePools.streamsShare(240, 300)).isEqualTo(0.5);
-    assertThat(EnginePools.streamsShare(3_000, 300)).isEqualTo(0.25);
-    assertThat(EnginePools.split(engines, 96, 300, 1).tightPoolIds()).hasSize(3);
-    assertThat(EnginePools.split(engines, 96, 300, 0.5).tightPoolIds()).hasSize(6);
-    assertThat(EnginePools.split(engines, 960, 300, 0.25).tightPoolIds()).hasSize(8);
-  }
 }
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -96,8 +96,7 @@
    * @param pendingPromptTokens prompt tokens of requests without a first event
    * @param tightStreams number of streams with a short gap target
    * @param failurePercent share of recent requests that failed through the upstream's fault
-   * @param speedPercent speed of the upstream relative to the others of its service, sudden
-   *     slowness included, momentary slowness not; 0 if unknown
+   * @param speedPercent speed of the upstream relative to the others of its service; 0 if unknown
    */
   public record Load(
       int requests,
@@ -307,8 +306,7 @@
                 .putArray(service)
                 .add(Math.round(model.prefillTokensPerMilli() * TENTHS))
                 .add(Math.round(model.idlePauseMillis() * TENTHS))
-                .add(Math.round(model.readingPauseMillis() * TENTHS))
-                .add(Math.round(model.tightPauseMillis() * TENTHS)));
+                .add(Math.round(model.readingPauseMillis() * TENTHS)));
   }
 
   private static long tenths(JsonNode value) throws UnusableJsonException {
@@ -322,10 +320,7 @@
       if (tokensPerMilli > 0) {
         double idleMillis = tenths(each.getValue().path(1)) / TENTHS;
         double readingMillis = tenths(each.getValue().path(2)) / TENTHS;
-        JsonNode tight = each.getValue().path(3);
-        double tightMillis = JsonFields.isAbsent(tight) ? 0 : tenths(tight) / TENTHS;
-        engines.put(
-            each.getKey(), new EngineModel(tokensPerMilli, idleMillis, readingMillis, tightMillis));
+        engines.put(each.getKey(), new EngineModel(tokensPerMilli, idleMillis, readingMillis));
       }
     }
     return engines;
--- a/forward/src/main/java/org/limpetvale/forward/place/EngineProfiles.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/EngineProfiles.java
@@ -91,7 +91,6 @@
           field("targetGapMillis", targetMillis),
           field("tight", tight),
           field("readingPauseMillis", model.readingPauseMillis()),
-          field("tightPauseMillis", model.tightPauseMillis()),
           field("idlePauseMillis", model.idlePauseMillis()),
           field("prefillTokensPerMilli", model.prefillTokensPerMilli()),
           field("entriesHeard", peers.engineModels(service).size()));
@@ -111,18 +110,16 @@
       profile.split = null;
       return profile.pools;
     }
-    double share = EnginePools.streamsShare(model(service).tightPauseMillis(), shortestMillis);
-    Split split = new Split(engines, Math.ceil(tightStreams), shortestMillis, share);
+    Split split = new Split(engines, Math.ceil(tightStreams), shortestMillis);
     if (!split.hasSameInputs(profile.split)) {
-      profile.pools = EnginePools.split(engines, split.streams(), shortestMillis, share);
+      profile.pools = EnginePools.split(engines, split.streams(), shortestMillis);
       profile.split = split;
     }
     return profile.pools;
   }
 
   /** The inputs of a split into pools. */
-  private record Split(
-      List<Upstream> engines, double streams, long shortestMillis, double streamsShare) {
+  private record Split(List<Upstream> engines, double streams, long shortestMillis) {
     /**
      * Compares the engine lists by identity: a fleet view returns the same list for as long as it
      * is valid.
@@ -132,8 +129,7 @@
       return other != null
           && engines == other.engines
           && streams == other.streams
-          && shortestMillis == other.shortestMillis
-          && streamsShare == other.streamsShare;
+          && shortestMillis == other.shortestMillis;
     }
   }
 
@@ -178,8 +174,7 @@
     return new EngineModel(
         median(models, EngineModel::prefillTokensPerMilli),
         median(models, EngineModel::idlePauseMillis),
-        median(models, EngineModel::readingPauseMillis),
-        median(models, EngineModel::tightPauseMillis));
+        median(models, EngineModel::readingPauseMillis));
   }
 
   /**
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -7,14 +7,11 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.limit.OwnTurns;
 import org.limpetvale.core.limit.SendTurns;
-import org.limpetvale.core.placement.LearnedSpeed;
-import org.limpetvale.core.placement.StatedSlowdown;
 import org.limpetvale.core.placement.UpstreamLatencyRatio;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.forward.peer.PeerReport;
@@ -28,13 +25,6 @@
   private static final double FAILURE_HALF_LIFE_MILLIS = 5_000;
 
   private static final double PERCENT = 100;
-
-  /** A lower speed is sudden slowness, which this entry's own answers disprove. */
-  private static final double MIN_LASTING_SPEED = 0.5;
-
-  /** Shorter times between events come from events that arrive together. */
-  private static final long MIN_EVENT_MILLIS = 2;
-
   private static final double OTHER_REQUESTS_HALF_LIFE_MILLIS = 1_500;
   private static final long INITIAL_PAUSE_MILLIS = 500;
   private static final long MAX_PAUSE_MILLIS = 4_000;
@@ -76,9 +66,7 @@
   private final Set<SentRequest> sentRequests = new LinkedHashSet<>();
   private final UpstreamLatencyRatio latencyRatio =
       UpstreamLatencyRatio.empty(LATENCY_RATIO_SAMPLES);
-  private final ServiceTimes serviceTimes;
-  private final LearnedSpeed learnedSpeed = LearnedSpeed.ofUpstream();
-  private StatedSlowdown statedSlowdown = StatedSlowdown.NONE;
+  private final UpstreamLatencyRatio serviceLatencyRatio;
   private Upstream upstream;
   private int reservedRequests;
   private int pendingPromptTokens;
@@ -111,9 +99,9 @@
 
   private final Deque<Long> sentAtMillis = new ArrayDeque<>();
 
-  UpstreamState(Upstream upstream, ServiceTimes serviceTimes) {
+  UpstreamState(Upstream upstream, UpstreamLatencyRatio serviceLatencyRatio) {
     this.upstream = Objects.requireNonNull(upstream, "upstream is null");
-    this.serviceTimes = Objects.requireNonNull(serviceTimes, "serviceTimes is null");
+    this.serviceLatencyRatio = serviceLatencyRatio;
   }
 
   /** Returns the upstream. */
@@ -173,12 +161,6 @@
   public void loadReported(UpstreamNotice.Load load, long nowMillis) {
     otherRequests = Math.max(0, load.running() + load.waiting() - sentRequests.size());
     otherRequestsAtMillis = nowMillis;
-    load.slowdown().ifPresent(factor -> slowdownStated(factor, nowMillis));
-  }
-
-  private void slowdownStated(double factor, long nowMillis) {
-    statedSlowdown = statedSlowdown.withStatement(factor, nowMillis);
-    serviceTimes.slowdownStated(factor, nowMillis);
   }
 
   /** Records whether a request failed through the upstream's fault. */
@@ -199,24 +181,7 @@
       return;
     }
     latencyRatio.recordAnswer(millis, predictedMillis, nowMillis);
-    serviceTimes.latencyRatio().recordAnswer(millis, predictedMillis, nowMillis);
-    recordWork(
-        LearnedSpeed.Work.BEGINNING, Math.max(1, millis) / Math.max(1, predictedMillis), nowMillis);
-  }
-
-  /** Records the time between two events of a stream. */
-  public void eventReceived(long millis, long nowMillis) {
-    if (millis >= MIN_EVENT_MILLIS) {
-      recordWork(LearnedSpeed.Work.NEXT_EVENT, millis, nowMillis);
-    }
-  }
-
-  /** Records a time unless the machine's momentary slowness is in it. */
-  private void recordWork(LearnedSpeed.Work work, double time, long nowMillis) {
-    if (!statedSlowdown.isSlowMoment(nowMillis)) {
-      learnedSpeed.record(work, time);
-      serviceTimes.speed().record(work, time);
-    }
+    serviceLatencyRatio.recordAnswer(millis, predictedMillis, nowMillis);
   }
 
   private double failureShare(long nowMillis) {
@@ -426,51 +391,13 @@
         isSilent(nowMillis));
   }
 
-  /**
-   * Returns the speed that a request sent now is expected to find, relative to the service's other
-   * upstreams.
-   */
+  /** Returns the speed measured by this entry or else the one that the other entries report. */
   private double speed(PeerReport.Load others, long nowMillis) {
-    double lasting = lastingSpeed(others.speedPercent() / PERCENT, nowMillis);
-    double moment = statedSlowdown.expectedFactor(nowMillis) / statedSlowdown.meanFactor();
-    return lasting / Math.max(1, moment);
-  }
-
-  /**
-   * Returns the speed without momentary slowness that is stated.
-   *
-   * @param othersSpeed mean of what the other entries report; 0 if unknown
-   */
-  private double lastingSpeed(double othersSpeed, long nowMillis) {
-    double sudden = latencyRatio.relativeSpeed(serviceTimes.latencyRatio(), nowMillis);
-    if (sudden > 0 && sudden < 1) {
-      return sudden;
-    }
-    OptionalDouble learned = learnedSpeed.relativeTo(serviceTimes.speed());
-    if (learned.isPresent()) {
-      return othersSpeed > 0
-          ? Math.sqrt(learned.getAsDouble() * othersSpeed)
-          : learned.getAsDouble();
-    }
-    boolean disproved = sudden > 0 && othersSpeed < MIN_LASTING_SPEED;
-    double stated = serviceTimes.meanSlowdown() / statedSlowdown.meanFactor();
-    return othersSpeed > 0 && !disproved ? othersSpeed : statedSlowdown.isKnown() ? stated : 1;
-  }
-
-  /**
-   * Returns the speed to report to the other entries, in percent; 0 if there is nothing to report.
-   * Of an upstream without requests, only sudden slowness is reported, so that the report does not
-   * grow with the number of upstreams.
-   */
-  private int reportedSpeedPercent(long nowMillis) {
-    double sudden = latencyRatio.relativeSpeed(serviceTimes.latencyRatio(), nowMillis);
-    boolean slow = sudden > 0 && sudden < 1;
-    if (slow) {
-      return (int) Math.round(sudden * PERCENT);
+    double own = latencyRatio.relativeSpeed(serviceLatencyRatio, nowMillis);
+    if (own > 0) {
+      return own;
     }
-    return sentRequests.isEmpty()
-        ? 0
-        : (int) Math.round(learnedSpeed.relativeTo(serviceTimes.speed()).orElse(sudden) * PERCENT);
+    return others.speedPercent() > 0 ? others.speedPercent() / PERCENT : 1;
   }
 
   int tightStreams() {
@@ -480,12 +407,15 @@
   /** Returns this entry's own load on the upstream, to report to the other entries. */
   PeerReport.Load ownLoad(long nowMillis) {
     int failurePercent = (int) Math.round(failureShare(nowMillis) * PERCENT);
+    int speedPercent =
+        (int) Math.round(latencyRatio.relativeSpeed(serviceLatencyRatio, nowMillis) * PERCENT);
+    boolean usualSpeed = sentRequests.isEmpty() && speedPercent == PERCENT;
     return new PeerReport.Load(
         sentRequests.size(),
         Math.max(0, pendingPromptTokens),
         tightStreams,
         failurePercent,
-        reportedSpeedPercent(nowMillis));
+        usualSpeed ? 0 : speedPercent);
   }
 
   private int estimatedOtherRequests(long nowMillis) {
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
@@ -5,12 +5,19 @@
 import java.util.function.Consumer;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
+import org.limpetvale.core.placement.UpstreamLatencyRatio;
 import org.limpetvale.forward.peer.PeerReport;
 
 /**
  * The states of all upstream processes that this entry knows. Must only be used on the event loop.
  */
 public final class UpstreamStates {
+  /**
+   * Number of responses after which the weight of an earlier one in the latency ratio has fallen to
+   * a third.
+   */
+  private static final double LATENCY_RATIO_SAMPLES = 200;
+
   /** Time for which the state of an upstream is kept after it was last in the view. */
   private static final long RETENTION_MILLIS = 60_000;
 
@@ -19,8 +26,8 @@
   /** When the upstreams that are not in the view were first missing, by id. */
   private final Map<String, Long> missingSinceMillis = new HashMap<>();
 
-  /** The times over all upstreams of a service, by service. */
-  private final Map<String, ServiceTimes> serviceTimes = new HashMap<>();
+  /** The latency ratio of all upstreams of a service together, by service. */
+  private final Map<String, UpstreamLatencyRatio> latencyRatios = new HashMap<>();
 
   private UpstreamStates() {}
 
@@ -36,9 +43,10 @@
       known.updateDescription(upstream);
       return known;
     }
-    ServiceTimes times =
-        serviceTimes.computeIfAbsent(upstream.service(), name -> new ServiceTimes());
-    UpstreamState fresh = new UpstreamState(upstream, times);
+    UpstreamLatencyRatio latencyRatio =
+        latencyRatios.computeIfAbsent(
+            upstream.service(), name -> UpstreamLatencyRatio.empty(LATENCY_RATIO_SAMPLES));
+    UpstreamState fresh = new UpstreamState(upstream, latencyRatio);
     states.put(upstream.id(), fresh);
     return fresh;
   }
--- a/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/Attempt.java
@@ -312,7 +312,6 @@
     }
     if (lastContentMillis > 0 && isModelRequest()) {
       engines.notePause(upstream, lastActivityMillis - lastContentMillis);
-      state.eventReceived(lastActivityMillis - lastContentMillis, lastActivityMillis);
     } else if (lastContentMillis == 0) {
       recordFirstContent(lastActivityMillis - startedMillis);
     }
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
@@ -76,7 +76,6 @@
         field("costMillis", choice.costMillis()),
         field("requestsThere", choice.load().totalRequests()),
         field("pendingTokens", choice.load().pendingPromptTokens()),
-        field("relativeSpeed", choice.load().relativeSpeed()),
         field("promptTokens", head.shape().promptTokens()),
         field("waitedMillis", waitedMillis),
         field("cachedTokens", choice.load().cachedTokens()),
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
@@ -3,12 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.forward.peer.PeerReport;
-import org.limpetvale.forward.spi.UpstreamNotice;
 
 final class UpstreamStateTest {
   private final UpstreamState state =
@@ -104,60 +102,6 @@
     assertThat(speed(state, Optional.of(others), 1_000)).isEqualTo(0.25);
   }
 
-  /** Two of three upstreams make an event every 30 ms, the third one takes 50 ms. */
-  @Test
-  void aLastingDifferenceOfSpeedIsLearnedFromTheEventsOfStreams() {
-    UpstreamStates book = UpstreamStates.empty();
-    for (int i = 0; i < 50; i++) {
-      state(book, "a").eventReceived(30, 30L * i);
-      state(book, "b").eventReceived(30, 30L * i);
-      state(book, "slow").eventReceived(50, 30L * i);
-    }
-    assertThat(speed(state(book, "slow"), Optional.empty(), 1_500)).isBetween(0.55, 0.75);
-    assertThat(speed(state(book, "a"), Optional.empty(), 1_500)).isEqualTo(1);
-    assertThat(book.ownLoads(1_500)).as("nothing to tell without requests").isEmpty();
-    state(book, "slow").requestSent(REQUEST, 0, false);
-    assertThat(book.ownLoads(1_500).get("slow").speedPercent()).isBetween(55, 75);
-  }
-
-  private static final UpstreamState.SentRequest REQUEST =
-      new UpstreamState.SentRequest() {
-        @Override
-        public long lastActivityMillis() {
-          return 1_500;
-        }
-
-        @Override
-        public long silenceTimeoutMillis() {
-          return 1_000;
-        }
-      };
-
-  private static void slowdownStated(UpstreamState state, double factor, long nowMillis) {
-    state.loadReported(new UpstreamNotice.Load(1, 0, 8, OptionalDouble.of(factor)), nowMillis);
-  }
-
-  @Test
-  void aStatedMomentOfSlownessCountsForAMomentAndNotForTheLearnedSpeed() {
-    UpstreamStates book = UpstreamStates.empty();
-    for (int i = 0; i < 50; i++) {
-      slowdownStated(state(book, "a"), 1, 30L * i);
-      state(book, "a").eventReceived(30, 30L * i);
-    }
-    UpstreamState moment = state(book, "moment");
-    slowdownStated(moment, 1, 1_400);
-    for (int i = 0; i < 20; i++) {
-      slowdownStated(moment, 1, 1_450);
-    }
-    slowdownStated(moment, 2.5, 1_500);
-    for (int i = 0; i < 20; i++) {
-      moment.eventReceived(75, 1_510);
-    }
-    assertThat(speed(moment, Optional.empty(), 1_500)).isBetween(0.35, 0.5);
-    assertThat(speed(moment, Optional.empty(), 2_500)).isGreaterThan(0.9);
-    assertThat(book.ownLoads(2_500)).doesNotContainKey("moment");
-  }
-
   @Test
   void failuresAreReportedToOtherEntriesWithoutRequestsInProgress() {
     UpstreamStates book = UpstreamStates.empty();
