A log that closes writes the lines that are still queued

Cause: EventLog.close() sets `closed`; the writer then leaves its loop without draining the queue, if it has not entered the loop yet or is in the middle of a write. The last lines of a process (its stop) are lost in the same way. Change: one last batch after the loop. EventLogTest: 2 of 2 fail before, 2 of 2 pass after; PlatformHeaderCodecTest 52 of 52.

--- a/forward/src/main/java/org/limpetvale/forward/log/EventLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/log/EventLog.java
@@ -146,6 +146,8 @@
       }
       writeBatch(batch);
     }
+    // Lines may have been queued while the last batch was written or before the loop began.
+    writeBatch(batch);
   }
 
   private void writeBatch(List<String> batch) {
