--- a/sidecar/src/test/java/org/limpetvale/sidecar/CutServiceAnswerTest.java
+++ b/sidecar/src/test/java/org/limpetvale/sidecar/CutServiceAnswerTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.limpetvale.ports.time.ThreadTimerService;
 import org.limpetvale.wire.Open;
 import org.limpetvale.wire.RunEvent;
@@ -86,6 +88,16 @@
     assertThat(events).anyMatch(RunEvent::hasServiceAnswer);
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "0", "20", "099", "600", "999", "1000"})
+  void anAnswerWithAStatusThatDoesNotExistIsNotPassedOn(String status) {
+    answer = "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\n{}";
+    RunEvent last = run();
+    assertThat(last.hasFailed()).isTrue();
+    assertThat(last.getFailed().getUpstreamCrashed()).isFalse();
+    assertThat(events).noneMatch(RunEvent::hasServiceAnswer);
+  }
+
   @Test
   void aSizedAnswerThatIsCutOffAnywhereIsNotPassedOn() {
     String whole = "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"booking\":1}";
--- a/sidecar/src/test/java/org/limpetvale/sidecar/EngineErrorEndsStreamAsCompleteTest.java
+++ b/sidecar/src/test/java/org/limpetvale/sidecar/EngineErrorEndsStreamAsCompleteTest.java
@@ -145,4 +145,12 @@
     assertThat(run(STREAM_HEAD + TOKEN + last + DONE).hasFinished()).isTrue();
     assertThat(events).hasSize(2);
   }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "99", "600"})
+  void anAnswerWithAStatusThatDoesNotExistEndsTheAttemptAsFailed(String status) {
+    RunEvent last = run("HTTP/1.1 " + status + " OK\r\nConnection: close\r\n\r\n" + TOKEN + DONE);
+    assertThat(last.hasFailed()).isTrue();
+    assertThat(events).noneMatch(RunEvent::hasFinished);
+  }
 }
