--- a/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
+++ b/core/src/main/java/org/limpetvale/core/admission/BacklogLimit.java
@@ -48,7 +48,8 @@
     int uncachedTokens = choice.load().uncachedTokens(promptTokens);
     boolean urgent = route.targetLatencyMillis() <= URGENT_TARGET_MILLIS;
     double maxTokens =
-        model.prefillTokensWithin(urgent ? URGENT_BACKLOG_MILLIS : NORMAL_BACKLOG_MILLIS);
+        choice.load().relativeSpeed()
+            * model.prefillTokensWithin(urgent ? URGENT_BACKLOG_MILLIS : NORMAL_BACKLOG_MILLIS);
     int ownPending = choice.load().ownPendingPromptTokens();
     return pending + uncachedTokens <= maxTokens
         && (ownPending == 0 || ownPending + uncachedTokens <= MAX_OWN_SHARE * maxTokens);
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -155,7 +155,7 @@
   }
 
   private static double reliabilityPenaltyMillis(UpstreamLoad load) {
-    double slowMillis = (1 / load.relativeSpeed() - 1) * HALF_SPEED_PENALTY_MILLIS;
+    double slowMillis = Math.max(0, 1 / load.relativeSpeed() - 1) * HALF_SPEED_PENALTY_MILLIS;
     return slowMillis
         + load.failureRate() * FAILURE_PENALTY_MILLIS
         + (load.unresponsive() ? UNRESPONSIVE_PENALTY_MILLIS : 0);
@@ -191,11 +191,14 @@
       int uncachedTokens) {
     double backlogTokens = (double) load.pendingPromptTokens() + uncachedTokens;
     if (request.tightGap()) {
-      double toleratedTokens = model.prefillTokensWithinGap(request.route().targetGapMillis());
+      double toleratedTokens =
+          load.relativeSpeed() * model.prefillTokensWithinGap(request.route().targetGapMillis());
       return backlogTokens > toleratedTokens ? MISSED_GAP_PENALTY_MILLIS : 0;
     }
     double toleratedTokens =
-        ADDED_BACKLOG_SHARE * model.prefillTokensWithinGap(pools.shortestGapMillis());
+        ADDED_BACKLOG_SHARE
+            * load.relativeSpeed()
+            * model.prefillTokensWithinGap(pools.shortestGapMillis());
     return backlogTokens > toleratedTokens
         ? DELAYED_STREAM_PENALTY_MILLIS * load.tightStreams()
         : 0;
--- a/core/src/main/java/org/limpetvale/core/placement/ServicePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/ServicePlacement.java
@@ -41,8 +41,9 @@
   private static Choice score(String zone, UpstreamLoad load) {
     int slots = Math.max(1, load.upstream().slots());
     double rounds = Math.max(0, load.totalRequests() + 1.0 - slots) / slots;
-    double predictedMillis = TYPICAL_CALL_MILLIS * (1 + rounds) / load.relativeSpeed();
-    double costMillis = predictedMillis + TYPICAL_CALL_MILLIS * load.totalRequests() / slots;
+    double roundMillis = TYPICAL_CALL_MILLIS / load.relativeSpeed();
+    double predictedMillis = roundMillis * (1 + rounds);
+    double costMillis = predictedMillis + roundMillis * load.totalRequests() / slots;
     costMillis +=
         load.failureRate() * FAILURE_PENALTY_MILLIS
             + (load.unresponsive() ? UNRESPONSIVE_PENALTY_MILLIS : 0);
--- a/core/src/main/java/org/limpetvale/core/placement/TightGapTargets.java
+++ b/core/src/main/java/org/limpetvale/core/placement/TightGapTargets.java
@@ -31,6 +31,9 @@
   /** Missed targets up to this multiple of the shortest one also count as tight. */
   private static final double NEAR_SHORTEST_FACTOR = 1.25;
 
+  /** A target of at least this multiple of another one is much longer. */
+  private static final double MUCH_LONGER_FACTOR = 2;
+
   /** Time after which a target without requests is removed. */
   private static final long RETENTION_MILLIS = 10_000;
 
@@ -59,11 +62,22 @@
     Rating before = targets.get(targetGapMillis);
     boolean wasExceeded = before != null && before.exceeded();
     boolean exceeded =
-        model.exceedsGapTarget(targetGapMillis, wasExceeded ? LEAVE_SHARE : ENTER_SHARE);
+        model.readingPauseMillis() > 0
+            ? model.exceedsGapTarget(targetGapMillis, wasExceeded ? LEAVE_SHARE : ENTER_SHARE)
+            : isMuchShorterThanOthers(targetGapMillis);
     targets.put(targetGapMillis, new Rating(exceeded, nowMillis));
     return exceeded && targetGapMillis <= NEAR_SHORTEST_FACTOR * shortestTightMillis(nowMillis);
   }
 
+  /**
+   * Returns whether a target is far shorter than another one of the service. Streams that bear that
+   * much longer pauses bring longer prompts, so that it is taken for missed until the pauses are
+   * known: a burst in the first seconds would cause them.
+   */
+  private boolean isMuchShorterThanOthers(long targetGapMillis) {
+    return targets.keySet().stream().anyMatch(each -> each >= MUCH_LONGER_FACTOR * targetGapMillis);
+  }
+
   /** Returns the shortest recently used target that the engines miss, or 0 if there is none. */
   public long shortestTightMillis(long nowMillis) {
     targets.values().removeIf(each -> nowMillis - each.requestedAtMillis() > RETENTION_MILLIS);
--- a/core/src/main/java/org/limpetvale/core/placement/UpstreamLoad.java
+++ b/core/src/main/java/org/limpetvale/core/placement/UpstreamLoad.java
@@ -16,7 +16,8 @@
  * @param cachedTokens tokens of the request's prompt that are expected in the upstream's cache
  * @param affinityRank rank of the upstream for the request's prefix in the preference order that
  *     all entries share; 0 is the first
- * @param relativeSpeed speed relative to the other upstreams of the service; 1 is the usual speed
+ * @param relativeSpeed speed relative to the usual one of the service's upstreams, which is 1;
+ *     above 1 for a faster machine
  * @param failureRate fraction of recent requests that failed
  * @param unresponsive whether the upstream has left requests unanswered for longer than its peers
  *     ever do
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -221,6 +222,62 @@
     assertThat(EnginePools.split(small, 96, 150).tightPoolIds()).hasSize(6);
   }
 
+  @Test
+  void theTightPoolTakesTheFastestEngines() {
+    List<Upstream> engines = upstreams(13);
+    Map<String, Double> speeds = Map.of("u4", 1.6, "u9", 1.55, "u11", 0.6);
+    assertThat(EnginePools.split(engines, 40, 150, speeds).tightPoolIds())
+        .containsExactlyInAnyOrder("u4", "u9");
+    assertThat(EnginePools.split(engines, 1_000, 150, speeds).tightPoolIds())
+        .hasSize(5)
+        .contains("u4", "u9")
+        .doesNotContain("u11");
+  }
+
+  @Test
+  void speedsThatDifferLittleLeaveTheTightPoolAsItIs() {
+    List<Upstream> engines = upstreams(13);
+    Map<String, Double> speeds = Map.of("u0", 1.15, "u5", 0.9);
+    assertThat(EnginePools.split(engines, 100, 150, speeds))
+        .isEqualTo(EnginePools.split(engines, 100, 150));
+  }
+
+  private static UpstreamLoad loadAtSpeed(Upstream upstream, int pendingTokens, double speed) {
+    return new UpstreamLoad(upstream, 0, 0, pendingTokens, 0, 0, 0, 1, speed, 0, false);
+  }
+
+  /**
+   * A burst of 36 equal long prompts meets engines of three speeds, of which each entry knows the
+   * prompts that it has placed.
+   */
+  @Test
+  void aBurstOfLongPromptsIsSpreadAsTheSpeedsOfTheEnginesAllow() {
+    List<Double> speeds = List.of(0.6, 1.0, 1.6);
+    int[] pendingTokens = new int[3];
+    for (int i = 0; i < 36; i++) {
+      List<UpstreamLoad> candidates = new ArrayList<>();
+      for (int engine = 0; engine < 3; engine++) {
+        candidates.add(
+            loadAtSpeed(upstream("u" + engine, "z"), pendingTokens[engine], speeds.get(engine)));
+      }
+      Choice choice = choose(LOOSE, prompt(0, 2_000), NO_POOLS, true, candidates).orElseThrow();
+      pendingTokens[Integer.parseInt(choice.upstream().id().substring(1))] += 2_000;
+    }
+    double slowMillis = pendingTokens[0] / 0.6;
+    double fastMillis = pendingTokens[2] / 1.6;
+    assertThat(pendingTokens[2]).isGreaterThan(2 * pendingTokens[0]);
+    assertThat(fastMillis).isBetween(0.7 * slowMillis, 1.5 * slowMillis);
+  }
+
+  @Test
+  void aFasterEngineBearsALargerBacklogBesideShortGapStreams() {
+    UpstreamLoad usual = loadAtSpeed(upstream("usual", "z"), 6_000, 1);
+    UpstreamLoad fast = loadAtSpeed(upstream("fast", "z"), 6_000, 2);
+    PlacementRequest request = new PlacementRequest(TIGHT, prompt(0, 500), "z", true, false);
+    assertThat(hasMissedGapPenalty(request, MODEL, usual)).isTrue();
+    assertThat(hasMissedGapPenalty(request, MODEL, fast)).isFalse();
+  }
+
   @Test
   void aLargerTightPoolContainsTheSmallerOne() {
     List<Upstream> engines = upstreams(13);
--- a/core/src/test/java/org/limpetvale/core/placement/TightGapTargetsTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/TightGapTargetsTest.java
@@ -37,6 +37,16 @@
     assertThat(isTight(1, EngineModel.DEFAULT)).isFalse();
   }
 
+  /** A burst of long prompts in the first seconds, before any stream has shown a pause. */
+  @Test
+  void beforeAnyPauseIsKnownTheShortestOfVeryDifferentTargetsIsTight() {
+    TightGapTargets targets = TightGapTargets.empty();
+    assertThat(targets.isTight(1_200, EngineModel.DEFAULT, 0)).isFalse();
+    assertThat(targets.isTight(300, EngineModel.DEFAULT, 0)).isTrue();
+    assertThat(targets.isTight(500, EngineModel.DEFAULT, 0)).isFalse();
+    assertThat(targets.isTight(300, reading(180), 1)).as("once pauses are known").isFalse();
+  }
+
   @Test
   void aTargetNearTheLimitDoesNotChangeWithEachEstimate() {
     TightGapTargets targets = TightGapTargets.empty();
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReport.java
@@ -86,6 +86,9 @@
   private static final String CONFIG_VERSION = "g";
   private static final long NO_CONFIG = -1;
 
+  /** Position of an upstream's stated speed in its load, which earlier versions do not write. */
+  private static final int STATED_SPEED_INDEX = 5;
+
   /** Stands for a limit that has ended. */
   private static final double NO_LIMIT = -1;
 
@@ -97,15 +100,28 @@
    * @param tightStreams number of streams with a short gap target
    * @param failurePercent share of recent requests that failed through the upstream's fault
    * @param speedPercent speed of the upstream relative to the others of its service; 0 if unknown
+   * @param statedSpeedPercent lasting speed of its machine relative to the usual one, as it states
+   *     itself; 0 if unknown
    */
   public record Load(
       int requests,
       int pendingPromptTokens,
       int tightStreams,
       int failurePercent,
-      int speedPercent) {
+      int speedPercent,
+      int statedSpeedPercent) {
     /** No load on an upstream without failures. */
-    public static final Load NONE = new Load(0, 0, 0, 0, 0);
+    public static final Load NONE = new Load(0, 0, 0, 0, 0, 0);
+
+    /** Creates the load on an upstream that has stated no speed. */
+    public Load(
+        int requests,
+        int pendingPromptTokens,
+        int tightStreams,
+        int failurePercent,
+        int speedPercent) {
+      this(requests, pendingPromptTokens, tightStreams, failurePercent, speedPercent, 0);
+    }
   }
 
   /**
@@ -175,15 +191,7 @@
           counts.forEach(inner::put);
         });
     ObjectNode upstreams = node.putObject(LOADS);
-    loads.forEach(
-        (id, load) ->
-            upstreams
-                .putArray(id)
-                .add(load.requests())
-                .add(load.pendingPromptTokens())
-                .add(load.tightStreams())
-                .add(load.failurePercent())
-                .add(load.speedPercent()));
+    loads.forEach((id, load) -> putLoad(upstreams.putArray(id), load));
     if (!placements.isEmpty()) {
       putLists(node.putObject(PLACEMENTS), placements);
     }
@@ -200,6 +208,18 @@
     return node.toString();
   }
 
+  private static void putLoad(ArrayNode array, Load load) {
+    array
+        .add(load.requests())
+        .add(load.pendingPromptTokens())
+        .add(load.tightStreams())
+        .add(load.failurePercent())
+        .add(load.speedPercent());
+    if (load.statedSpeedPercent() > 0) {
+      array.add(load.statedSpeedPercent());
+    }
+  }
+
   /** Parses a report; empty if the text is not a valid report. */
   public static Optional<PeerReport> parse(String json) {
     try {
@@ -381,7 +401,8 @@
               count(values.path(1), LOADS),
               count(values.path(2), LOADS),
               count(values.path(3), LOADS),
-              count(values.path(4), LOADS)));
+              count(values.path(4), LOADS),
+              values.has(STATED_SPEED_INDEX) ? count(values.path(STATED_SPEED_INDEX), LOADS) : 0));
     }
     return loads;
   }
--- a/forward/src/main/java/org/limpetvale/forward/peer/PeerReports.java
+++ b/forward/src/main/java/org/limpetvale/forward/peer/PeerReports.java
@@ -161,6 +161,8 @@
     private int reporters;
     private int speedPercentSum;
     private int speedReporters;
+    private int statedSpeedPercentSum;
+    private int statedSpeedReporters;
 
     void add(PeerReport.Load load) {
       requests += load.requests();
@@ -170,6 +172,8 @@
       reporters++;
       speedPercentSum += load.speedPercent();
       speedReporters += load.speedPercent() > 0 ? 1 : 0;
+      statedSpeedPercentSum += load.statedSpeedPercent();
+      statedSpeedReporters += load.statedSpeedPercent() > 0 ? 1 : 0;
     }
 
     PeerReport.Load load() {
@@ -178,7 +182,8 @@
           pendingPromptTokens,
           tightStreams,
           failurePercentSum / reporters,
-          speedReporters == 0 ? 0 : speedPercentSum / speedReporters);
+          speedReporters == 0 ? 0 : speedPercentSum / speedReporters,
+          statedSpeedReporters == 0 ? 0 : statedSpeedPercentSum / statedSpeedReporters);
     }
   }
 
--- a/forward/src/main/java/org/limpetvale/forward/place/EngineProfiles.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/EngineProfiles.java
@@ -28,8 +28,8 @@
  * they split the engines into the same pools.
  */
 public final class EngineProfiles {
-  /** Time for which a computed median is cached. */
-  private static final long MEDIAN_CACHE_MILLIS = 250;
+  /** Time for which computed medians and the speeds of the engines are cached. */
+  private static final long CACHE_MILLIS = 250;
 
   private final PeerReports peers;
   private final TimerService timer;
@@ -47,6 +47,8 @@
     private EngineModel model = EngineModel.DEFAULT;
     private long modelUntilMillis = Long.MIN_VALUE;
     private EnginePools pools = EnginePools.UNSPLIT;
+    private Map<String, Double> unusualSpeeds = Map.of();
+    private long speedsUntilMillis = Long.MIN_VALUE;
 
     /** Inputs of the current pools; null while there are no pools. */
     private Split split;
@@ -69,7 +71,7 @@
     long nowMillis = timer.nowMillis();
     if (nowMillis >= profile.modelUntilMillis) {
       profile.model = median(service, profile);
-      profile.modelUntilMillis = nowMillis + MEDIAN_CACHE_MILLIS;
+      profile.modelUntilMillis = nowMillis + CACHE_MILLIS;
     }
     return profile.model;
   }
@@ -101,8 +103,14 @@
   /**
    * Splits the engines of a service into pools, sized by the number of streams with short gap
    * targets.
+   *
+   * @param lastingSpeed returns the speed of an engine relative to the usual one
    */
-  EnginePools split(String service, List<Upstream> engines, double tightStreams) {
+  EnginePools split(
+      String service,
+      List<Upstream> engines,
+      double tightStreams,
+      ToDoubleFunction<Upstream> lastingSpeed) {
     ServiceProfile profile = service(service);
     long shortestMillis = profile.gaps.shortestTightMillis(timer.nowMillis());
     if (shortestMillis <= 0) {
@@ -110,29 +118,45 @@
       profile.split = null;
       return profile.pools;
     }
-    Split split = new Split(engines, Math.ceil(tightStreams), shortestMillis);
-    if (!split.hasSameInputs(profile.split)) {
-      profile.pools = EnginePools.split(engines, split.streams(), shortestMillis);
+    Split split =
+        new Split(
+            engines,
+            Math.ceil(tightStreams),
+            shortestMillis,
+            unusualSpeeds(profile, engines, lastingSpeed));
+    if (!split.equals(profile.split)) {
+      profile.pools =
+          EnginePools.split(engines, split.streams(), shortestMillis, split.unusualSpeeds());
       profile.split = split;
     }
     return profile.pools;
   }
 
-  /** The inputs of a split into pools. */
-  private record Split(List<Upstream> engines, double streams, long shortestMillis) {
-    /**
-     * Compares the engine lists by identity: a fleet view returns the same list for as long as it
-     * is valid.
-     */
-    @SuppressWarnings("ReferenceEquality")
-    boolean hasSameInputs(Split other) {
-      return other != null
-          && engines == other.engines
-          && streams == other.streams
-          && shortestMillis == other.shortestMillis;
+  /** Returns the speeds of the engines that are not of the usual one, from time to time anew. */
+  private Map<String, Double> unusualSpeeds(
+      ServiceProfile profile, List<Upstream> engines, ToDoubleFunction<Upstream> lastingSpeed) {
+    long nowMillis = timer.nowMillis();
+    if (nowMillis >= profile.speedsUntilMillis) {
+      Map<String, Double> speeds = new HashMap<>();
+      for (Upstream engine : engines) {
+        double speed = lastingSpeed.applyAsDouble(engine);
+        if (speed != 1) {
+          speeds.put(engine.id(), speed);
+        }
+      }
+      profile.unusualSpeeds = Map.copyOf(speeds);
+      profile.speedsUntilMillis = nowMillis + CACHE_MILLIS;
     }
+    return profile.unusualSpeeds;
   }
 
+  /** The inputs of a split into pools. */
+  private record Split(
+      List<Upstream> engines,
+      double streams,
+      long shortestMillis,
+      Map<String, Double> unusualSpeeds) {}
+
   /**
    * Returns the models measured by this entry alone, by service, to report to the other entries.
    */
--- a/forward/src/main/java/org/limpetvale/forward/place/Placer.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/Placer.java
@@ -311,14 +311,22 @@
   }
 
   private UpstreamLoad load(Upstream upstream, int cachedTokens, int affinityRank, long nowMillis) {
-    Optional<PeerReport.Load> others =
-        peers.hasFreshReport() ? Optional.of(peers.peerLoad(upstream.id())) : Optional.empty();
-    return loads.state(upstream).load(cachedTokens, affinityRank, others, nowMillis);
+    return loads.state(upstream).load(cachedTokens, affinityRank, peerLoad(upstream), nowMillis);
+  }
+
+  /** Returns the load of the other entries on an upstream; empty without a fresh report. */
+  private Optional<PeerReport.Load> peerLoad(Upstream upstream) {
+    return peers.hasFreshReport() ? Optional.of(peers.peerLoad(upstream.id())) : Optional.empty();
+  }
+
+  private double lastingSpeed(Upstream upstream) {
+    return loads.state(upstream).lastingSpeed(peerLoad(upstream).orElse(PeerReport.Load.NONE));
   }
 
   private EnginePools pools(String service, List<Upstream> ready) {
     int now = loads.tightStreams() + peers.tightStreams();
-    return engines.split(service, ready, tightStreams.update(now, timer.nowMillis()));
+    return engines.split(
+        service, ready, tightStreams.update(now, timer.nowMillis()), this::lastingSpeed);
   }
 
   /**
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -12,6 +12,7 @@
 import org.limpetvale.core.limit.LimitNotice;
 import org.limpetvale.core.limit.OwnTurns;
 import org.limpetvale.core.limit.SendTurns;
+import org.limpetvale.core.placement.StatedSpeed;
 import org.limpetvale.core.placement.UpstreamLatencyRatio;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.forward.peer.PeerReport;
@@ -40,6 +41,9 @@
   /** Time for which sends are remembered; the longest turn of a limit is not longer. */
   private static final long SEND_MEMORY_MILLIS = 10_000;
 
+  /** Time since its last statement for which a stated speed is reported to the other entries. */
+  private static final long REPORTED_SPEED_MILLIS = 4_000;
+
   /** Time for which sends count as recent in the log. */
   private static final long RECENT_SENDS_MILLIS = 4_000;
 
@@ -67,6 +71,7 @@
   private final UpstreamLatencyRatio latencyRatio =
       UpstreamLatencyRatio.empty(LATENCY_RATIO_SAMPLES);
   private final UpstreamLatencyRatio serviceLatencyRatio;
+  private final StatedSpeed statedSpeed = StatedSpeed.empty();
   private Upstream upstream;
   private int reservedRequests;
   private int pendingPromptTokens;
@@ -161,6 +166,7 @@
   public void loadReported(UpstreamNotice.Load load, long nowMillis) {
     otherRequests = Math.max(0, load.running() + load.waiting() - sentRequests.size());
     otherRequestsAtMillis = nowMillis;
+    load.slowdown().ifPresent(factor -> statedSpeed.recordSlowdown(factor, nowMillis));
   }
 
   /** Records whether a request failed through the upstream's fault. */
@@ -376,7 +382,7 @@
   UpstreamLoad load(
       int cachedTokens, int affinityRank, Optional<PeerReport.Load> peers, long nowMillis) {
     PeerReport.Load others =
-        peers.orElse(new PeerReport.Load(estimatedOtherRequests(nowMillis), 0, 0, 0, 0));
+        peers.orElse(new PeerReport.Load(estimatedOtherRequests(nowMillis), 0, 0, 0, 0, 0));
     return new UpstreamLoad(
         upstream,
         sentRequests.size() + reservedRequests,
@@ -391,13 +397,29 @@
         isSilent(nowMillis));
   }
 
-  /** Returns the speed measured by this entry or else the one that the other entries report. */
+  /**
+   * Returns the speed relative to the usual one: the lasting one that the upstream states, or the
+   * measured one if it has become clearly slower. The measured times include the lasting speed, so
+   * that the two are not multiplied.
+   */
   private double speed(PeerReport.Load others, long nowMillis) {
-    double own = latencyRatio.relativeSpeed(serviceLatencyRatio, nowMillis);
-    if (own > 0) {
-      return own;
+    double lasting = lastingSpeed(others);
+    double measured = latencyRatio.relativeSpeed(serviceLatencyRatio, nowMillis);
+    double measuredOrReported = measured > 0 ? measured : others.speedPercent() / PERCENT;
+    boolean clearlySlower = measuredOrReported > 0 && measuredOrReported < 1;
+    return clearlySlower ? Math.min(measuredOrReported, lasting) : lasting;
+  }
+
+  /**
+   * Returns the lasting speed of the upstream's machine relative to the usual one, as the upstream
+   * states it to this entry or else to the others.
+   */
+  double lastingSpeed(PeerReport.Load others) {
+    double stated = statedSpeed.relativeSpeed();
+    if (stated > 0) {
+      return stated;
     }
-    return others.speedPercent() > 0 ? others.speedPercent() / PERCENT : 1;
+    return others.statedSpeedPercent() > 0 ? others.statedSpeedPercent() / PERCENT : 1;
   }
 
   int tightStreams() {
@@ -409,13 +431,17 @@
     int failurePercent = (int) Math.round(failureShare(nowMillis) * PERCENT);
     int speedPercent =
         (int) Math.round(latencyRatio.relativeSpeed(serviceLatencyRatio, nowMillis) * PERCENT);
+    boolean statedLately = statedSpeed.isStatedSince(nowMillis - REPORTED_SPEED_MILLIS);
+    int statedSpeedPercent =
+        statedLately ? (int) Math.round(statedSpeed.relativeSpeed() * PERCENT) : 0;
     boolean usualSpeed = sentRequests.isEmpty() && speedPercent == PERCENT;
     return new PeerReport.Load(
         sentRequests.size(),
         Math.max(0, pendingPromptTokens),
         tightStreams,
         failurePercent,
-        usualSpeed ? 0 : speedPercent);
+        usualSpeed ? 0 : speedPercent,
+        statedSpeedPercent);
   }
 
   private int estimatedOtherRequests(long nowMillis) {
--- a/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/peer/PeerReportsTest.java
@@ -88,6 +88,22 @@
     assertThat(PeerLink.periodMillis(340)).isEqualTo(900);
   }
 
+  /** Entries of an earlier version write loads without a stated speed. */
+  @Test
+  void theMeanOfTheSpeedsThatEntriesHeardStatedIsUsed() {
+    accept("a.1", "[2,0,0,0,0,160]");
+    accept("b.1", "[3,0,0,0,0,150]");
+    accept("c.1", "[1,0,0,0,0]");
+    assertThat(peerReports.peerLoad("u")).isEqualTo(new PeerReport.Load(6, 0, 0, 0, 0, 155));
+  }
+
+  private void accept(String writer, String load) {
+    String json = "{\"w\":\"" + writer + "\",\"n\":1,\"l\":{\"u\":" + load + "}}";
+    PeerReport report = PeerReport.parse(json).orElseThrow();
+    assertThat(PeerReport.parse(report.toJson())).contains(report);
+    peerReports.accept(report);
+  }
+
   @Test
   void freshLoadsOfTheOtherEntriesAreSummed() {
     peerReports.accept(report("a.1", 1, 0, 2));
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
@@ -1,12 +1,15 @@
 package org.limpetvale.forward.place;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.forward.peer.PeerReport;
+import org.limpetvale.forward.spi.UpstreamNotice;
 
 final class UpstreamStateTest {
   private final UpstreamState state =
@@ -42,6 +45,33 @@
     assertThat(failureShare(Optional.of(others), 1_000)).isEqualTo(0.6);
   }
 
+  private void answerStates(double slowdown, long nowMillis) {
+    state.loadReported(new UpstreamNotice.Load(1, 0, 8, OptionalDouble.of(slowdown)), nowMillis);
+  }
+
+  private double speed(Optional<PeerReport.Load> others, long nowMillis) {
+    return state.load(0, 0, others, nowMillis).relativeSpeed();
+  }
+
+  @Test
+  void theSpeedThatAnUpstreamStatesIsUsedAndReported() {
+    PeerReport.Load others = new PeerReport.Load(0, 0, 0, 0, 0, 160);
+    assertThat(speed(Optional.empty(), 0)).isEqualTo(1);
+    assertThat(speed(Optional.of(others), 0)).as("as the others heard it").isEqualTo(1.6);
+    answerStates(1.6, 1_000);
+    assertThat(speed(Optional.of(others), 1_000)).isCloseTo(0.625, within(0.05));
+    assertThat(state.ownLoad(2_000).statedSpeedPercent()).isBetween(57, 67);
+    assertThat(state.ownLoad(60_000).statedSpeedPercent()).as("long after").isZero();
+    assertThat(speed(Optional.empty(), 60_000)).as("long after").isCloseTo(0.625, within(0.05));
+  }
+
+  @Test
+  void anUpstreamThatTurnsSlowIsNotTakenForItsStatedSpeed() {
+    answerStates(0.6, 1_000);
+    PeerReport.Load others = new PeerReport.Load(0, 0, 0, 0, 30);
+    assertThat(speed(Optional.of(others), 1_000)).isEqualTo(0.3);
+  }
+
   /**
    * Guards against overloading an upstream: many requests can be placed while the connections of
    * the first ones are still being established.
