--- a/core/src/main/java/org/limpetvale/core/fleet/RouteTable.java
+++ b/core/src/main/java/org/limpetvale/core/fleet/RouteTable.java
@@ -4,19 +4,24 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** An immutable routing table that matches requests by host and longest path prefix. */
 public final class RouteTable {
-  private static final RouteTable EMPTY = new RouteTable(Map.of());
+  private static final RouteTable EMPTY = new RouteTable(Map.of(), Map.of());
 
   private final Map<String, List<Route>> byHost;
+  private final Map<String, Set<Long>> gapTargetsMillisByService;
 
-  private RouteTable(Map<String, List<Route>> byHost) {
+  private RouteTable(
+      Map<String, List<Route>> byHost, Map<String, Set<Long>> gapTargetsMillisByService) {
     this.byHost = byHost;
+    this.gapTargetsMillisByService = gapTargetsMillisByService;
   }
 
   /** Returns a table without routes. */
@@ -33,7 +38,26 @@
     Comparator<Route> longestFirst =
         Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
     byHost.values().forEach(list -> list.sort(longestFirst));
-    return new RouteTable(Map.copyOf(byHost));
+    return new RouteTable(Map.copyOf(byHost), gapTargets(routes));
+  }
+
+  private static Map<String, Set<Long>> gapTargets(Collection<Route> routes) {
+    Map<String, Set<Long>> byService = new HashMap<>();
+    for (Route route : routes) {
+      if (route.targetGapMillis() > 0) {
+        for (Route.Split split : route.splits()) {
+          byService
+              .computeIfAbsent(split.service(), name -> new HashSet<>())
+              .add(route.targetGapMillis());
+        }
+      }
+    }
+    return Map.copyOf(byService);
+  }
+
+  /** Returns the gap targets of the routes to a service, without those that have none. */
+  public Set<Long> gapTargetsMillis(String service) {
+    return gapTargetsMillisByService.getOrDefault(service, Set.of());
   }
 
   /**
--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -67,6 +67,9 @@
   /** Cost of an engine of half the usual speed, because a stream's events take longer there. */
   private static final double HALF_SPEED_PENALTY_MILLIS = 200;
 
+  /** Speed up to which an engine counts as clearly slower than usual. */
+  private static final double CLEARLY_SLOWER_SPEED = 0.5;
+
   private static final double UNRESPONSIVE_PENALTY_MILLIS = 5_000;
   private static final double FAILURE_PENALTY_MILLIS = 2_000;
 
@@ -128,12 +131,15 @@
       PlacementRequest request, EngineModel model, EnginePools pools, UpstreamLoad load) {
     PromptShape shape = request.shape();
     int uncached = load.uncachedTokens(shape.promptTokens());
-    double ownMillis =
-        prefillMillis(model, shape.promptTokens(), load.cachedTokens()) / load.relativeSpeed();
-    double predictedMillis = BASE_LATENCY_MILLIS + queueMillis(model, load) + ownMillis;
+    double readingMillis =
+        prefillMillis(model, shape.promptTokens(), load.cachedTokens())
+            + load.pendingPromptTokens() / model.prefillTokensPerMilli();
+    double predictedMillis =
+        BASE_LATENCY_MILLIS + slotMillis(load) + readingMillis / load.relativeSpeed();
     double costMillis =
         predictedMillis
-            + reliabilityPenaltyMillis(load)
+            + keptSpeedMillis(request, pools, load, readingMillis)
+            + reliabilityPenaltyMillis(request, load)
             + poolPenaltyMillis(request, model, pools, load, uncached)
             + gapPenaltyMillis(request, model, pools, load, uncached);
     boolean urgentOnPreferred = !request.canWait() && load.affinityRank() <= 1;
@@ -145,17 +151,33 @@
     return Choice.of(load.upstream(), predictedMillis, costMillis, load);
   }
 
-  private static double queueMillis(EngineModel model, UpstreamLoad load) {
-    double readingMillis =
-        load.pendingPromptTokens() / model.prefillTokensPerMilli() / load.relativeSpeed();
+  private static double slotMillis(UpstreamLoad load) {
     int excess = Math.max(0, load.totalRequests() - load.upstream().slots());
-    return readingMillis
-        + load.totalRequests() * MILLIS_PER_RUNNING_REQUEST
-        + excess * SLOT_WAIT_MILLIS;
+    return load.totalRequests() * MILLIS_PER_RUNNING_REQUEST + excess * SLOT_WAIT_MILLIS;
   }
 
-  private static double reliabilityPenaltyMillis(UpstreamLoad load) {
-    double slowMillis = Math.max(0, 1 / load.relativeSpeed() - 1) * HALF_SPEED_PENALTY_MILLIS;
+  /**
+   * Returns what a fast engine of the tight pool would save other requests. Its speed is kept for
+   * streams with short gap targets, so that it does not draw the long prompts that make them miss
+   * these.
+   */
+  private static double keptSpeedMillis(
+      PlacementRequest request, EnginePools pools, UpstreamLoad load, double readingMillis) {
+    boolean kept =
+        !request.tightGap()
+            && load.relativeSpeed() > 1
+            && pools.tightPoolIds().contains(load.upstream().id());
+    return kept ? readingMillis * (1 - 1 / load.relativeSpeed()) : 0;
+  }
+
+  /**
+   * Returns the cost of an engine that may not answer, or whose events take longer than those of
+   * others. Without a short gap target, only a clearly slower engine makes a stream late.
+   */
+  private static double reliabilityPenaltyMillis(PlacementRequest request, UpstreamLoad load) {
+    boolean paceMatters = request.tightGap() || load.relativeSpeed() <= CLEARLY_SLOWER_SPEED;
+    double slowMillis =
+        paceMatters ? Math.max(0, 1 / load.relativeSpeed() - 1) * HALF_SPEED_PENALTY_MILLIS : 0;
     return slowMillis
         + load.failureRate() * FAILURE_PENALTY_MILLIS
         + (load.unresponsive() ? UNRESPONSIVE_PENALTY_MILLIS : 0);
--- a/core/src/main/java/org/limpetvale/core/placement/StatedSpeed.java
+++ b/core/src/main/java/org/limpetvale/core/placement/StatedSpeed.java
@@ -14,6 +14,7 @@
   /** Number of answers after which the weight of an old one has fallen to about a third. */
   private static final double DECAY_SAMPLES = 40;
 
+  private static final double MIN_SAMPLES = 2.5;
   private static final double MEDIAN = 0.5;
 
   /** Within this factor of the usual speed, the difference is a matter of rounding. */
@@ -53,6 +54,11 @@
     return speed < USUAL_FACTOR && speed > 1 / USUAL_FACTOR ? 1 : speed;
   }
 
+  /** Returns whether enough answers have stated it to leave out a moment of slowness. */
+  public boolean isKnown() {
+    return slowdowns.effectiveSamples() >= MIN_SAMPLES;
+  }
+
   /** Returns whether an answer has stated it since a monotonic time. */
   public boolean isStatedSince(long millis) {
     return lastAnswerMillis >= millis;
--- a/core/src/main/java/org/limpetvale/core/placement/TightGapTargets.java
+++ b/core/src/main/java/org/limpetvale/core/placement/TightGapTargets.java
@@ -1,7 +1,9 @@
 package org.limpetvale.core.placement;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Decides which gap targets of a service are tight: too short for engines that read long prompts.
@@ -38,6 +40,7 @@
   private static final long RETENTION_MILLIS = 10_000;
 
   private final Map<Long, Rating> targets = new HashMap<>();
+  private Set<Long> configured = Set.of();
 
   private record Rating(boolean exceeded, long requestedAtMillis) {}
 
@@ -64,18 +67,32 @@
     boolean exceeded =
         model.readingPauseMillis() > 0
             ? model.exceedsGapTarget(targetGapMillis, wasExceeded ? LEAVE_SHARE : ENTER_SHARE)
-            : isMuchShorterThanOthers(targetGapMillis);
+            : isAssumedExceeded(targetGapMillis);
     targets.put(targetGapMillis, new Rating(exceeded, nowMillis));
     return exceeded && targetGapMillis <= NEAR_SHORTEST_FACTOR * shortestTightMillis(nowMillis);
   }
 
   /**
-   * Returns whether a target is far shorter than another one of the service. Streams that bear that
-   * much longer pauses bring longer prompts, so that it is taken for missed until the pauses are
-   * known: a burst in the first seconds would cause them.
+   * Returns whether a target is taken for missed until the pauses are known: one of the shortest of
+   * the service, if another one is much longer. Streams that bear much longer pauses bring longer
+   * prompts, and a burst of those in the first seconds would make the others miss theirs.
    */
-  private boolean isMuchShorterThanOthers(long targetGapMillis) {
-    return targets.keySet().stream().anyMatch(each -> each >= MUCH_LONGER_FACTOR * targetGapMillis);
+  private boolean isAssumedExceeded(long targetGapMillis) {
+    if (configured.isEmpty()) {
+      return false;
+    }
+    long shortestMillis = Collections.min(configured);
+    return targetGapMillis <= NEAR_SHORTEST_FACTOR * shortestMillis
+        && Collections.max(configured) >= MUCH_LONGER_FACTOR * targetGapMillis;
+  }
+
+  /**
+   * Sets the gap targets of all routes of the service.
+   *
+   * @param targetsMillis the targets; without those of routes that have none
+   */
+  public void setConfigured(Set<Long> targetsMillis) {
+    configured = Set.copyOf(targetsMillis);
   }
 
   /** Returns the shortest recently used target that the engines miss, or 0 if there is none. */
--- a/core/src/test/java/org/limpetvale/core/placement/StatedSpeedTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/StatedSpeedTest.java
@@ -28,6 +28,15 @@
     }
   }
 
+  @Test
+  void aSingleAnswerDoesNotMakeTheSpeedKnown() {
+    speed.recordSlowdown(4, 0);
+    assertThat(speed.isKnown()).isFalse();
+    speed.recordSlowdown(1.6, 1);
+    speed.recordSlowdown(1.6, 2);
+    assertThat(speed.isKnown()).isTrue();
+  }
+
   @Test
   void aMachineThatBecomesFasterIsKnownAsFasterSoon() {
     for (int i = 0; i < 60; i++) {
--- a/core/src/test/java/org/limpetvale/core/placement/TightGapTargetsTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/TightGapTargetsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 final class TightGapTargetsTest {
@@ -41,12 +42,20 @@
   @Test
   void beforeAnyPauseIsKnownTheShortestOfVeryDifferentTargetsIsTight() {
     TightGapTargets targets = TightGapTargets.empty();
-    assertThat(targets.isTight(1_200, EngineModel.DEFAULT, 0)).isFalse();
-    assertThat(targets.isTight(300, EngineModel.DEFAULT, 0)).isTrue();
+    targets.setConfigured(Set.of(1_200L, 300L, 500L));
     assertThat(targets.isTight(500, EngineModel.DEFAULT, 0)).isFalse();
+    assertThat(targets.isTight(300, EngineModel.DEFAULT, 0)).isTrue();
+    assertThat(targets.isTight(1_200, EngineModel.DEFAULT, 0)).isFalse();
     assertThat(targets.isTight(300, reading(180), 1)).as("once pauses are known").isFalse();
   }
 
+  @Test
+  void beforeAnyPauseIsKnownTargetsThatDifferLittleAreNotTight() {
+    TightGapTargets targets = TightGapTargets.empty();
+    targets.setConfigured(Set.of(300L, 500L));
+    assertThat(targets.isTight(300, EngineModel.DEFAULT, 0)).isFalse();
+  }
+
   @Test
   void aTargetNearTheLimitDoesNotChangeWithEachEstimate() {
     TightGapTargets targets = TightGapTargets.empty();
--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -158,6 +158,9 @@
     FleetClock clock = FleetClock.of(timer);
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
     EngineProfiles engines = EngineProfiles.of(peerBook, timer, log);
+    engines.setGapTargets(
+        service ->
+            config.config().map(each -> each.routes().gapTargetsMillis(service)).orElse(Set.of()));
     EntryRoster roster = EntryRoster.of(self.writer(), members, peerBook, timer);
     UpstreamLimits limits =
         UpstreamLimits.of(loads, self.writer(), roster::entries, clock::millis, timer, log);
--- a/forward/src/main/java/org/limpetvale/forward/place/EngineProfiles.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/EngineProfiles.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.Upstream;
@@ -35,6 +37,7 @@
   private final TimerService timer;
   private final EventLog log;
   private final Map<String, ServiceProfile> services = new HashMap<>();
+  private Function<String, Set<Long>> gapTargetsMillis = service -> Set.of();
 
   /** The measurements and pools of one service. */
   private static final class ServiceProfile {
@@ -65,6 +68,15 @@
     return new EngineProfiles(peers, timer, log);
   }
 
+  /**
+   * Sets what tells which gap targets the routes of a service have.
+   *
+   * @param byService returns the targets of a service in milliseconds
+   */
+  public void setGapTargets(Function<String, Set<Long>> byService) {
+    gapTargetsMillis = Objects.requireNonNull(byService, "byService is null");
+  }
+
   /** Returns the model of a service's engines: the median over all entries. */
   public EngineModel model(String service) {
     ServiceProfile profile = service(service);
@@ -84,6 +96,7 @@
     ServiceProfile profile = service(service);
     long targetMillis = route.targetGapMillis();
     EngineModel model = model(service);
+    profile.gaps.setConfigured(gapTargetsMillis.apply(service));
     boolean tight = profile.gaps.isTight(targetMillis, model, timer.nowMillis());
     Boolean before = profile.loggedTight.put(targetMillis, tight);
     if (tight != Boolean.TRUE.equals(before)) {
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -412,14 +412,14 @@
 
   /**
    * Returns the lasting speed of the upstream's machine relative to the usual one, as the upstream
-   * states it to this entry or else to the others.
+   * states it to this entry, or to the others while this one has heard little of it.
    */
   double lastingSpeed(PeerReport.Load others) {
-    double stated = statedSpeed.relativeSpeed();
-    if (stated > 0) {
-      return stated;
+    if (statedSpeed.isKnown() || others.statedSpeedPercent() == 0) {
+      double stated = statedSpeed.relativeSpeed();
+      return stated > 0 ? stated : 1;
     }
-    return others.statedSpeedPercent() > 0 ? others.statedSpeedPercent() / PERCENT : 1;
+    return others.statedSpeedPercent() / PERCENT;
   }
 
   int tightStreams() {
@@ -431,7 +431,8 @@
     int failurePercent = (int) Math.round(failureShare(nowMillis) * PERCENT);
     int speedPercent =
         (int) Math.round(latencyRatio.relativeSpeed(serviceLatencyRatio, nowMillis) * PERCENT);
-    boolean statedLately = statedSpeed.isStatedSince(nowMillis - REPORTED_SPEED_MILLIS);
+    boolean statedLately =
+        statedSpeed.isKnown() && statedSpeed.isStatedSince(nowMillis - REPORTED_SPEED_MILLIS);
     int statedSpeedPercent =
         statedLately ? (int) Math.round(statedSpeed.relativeSpeed() * PERCENT) : 0;
     boolean usualSpeed = sentRequests.isEmpty() && speedPercent == PERCENT;
--- a/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
+++ b/forward/src/main/java/org/limpetvale/forward/relay/ExchangeLog.java
@@ -76,6 +76,7 @@
         field("costMillis", choice.costMillis()),
         field("requestsThere", choice.load().totalRequests()),
         field("pendingTokens", choice.load().pendingPromptTokens()),
+        field("speed", choice.load().relativeSpeed()),
         field("promptTokens", head.shape().promptTokens()),
         field("waitedMillis", waitedMillis),
         field("cachedTokens", choice.load().cachedTokens()),
--- a/forward/src/test/java/org/limpetvale/forward/place/EngineProfilesTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/EngineProfilesTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.Route;
@@ -39,8 +40,9 @@
   }
 
   private void requestBothTargets() {
-    profiles.isTight("s", stream(600));
-    profiles.isTight("s", stream(150));
+    profiles.setGapTargets(service -> Set.of(150L, 600L));
+    assertThat(profiles.isTight("s", stream(600))).isFalse();
+    assertThat(profiles.isTight("s", stream(150))).isTrue();
   }
 
   /** Each request filters the engines into a list of its own. */
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
@@ -59,6 +59,10 @@
     assertThat(speed(Optional.empty(), 0)).isEqualTo(1);
     assertThat(speed(Optional.of(others), 0)).as("as the others heard it").isEqualTo(1.6);
     answerStates(1.6, 1_000);
+    assertThat(speed(Optional.empty(), 1_000)).isCloseTo(0.625, within(0.05));
+    assertThat(speed(Optional.of(others), 1_000)).as("the others heard more").isEqualTo(1.6);
+    answerStates(1.6, 1_000);
+    answerStates(1.6, 1_000);
     assertThat(speed(Optional.of(others), 1_000)).isCloseTo(0.625, within(0.05));
     assertThat(state.ownLoad(2_000).statedSpeedPercent()).isBetween(57, 67);
     assertThat(state.ownLoad(60_000).statedSpeedPercent()).as("long after").isZero();
