--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -158,9 +158,14 @@
     FleetClock clock = FleetClock.of(timer);
     UsageCounts usage = UsageCounts.of(settings.bounds().usageWindowMillis(), clock::millis);
     EngineProfiles engines = EngineProfiles.of(peerBook, timer, log);
-    engines.setGapTargets(
-        service ->
-            config.config().map(each -> each.routes().gapTargetsMillis(service)).orElse(Set.of()));
+    if (settings.placement().separatesShortGapsAtStart()) {
+      engines.setGapTargets(
+          service ->
+              config
+                  .config()
+                  .map(each -> each.routes().gapTargetsMillis(service))
+                  .orElse(Set.of()));
+    }
     EntryRoster roster = EntryRoster.of(self.writer(), members, peerBook, timer);
     UpstreamLimits limits =
         UpstreamLimits.of(loads, self.writer(), roster::entries, clock::millis, timer, log);
@@ -176,6 +181,9 @@
     UpstreamNotices notices =
         UpstreamNotices.of(
             loads, limits, () -> ThreadLocalRandom.current().nextDouble(), timer, log);
+    if (settings.placement().usesStatedSpeeds()) {
+      notices.useStatedSpeeds();
+    }
     Placer placer =
         Placer.of(settings.zone(), upstreams::view, peerBook, loads, notices, engines, timer);
     placer.setRegionsByZone(settings.regionsByZone());
--- a/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardSettings.java
@@ -42,10 +42,14 @@
    *
    * @param weighsPromptMemory whether it is weighed for each request what a prompt that an engine
    *     still holds saves, against the wait for that engine
+   * @param usesStatedSpeeds whether the speed counts that upstreams state of their machines
+   * @param separatesShortGapsAtStart whether streams with far shorter gap targets than others get
+   *     engines of their own before the pauses of the engines are known
    */
-  public record Placement(boolean weighsPromptMemory) {
+  public record Placement(
+      boolean weighsPromptMemory, boolean usesStatedSpeeds, boolean separatesShortGapsAtStart) {
     /** The choice without any option. */
-    public static final Placement DEFAULT = new Placement(false);
+    public static final Placement DEFAULT = new Placement(false, false, false);
   }
 
   /**
--- a/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
+++ b/forward/src/main/java/org/limpetvale/forward/SettingsReader.java
@@ -112,8 +112,14 @@
   }
 
   private ForwardSettings.Placement placement(JsonNode node) {
-    checkKnownFields(node, "placement.", Set.of("weighsPromptMemory"));
-    return new ForwardSettings.Placement(flag(node, "weighsPromptMemory", "placement."));
+    checkKnownFields(
+        node,
+        "placement.",
+        Set.of("weighsPromptMemory", "usesStatedSpeeds", "separatesShortGapsAtStart"));
+    return new ForwardSettings.Placement(
+        flag(node, "weighsPromptMemory", "placement."),
+        flag(node, "usesStatedSpeeds", "placement."),
+        flag(node, "separatesShortGapsAtStart", "placement."));
   }
 
   /** Returns a flag; false if it is absent. */
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamNotices.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamNotices.java
@@ -36,6 +36,7 @@
   private static final long MAX_LENGTHENING_MILLIS = 1_000;
 
   private final DoubleSupplier random;
+  private boolean usesStatedSpeeds;
 
   /** When upstreams that are leaving were last heard to say so by this entry, by id. */
   private final Map<String, Long> leavingHeardMillis = new HashMap<>();
@@ -75,7 +76,7 @@
    */
   public void responseReceived(Upstream upstream, UpstreamNotice notice, long sentMillis) {
     UpstreamState state = states.state(upstream);
-    notice.load().ifPresent(load -> state.loadReported(load, timer.nowMillis()));
+    notice.load().ifPresent(load -> loadReported(state, load));
     limits.responseReceived(upstream, notice.limit(), sentMillis);
     if (notice.coldMillis() > 0) {
       limits.coldStated(upstream, notice.coldMillis());
@@ -87,6 +88,19 @@
     }
   }
 
+  private void loadReported(UpstreamState state, UpstreamNotice.Load load) {
+    long nowMillis = timer.nowMillis();
+    state.loadReported(load, nowMillis);
+    if (usesStatedSpeeds) {
+      load.slowdown().ifPresent(factor -> state.slowdownStated(factor, nowMillis));
+    }
+  }
+
+  /** Lets the speed count that upstreams state of their machines; without this, it is ignored. */
+  public void useStatedSpeeds() {
+    usesStatedSpeeds = true;
+  }
+
   /**
    * Records whether an upstream has refused a request without having run it. Other upstreams are
    * preferred for a time, which grows while it goes on refusing, so that few first attempts are
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamState.java
@@ -166,7 +166,11 @@
   public void loadReported(UpstreamNotice.Load load, long nowMillis) {
     otherRequests = Math.max(0, load.running() + load.waiting() - sentRequests.size());
     otherRequestsAtMillis = nowMillis;
-    load.slowdown().ifPresent(factor -> statedSpeed.recordSlowdown(factor, nowMillis));
+  }
+
+  /** Records by which factor work takes longer than usual, as the upstream states it. */
+  void slowdownStated(double factor, long nowMillis) {
+    statedSpeed.recordSlowdown(factor, nowMillis);
   }
 
   /** Records whether a request failed through the upstream's fault. */
--- a/forward/src/test/java/org/limpetvale/forward/SettingsReaderTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/SettingsReaderTest.java
@@ -52,6 +52,20 @@
         .isInstanceOf(SettingsReader.Outcome.Invalid.class);
   }
 
+  @Test
+  void eachWayOfPlacementIsSwitchedOnByItsOwnSetting() {
+    assertThat(placement("usesStatedSpeeds"))
+        .isEqualTo(new ForwardSettings.Placement(false, true, false));
+    assertThat(placement("separatesShortGapsAtStart"))
+        .isEqualTo(new ForwardSettings.Placement(false, false, true));
+  }
+
+  private static ForwardSettings.Placement placement(String flag) {
+    String json =
+        VALID.replace("\"bounds\"", "\"placement\": {\"" + flag + "\": true}, \"bounds\"");
+    return ((SettingsReader.Outcome.Valid) SettingsReader.read(json)).settings().placement();
+  }
+
   private static boolean weighsPromptMemory(String json) {
     return SettingsReader.read(json) instanceof SettingsReader.Outcome.Valid(var settings)
         && settings.placement().weighsPromptMemory();
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamNoticesTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamNoticesTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.FleetView;
 import org.limpetvale.core.fleet.Upstream;
@@ -69,6 +70,25 @@
     assertThat(notices.recentlyLeaving()).isEmpty();
   }
 
+  private double relativeSpeed() {
+    return states.state(process(1)).lastingSpeed(PeerReport.Load.NONE);
+  }
+
+  @Test
+  void theSpeedThatAnUpstreamStatesCountsOnlyOnceItIsToBeUsed() {
+    UpstreamNotice slow =
+        new UpstreamNotice(
+            Optional.of(new UpstreamNotice.Load(1, 0, 8, OptionalDouble.of(2))),
+            StatedLimit.NONE,
+            false,
+            StatedPause.NONE);
+    notices.responseReceived(process(1), slow, 0);
+    assertThat(relativeSpeed()).isEqualTo(1);
+    notices.useStatedSpeeds();
+    notices.responseReceived(process(1), slow, 0);
+    assertThat(relativeSpeed()).isBetween(0.45, 0.55);
+  }
+
   private void pause(StatedPause pause) {
     notices.responseReceived(
         process(1),
--- a/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
+++ b/forward/src/test/java/org/limpetvale/forward/place/UpstreamStateTest.java
@@ -4,12 +4,10 @@
 import static org.assertj.core.api.Assertions.within;
 
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.limpetvale.core.fleet.Upstream;
 import org.limpetvale.core.placement.UpstreamLoad;
 import org.limpetvale.forward.peer.PeerReport;
-import org.limpetvale.forward.spi.UpstreamNotice;
 
 final class UpstreamStateTest {
   private final UpstreamState state =
@@ -46,7 +44,7 @@
   }
 
   private void answerStates(double slowdown, long nowMillis) {
-    state.loadReported(new UpstreamNotice.Load(1, 0, 8, OptionalDouble.of(slowdown)), nowMillis);
+    state.slowdownStated(slowdown, nowMillis);
   }
 
   private double speed(Optional<PeerReport.Load> others, long nowMillis) {
