--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -269,6 +269,19 @@
     assertThat(fastMillis).isBetween(0.7 * slowMillis, 1.5 * slowMillis);
   }
 
+  /** A burst of long prompts fills the other engines up to half a second of reading. */
+  @Test
+  void theSpeedOfTheTightPoolDoesNotDrawLongPromptsIntoIt() {
+    EnginePools pools = new EnginePools(Set.of("fast"), 150);
+    UpstreamLoad fast = loadAtSpeed(upstream("fast", "z"), 0, 1.6);
+    UpstreamLoad usual = loadAtSpeed(upstream("usual", "z"), 21_000, 1);
+    List<UpstreamLoad> candidates = List.of(fast, usual);
+    Choice choice = choose(LOOSE, prompt(0, 8_000), pools, true, candidates).orElseThrow();
+    assertThat(choice.upstream().id()).isEqualTo("usual");
+    Choice tight = choose(TIGHT, prompt(0, 500), pools, false, candidates).orElseThrow();
+    assertThat(tight.upstream().id()).isEqualTo("fast");
+  }
+
   @Test
   void aFasterEngineBearsALargerBacklogBesideShortGapStreams() {
     UpstreamLoad usual = loadAtSpeed(upstream("usual", "z"), 6_000, 1);
