--- a/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
+++ b/forward/src/main/java/org/limpetvale/forward/ForwardDaemon.java
@@ -205,6 +205,8 @@
     metrics.registerGauge(
         ForwardMetrics.Gauge.MEMBERS_READ_AGE_MILLIS, () -> members.share().readAgeMillis());
     metrics.registerGauge(ForwardMetrics.Gauge.LIMITED_UPSTREAMS, loads::limitedUpstreams);
+    metrics.registerGauge(
+        ForwardMetrics.Gauge.UNUSUAL_SPEED_UPSTREAMS, loads::unusualSpeedUpstreams);
     metrics.registerGauge(ForwardMetrics.Gauge.STORE_ERA, () -> store.newestVersion().era());
     metrics.registerGauge(ForwardMetrics.Gauge.STORE_VERSION, () -> store.newestVersion().number());
     this.forwarder =
--- a/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
+++ b/forward/src/main/java/org/limpetvale/forward/metrics/ForwardMetrics.java
@@ -47,6 +47,8 @@
     LIMITED_UPSTREAMS,
     /** Number of upstreams that have stated that they are cold. */
     COLD_UPSTREAMS,
+    /** Number of upstreams whose machines are lastingly faster or slower than usual. */
+    UNUSUAL_SPEED_UPSTREAMS,
     /** Number of availability zones to which the operator has ordered to send nothing. */
     EVACUATED_ZONES,
     /** Number of prompt parts that are blocked because upstreams crash on them. */
--- a/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/UpstreamStates.java
@@ -100,6 +100,15 @@
             .count();
   }
 
+  /** Returns the number of upstreams that this entry knows to be lastingly faster or slower. */
+  public int unusualSpeedUpstreams() {
+    return (int)
+        states.entrySet().stream()
+            .filter(each -> !missingSinceMillis.containsKey(each.getKey()))
+            .filter(each -> each.getValue().lastingSpeed(PeerReport.Load.NONE) != 1)
+            .count();
+  }
+
   /** Returns the number of open streams with a short gap target at this entry. */
   public int tightStreams() {
     return states.values().stream().mapToInt(UpstreamState::tightStreams).sum();
