--- a/forward/src/main/java/org/limpetvale/forward/place/EngineProfiles.java
+++ b/forward/src/main/java/org/limpetvale/forward/place/EngineProfiles.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import org.limpetvale.core.fleet.Route;
 import org.limpetvale.core.fleet.Upstream;
@@ -28,13 +30,14 @@
  * they split the engines into the same pools.
  */
 public final class EngineProfiles {
-  /** Time for which a computed median is cached. */
-  private static final long MEDIAN_CACHE_MILLIS = 250;
+  /** Time for which computed medians and the speeds of the engines are cached. */
+  private static final long CACHE_MILLIS = 250;
 
   private final PeerReports peers;
   private final TimerService timer;
   private final EventLog log;
   private final Map<String, ServiceProfile> services = new HashMap<>();
+  private Function<String, Set<Long>> gapTargetsMillis = service -> Set.of();
 
   /** The measurements and pools of one service. */
   private static final class ServiceProfile {
@@ -47,6 +50,8 @@
     private EngineModel model = EngineModel.DEFAULT;
     private long modelUntilMillis = Long.MIN_VALUE;
     private EnginePools pools = EnginePools.UNSPLIT;
+    private Map<String, Double> unusualSpeeds = Map.of();
+    private long speedsUntilMillis = Long.MIN_VALUE;
 
     /** Inputs of the current pools; null while there are no pools. */
     private Split split;
@@ -63,13 +68,22 @@
     return new EngineProfiles(peers, timer, log);
   }
 
+  /**
+   * Sets what tells which gap targets the routes of a service have.
+   *
+   * @param byService returns the targets of a service in milliseconds
+   */
+  public void setGapTargets(Function<String, Set<Long>> byService) {
+    gapTargetsMillis = Objects.requireNonNull(byService, "byService is null");
+  }
+
   /** Returns the model of a service's engines: the median over all entries. */
   public EngineModel model(String service) {
     ServiceProfile profile = service(service);
     long nowMillis = timer.nowMillis();
     if (nowMillis >= profile.modelUntilMillis) {
       profile.model = median(service, profile);
-      profile.modelUntilMillis = nowMillis + MEDIAN_CACHE_MILLIS;
+      profile.modelUntilMillis = nowMillis + CACHE_MILLIS;
     }
     return profile.model;
   }
@@ -82,6 +96,7 @@
     ServiceProfile profile = service(service);
     long targetMillis = route.targetGapMillis();
     EngineModel model = model(service);
+    profile.gaps.setConfigured(gapTargetsMillis.apply(service));
     boolean tight = profile.gaps.isTight(targetMillis, model, timer.nowMillis());
     Boolean before = profile.loggedTight.put(targetMillis, tight);
     if (tight != Boolean.TRUE.equals(before)) {
@@ -101,8 +116,14 @@
   /**
    * Splits the engines of a service into pools, sized by the number of streams with short gap
    * targets.
+   *
+   * @param lastingSpeed returns the speed of an engine relative to the usual one
    */
-  EnginePools split(String service, List<Upstream> engines, double tightStreams) {
+  EnginePools split(
+      String service,
+      List<Upstream> engines,
+      double tightStreams,
+      ToDoubleFunction<Upstream> lastingSpeed) {
     ServiceProfile profile = service(service);
     long shortestMillis = profile.gaps.shortestTightMillis(timer.nowMillis());
     if (shortestMillis <= 0) {
@@ -110,29 +131,45 @@
       profile.split = null;
       return profile.pools;
     }
-    Split split = new Split(engines, Math.ceil(tightStreams), shortestMillis);
-    if (!split.hasSameInputs(profile.split)) {
-      profile.pools = EnginePools.split(engines, split.streams(), shortestMillis);
+    Split split =
+        new Split(
+            engines,
+            Math.ceil(tightStreams),
+            shortestMillis,
+            unusualSpeeds(profile, engines, lastingSpeed));
+    if (!split.equals(profile.split)) {
+      profile.pools =
+          EnginePools.split(engines, split.streams(), shortestMillis, split.unusualSpeeds());
       profile.split = split;
     }
     return profile.pools;
   }
 
-  /** The inputs of a split into pools. */
-  private record Split(List<Upstream> engines, double streams, long shortestMillis) {
-    /**
-     * Compares the engine lists by identity: a fleet view returns the same list for as long as it
-     * is valid.
-     */
-    @SuppressWarnings("ReferenceEquality")
-    boolean hasSameInputs(Split other) {
-      return other != null
-          && engines == other.engines
-          && streams == other.streams
-          && shortestMillis == other.shortestMillis;
+  /** Returns the speeds of the engines that are not of the usual one, from time to time anew. */
+  private Map<String, Double> unusualSpeeds(
+      ServiceProfile profile, List<Upstream> engines, ToDoubleFunction<Upstream> lastingSpeed) {
+    long nowMillis = timer.nowMillis();
+    if (nowMillis >= profile.speedsUntilMillis) {
+      Map<String, Double> speeds = new HashMap<>();
+      for (Upstream engine : engines) {
+        double speed = lastingSpeed.applyAsDouble(engine);
+        if (speed != 1) {
+          speeds.put(engine.id(), speed);
+        }
+      }
+      profile.unusualSpeeds = Map.copyOf(speeds);
+      profile.speedsUntilMillis = nowMillis + CACHE_MILLIS;
     }
+    return profile.unusualSpeeds;
   }
 
+  /** The inputs of a split into pools. */
+  private record Split(
+      List<Upstream> engines,
+      double streams,
+      long shortestMillis,
+      Map<String, Double> unusualSpeeds) {}
+
   /**
    * Returns the models measured by this entry alone, by service, to report to the other entries.
    */
