--- a/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
+++ b/core/src/main/java/org/limpetvale/core/placement/EnginePlacement.java
@@ -62,7 +62,12 @@
    */
   private static final double MEDIUM_IN_TIGHT_POOL_PENALTY_MILLIS = 300;
 
-  private static final double TIGHT_OUTSIDE_POOL_PENALTY_MILLIS = 150;
+  /**
+   * Cost of placing a stream with a short gap target outside the tight pool, the same as that of a
+   * long prompt inside it. Engines outside are idle for moments only: the next long prompt makes
+   * the stream miss its target, whatever they have to read now.
+   */
+  private static final double TIGHT_OUTSIDE_POOL_PENALTY_MILLIS = LONG_IN_TIGHT_POOL_PENALTY_MILLIS;
 
   /** Cost of an engine of half the usual speed, because a stream's events take longer there. */
   private static final double HALF_SPEED_PENALTY_MILLIS = 200;
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -282,6 +282,29 @@
     assertThat(tight.upstream().id()).isEqualTo("fast");
   }
 
+  /**
+   * A burst, in which the engines that read long prompts are idle only until the next one arrives.
+   */
+  @Test
+  void aShortGapStreamStaysInATightPoolThatHasALargeBacklog() {
+    EnginePools pools = new EnginePools(Set.of("pooled"), 150);
+    UpstreamLoad pooled = load(upstream("pooled", "z"), 6_000, 30, 0);
+    UpstreamLoad idle = load(upstream("idle", "z"), 0, 0, 0);
+    Choice choice =
+        choose(TIGHT, prompt(0, 500), pools, false, List.of(pooled, idle)).orElseThrow();
+    assertThat(choice.upstream().id()).isEqualTo("pooled");
+  }
+
+  @Test
+  void aShortGapStreamLeavesATightPoolInWhichItWouldWaitTooLong() {
+    EnginePools pools = new EnginePools(Set.of("pooled"), 150);
+    UpstreamLoad pooled = load(upstream("pooled", "z"), 20_000, 30, 0);
+    UpstreamLoad idle = load(upstream("idle", "z"), 0, 0, 0);
+    Choice choice =
+        choose(TIGHT, prompt(0, 500), pools, false, List.of(pooled, idle)).orElseThrow();
+    assertThat(choice.upstream().id()).isEqualTo("idle");
+  }
+
   @Test
   void aFasterEngineBearsALargerBacklogBesideShortGapStreams() {
     UpstreamLoad usual = loadAtSpeed(upstream("usual", "z"), 6_000, 1);
