--- a/core/src/main/java/org/limpetvale/core/placement/StatedSpeed.java
+++ b/core/src/main/java/org/limpetvale/core/placement/StatedSpeed.java
@@ -14,7 +14,9 @@
   /** Number of answers after which the weight of an old one has fallen to about a third. */
   private static final double DECAY_SAMPLES = 40;
 
+  /** Effective number of answers, each with its decayed weight, from which the speed is known. */
   private static final double MIN_SAMPLES = 2.5;
+
   private static final double MEDIAN = 0.5;
 
   /** Within this factor of the usual speed, the difference is a matter of rounding. */
--- a/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/limpetvale/core/placement/EnginePlacementTest.java
@@ -282,27 +282,28 @@
     assertThat(tight.upstream().id()).isEqualTo("fast");
   }
 
+  /** Places a stream with a short gap target beside an idle engine outside the tight pool. */
+  private static String chosenWithBacklogInTheTightPool(int pendingTokens) {
+    EnginePools pools = new EnginePools(Set.of("pooled"), 150);
+    UpstreamLoad pooled = load(upstream("pooled", "z"), pendingTokens, 30, 0);
+    UpstreamLoad idle = load(upstream("idle", "z"), 0, 0, 0);
+    return choose(TIGHT, prompt(0, 500), pools, false, List.of(pooled, idle))
+        .orElseThrow()
+        .upstream()
+        .id();
+  }
+
   /**
    * A burst, in which the engines that read long prompts are idle only until the next one arrives.
    */
   @Test
   void aShortGapStreamStaysInATightPoolThatHasALargeBacklog() {
-    EnginePools pools = new EnginePools(Set.of("pooled"), 150);
-    UpstreamLoad pooled = load(upstream("pooled", "z"), 6_000, 30, 0);
-    UpstreamLoad idle = load(upstream("idle", "z"), 0, 0, 0);
-    Choice choice =
-        choose(TIGHT, prompt(0, 500), pools, false, List.of(pooled, idle)).orElseThrow();
-    assertThat(choice.upstream().id()).isEqualTo("pooled");
+    assertThat(chosenWithBacklogInTheTightPool(6_000)).isEqualTo("pooled");
   }
 
   @Test
   void aShortGapStreamLeavesATightPoolInWhichItWouldWaitTooLong() {
-    EnginePools pools = new EnginePools(Set.of("pooled"), 150);
-    UpstreamLoad pooled = load(upstream("pooled", "z"), 20_000, 30, 0);
-    UpstreamLoad idle = load(upstream("idle", "z"), 0, 0, 0);
-    Choice choice =
-        choose(TIGHT, prompt(0, 500), pools, false, List.of(pooled, idle)).orElseThrow();
-    assertThat(choice.upstream().id()).isEqualTo("idle");
+    assertThat(chosenWithBacklogInTheTightPool(20_000)).isEqualTo("idle");
   }
 
   @Test
