Gap targets of a service are immutable sets, so that they are not copied for each request

RouteTable handed out mutable sets, which TightGapTargets.setConfigured copied on each placement of a model request.

--- a/core/src/main/java/org/limpetvale/core/fleet/RouteTable.java
+++ b/core/src/main/java/org/limpetvale/core/fleet/RouteTable.java
@@ -52,6 +52,7 @@
         }
       }
     }
+    byService.replaceAll((service, targets) -> Set.copyOf(targets));
     return Map.copyOf(byService);
   }
 
