--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of cases 6 to 10 start. Run it after the build of the deploy
+# Builds the stand-ins that the scripts of cases 6 to 9 start. Run it after the build of the deploy
 # file (bin/build-deploy); it needs no network and writes to review/standins-2/target only.
 set -eu
 here=$(cd "$(dirname "$0")" && pwd)
@@ -9,7 +9,7 @@
 standin="$root/platform/src/test/java/org/limpetvale/platform/standin"
 rm -rf "$out"
 mkdir -p "$out/sources" "$out/classes"
-for source in "$here"/standins-2/*.java.in "$here"/[6-9]/*.java.in "$here"/10/*.java.in; do
+for source in "$here"/standins-2/*.java.in "$here"/[6-9]/*.java.in; do
   [ -e "$source" ] || continue
   name=$(basename "$source" .in)
   cp "$source" "$out/sources/$name"
